Start the workspace: base values, rings, metrics, HTTP server and client

Cause: nothing exists yet; every process needs outcomes, clocks, bounded rings, numbered events, metrics and HTTP. Ruled out: a blocking HTTP client for each thread (one libcurl multi handle carries all calls of a process).

--- /dev/null
+++ b/packages/http/include/http/http_client.h
@@ -0,0 +1,57 @@
+// Asynchronous HTTP client over one libcurl multi handle and one thread.
+
+#ifndef HTTP_HTTP_CLIENT_H_
+#define HTTP_HTTP_CLIENT_H_
+
+#include <chrono>
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/outcome.h"
+#include "http/http_message.h"
+
+namespace azurespur::http {
+
+struct HttpCall {
+  std::string method = "GET";
+  std::string url;  // http://IP:PORT/path?query
+  std::vector<HttpField> headers;
+  std::string body;
+  std::chrono::milliseconds timeout{1000};
+  std::chrono::milliseconds connect_timeout{500};
+};
+
+// Errors of a call. `kUnavailable`: nothing was sent, the server has not seen
+// the request. `kUnknown`: the request may have been seen; no whole answer.
+using HttpResult = base::Outcome<HttpResponse>;
+
+struct HttpClientOptions {
+  long max_connections_per_host = 64;
+  size_t max_response_bytes = 16 << 20;
+  size_t queue_size = 8192;
+};
+
+class HttpClient {
+ public:
+  using Callback = std::function<void(HttpResult)>;
+
+  virtual ~HttpClient() = default;
+
+  // Queues the call; `done` runs on the client's thread and must not block.
+  // Returns false, without calling `done`, if the queue is full or the client
+  // is being destroyed.
+  virtual bool Send(HttpCall call, Callback done) = 0;
+
+  // Makes the call and waits for its result. Not for the client's own thread.
+  HttpResult Fetch(HttpCall call);
+};
+
+std::unique_ptr<HttpClient> StartHttpClient(
+    const HttpClientOptions& options = {});
+
+}  // namespace azurespur::http
+
+#endif  // HTTP_HTTP_CLIENT_H_
--- /dev/null
+++ b/packages/http/tests/http_test.cc
@@ -0,0 +1,87 @@
+#include <doctest/doctest.h>
+
+#include <string>
+#include <thread>
+
+#include "http/http_client.h"
+#include "http/http_server.h"
+
+namespace azurespur::http {
+
+namespace {
+
+std::string Url(const HttpServer& server, const std::string& path) {
+  return "http://127.0.0.1:" + std::to_string(server.port()) + path;
+}
+
+}  // namespace
+
+TEST_CASE("an answer given later from another thread reaches its caller") {
+  std::thread answering;
+  auto server = base::Value(StartHttpServer(
+      {}, [&](HttpRequest request, std::shared_ptr<HttpReply> reply) {
+        answering = std::thread([request = std::move(request), reply] {
+          HttpResponse response;
+          response.body = request.method + request.path + request.body +
+                          std::string(FindField(request.query, "q"));
+          reply->Send(std::move(response));
+        });
+      }));
+  auto client = StartHttpClient();
+  HttpCall call;
+  call.method = "POST";
+  call.url = Url(*server, "/a?q=1");
+  call.body = "body";
+  const HttpResult result = client->Fetch(call);
+  answering.join();
+  REQUIRE(base::Ok(result));
+  CHECK(base::Value(result).status == 200);
+  CHECK(base::Value(result).body == "POST/abody1");
+}
+
+TEST_CASE("a dropped reply answers 500 and an oversized body 413") {
+  HttpServerOptions options;
+  options.max_body_bytes = 10;
+  auto server = base::Value(
+      StartHttpServer(options, [](HttpRequest, std::shared_ptr<HttpReply>) {}));
+  auto client = StartHttpClient();
+  HttpCall call;
+  call.method = "POST";
+  call.url = Url(*server, "/");
+  CHECK(base::Value(client->Fetch(call)).status == 500);
+  call.body = std::string(100, 'x');
+  CHECK(base::Value(client->Fetch(call)).status == 413);
+}
+
+TEST_CASE("a refused connection says that nothing was sent") {
+  uint16_t port = 0;
+  {
+    auto server = base::Value(
+        StartHttpServer({}, [](HttpRequest, std::shared_ptr<HttpReply>) {}));
+    port = server->port();
+  }
+  auto client = StartHttpClient();
+  HttpCall call;
+  call.url = "http://127.0.0.1:" + std::to_string(port) + "/";
+  const HttpResult result = client->Fetch(call);
+  REQUIRE(!base::Ok(result));
+  CHECK(base::GetError(result).code == base::ErrorCode::kUnavailable);
+}
+
+TEST_CASE("a port in use is reported with address and port") {
+  const auto ignore = [](HttpRequest, std::shared_ptr<HttpReply>) {};
+  auto server = base::Value(StartHttpServer({}, ignore));
+  HttpServerOptions options;
+  options.port = server->port();
+  auto second = StartHttpServer(options, ignore);
+  REQUIRE(!base::Ok(second));
+  CHECK(base::GetError(second).message.find(std::to_string(options.port)) !=
+        std::string::npos);
+}
+
+TEST_CASE("URL escaping round trips") {
+  CHECK(UrlEscape("a/b c") == "a%2Fb%20c");
+  CHECK(UrlUnescape("a%2Fb%20c%") == "a/b c%");
+}
+
+}  // namespace azurespur::http
