--- /dev/null
+++ b/packages/control/include/control/vm_directory.h
@@ -0,0 +1,23 @@
+// Latest known VM list.
+
+#ifndef CONTROL_VM_DIRECTORY_H_
+#define CONTROL_VM_DIRECTORY_H_
+
+#include <memory>
+
+#include "platform/vm_list.h"
+
+namespace azurespur::control {
+
+class VmDirectory {
+ public:
+  virtual ~VmDirectory() = default;
+
+  // Never null; version 0 and empty until the list was read once. Outages
+  // leave the last list in force.
+  virtual std::shared_ptr<const platform::VmListPage> Current() const = 0;
+};
+
+}  // namespace azurespur::control
+
+#endif  // CONTROL_VM_DIRECTORY_H_
--- /dev/null
+++ b/packages/platform/include/platform/vm_list.h
@@ -0,0 +1,55 @@
+// The platform's list of live and leaving VMs. It lags.
+
+#ifndef PLATFORM_VM_LIST_H_
+#define PLATFORM_VM_LIST_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/outcome.h"
+
+namespace azurespur::http {
+class HttpClient;
+}
+
+namespace azurespur::platform {
+
+enum class VmKind { kEntry, kWorker, kExecutor };
+
+struct Vm {
+  std::string id;
+  VmKind kind = VmKind::kEntry;
+  std::string address;       // "IP:PORT" of its HTTP service.
+  std::string peer_address;  // Entries: "IP:PORT" for UDP and TCP peers.
+  std::string domain;
+  std::string rack;
+  bool leaving = false;
+  int64_t cpu_millis = 0;  // Workers: capacity.
+  int64_t memory_mb = 0;
+  int64_t accelerators = 0;
+  int slots = 0;  // Executors.
+  int connections = 0;
+};
+
+struct VmListPage {
+  uint64_t version = 0;
+  std::vector<Vm> vms;
+};
+
+class VmList {
+ public:
+  virtual ~VmList() = default;
+
+  // Blocks until answered or timed out.
+  virtual base::Outcome<VmListPage> Fetch() = 0;
+};
+
+// `url` is the service's base; the list is read from `url`/vms.
+std::unique_ptr<VmList> MakeHttpVmList(http::HttpClient& client,
+                                       std::string url);
+
+}  // namespace azurespur::platform
+
+#endif  // PLATFORM_VM_LIST_H_
