--- /dev/null
+++ b/packages/placement/include/placement/resources.h
@@ -0,0 +1,50 @@
+// Amounts of the three resources that a worker has and a task needs.
+
+#ifndef PLACEMENT_RESOURCES_H_
+#define PLACEMENT_RESOURCES_H_
+
+#include <cstdint>
+#include <string>
+
+namespace azurespur::placement {
+
+struct Resources {
+  int64_t cpu_millis = 0;
+  int64_t memory_mb = 0;
+  int64_t accelerators = 0;
+
+  friend bool operator==(const Resources&, const Resources&) = default;
+};
+
+// True if `demand` is at most `room` in every resource.
+bool Fits(const Resources& demand, const Resources& room);
+
+Resources Add(const Resources& a, const Resources& b);
+
+// May be negative in a resource.
+Resources Subtract(const Resources& a, const Resources& b);
+
+// The larger amount of each resource.
+Resources Max(const Resources& a, const Resources& b);
+
+// The smaller amount of each resource.
+Resources Min(const Resources& a, const Resources& b);
+
+Resources Multiply(const Resources& a, int64_t factor);
+
+// How many times `demand` fits into `room`, at most `limit`. A demand of
+// nothing fits `limit` times.
+int64_t CountFitting(const Resources& demand,
+                     const Resources& room,
+                     int64_t limit);
+
+// The largest ratio of demand to capacity over the resources. A resource that
+// is demanded where there is no capacity counts as a ratio of 1.
+double DominantShare(const Resources& demand, const Resources& capacity);
+
+// `cpu_millis=N memory_mb=N accelerators=N`.
+std::string ToString(const Resources& resources);
+
+}  // namespace azurespur::placement
+
+#endif  // PLACEMENT_RESOURCES_H_
