--- a/packages/control/include/control/log_channel.h
+++ b/packages/control/include/control/log_channel.h
@@ -44,6 +44,7 @@
   base::Millis append_interval{20};  // Least time between appends.
   base::Millis read_wait{1000};      // Long poll.
   base::Millis retention{600000};    // Of the log service.
+  base::Millis refresh_age{300000};  // State older than this is restated.
   size_t max_batch_bytes = 256 << 10;
   size_t queue_size = 16384;
 };
