Keep a failed connection's handle until the reactor let go of it

Cause: ACE_SOCK_Connector::complete() closes the stream on failure, so the reactor kept a deleted handler (crash when it was destroyed). Ruled out: a double delete in Forget(). Before: control_test crashed in ~ACE_Reactor. Conclusion: read SO_ERROR instead.

--- a/packages/control/src/frame_connection.cc
+++ b/packages/control/src/frame_connection.cc
@@ -101,12 +101,15 @@
 
 int FrameConnection::handle_output(ACE_HANDLE /*handle*/) {
   if (m_connecting) {
-    ACE_SOCK_Connector connector;
-    if (connector.complete(m_stream, nullptr, &ACE_Time_Value::zero) == -1) {
+    // ACE_SOCK_Connector::complete() would close the handle on failure, while
+    // the reactor still holds it.
+    int error = 0;
+    int size = sizeof(error);
+    m_stream.get_option(SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) {
       return -1;
     }
     m_connecting = false;
-    m_stream.enable(ACE_NONBLOCK);
   }
   while (!m_out.empty()) {
     const ssize_t count = m_stream.send(m_out.data(), m_out.size());
