--- a/packages/placement/include/placement/cell.h
+++ b/packages/placement/include/placement/cell.h
@@ -3,20 +3,50 @@
 #ifndef PLACEMENT_CELL_H_
 #define PLACEMENT_CELL_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
-#include <unordered_map>
 #include <vector>
 
 #include "placement/decision.h"
 #include "placement/resources.h"
+#include "placement/string_hash.h"
 #include "placement/task_demand.h"
 #include "placement/worker_state.h"
 
 namespace azurespur::placement {
 
+inline constexpr int64_t kUnknownEnd = std::numeric_limits<int64_t>::max();
+
+// Room on one worker that a waiting task is to have from `start_ms` on. Work
+// that has ended by then may use the worker freely until then, other work only
+// `spare`.
+struct WorkerHold {
+  std::string worker;
+  int64_t start_ms = 0;
+  Resources spare;
+};
+
+struct PlaceOptions {
+  // Time by which the task will have ended.
+  int64_t ends_by_ms = kUnknownEnd;
+  bool ignore_holds = false;
+};
+
+// One worker as seen by a visitor.
+struct WorkerView {
+  std::string_view id;
+  std::string_view rack;
+  WorkerCondition condition = WorkerCondition::kLive;
+  Resources capacity;
+  // Negative in a resource that is overloaded.
+  Resources room;
+};
+
 // Decisions change nothing; the caller reserves a placement that it takes.
 // Not thread-safe.
 class Cell {
@@ -28,42 +58,70 @@
 
   void RemoveWorker(std::string_view id);
 
-  // Best fit: the live worker with room and the lowest FitScore(); the worker
-  // that was added first wins a tie.
-  Decision PlaceOne(const TaskDemand& demand) const;
+  // Best fit: the worker with room and the lowest FitScore(); the worker that
+  // was added first wins a tie.
+  Decision PlaceOne(const TaskDemand& demand,
+                    const PlaceOptions& options = {}) const;
 
   // Places all members or none, with at most `rack_spread` in one rack. Fills
   // workers in the order of PlaceOne().
-  Decision PlaceGang(const TaskDemand& demand) const;
+  Decision PlaceGang(const TaskDemand& demand,
+                     const PlaceOptions& options = {}) const;
 
-  // PlaceGang() for gangs, PlaceOne() for the rest.
-  Decision Place(const TaskDemand& demand) const;
+  // PlaceGang() for more than one member, else PlaceOne().
+  Decision Place(const TaskDemand& demand,
+                 const PlaceOptions& options = {}) const;
 
   // Counts `size` as used on each worker of `placement`. Returns false, and
-  // changes nothing, if one is unknown, not live or without room.
-  bool Reserve(const Placement& placement, const Resources& size);
+  // changes nothing, if one is unknown, takes no work or has no room. A worker
+  // that is probing is quarantined again by its one task.
+  bool Reserve(const Placement& placement,
+               const Resources& size,
+               int64_t ends_by_ms = kUnknownEnd);
 
   // Takes `size` back from the used resources of one worker. No effect if the
   // worker is unknown.
   void Release(std::string_view worker, const Resources& size);
 
+  // Replaces all holds. Unknown workers are skipped.
+  void SetHolds(std::span<const WorkerHold> holds);
+
   std::optional<WorkerState> FindWorker(std::string_view id) const;
-  std::vector<WorkerState> Workers() const;
   size_t WorkerCount() const { return m_index.size(); }
 
-  // Sums over live workers.
-  Resources TotalCapacity() const;
-  Resources TotalUsed() const;
+  // Sums over live workers. Overloaded workers count as full.
+  const Resources& TotalCapacity() const { return m_total_capacity; }
+  const Resources& TotalRoom() const { return m_total_room; }
+
+  template <typename Visitor>
+  void ForEachWorker(Visitor visit) const {
+    for (uint32_t i = 0; i < m_slots.size(); ++i) {
+      if (m_slots[i].present) {
+        visit(ViewOf(i));
+      }
+    }
+  }
 
  private:
+  // What a decision reads of every worker: one cache line.
   struct Slot {
     Resources room;
     Resources capacity;
-    uint64_t sequence = 0;
-    uint32_t rack = 0;
+    uint64_t sequence : 48 = 0;
+    uint64_t condition : 8 = 0;
     bool present = false;
-    WorkerCondition condition = WorkerCondition::kLive;
-    std::string id;
+    bool held = false;
+    uint32_t rack = 0;
+  };
+
+  // Upper bound of the room on a run of neighbouring slots.
+  struct Block {
+    Resources largest_room;
+  };
+
+  struct HeldRoom {
+    int64_t start_ms = 0;
+    Resources spare;
   };
 
   struct Candidate {
@@ -73,27 +131,28 @@
     int64_t members = 0;
   };
 
-  struct StringHash {
-    using is_transparent = void;
-    size_t operator()(std::string_view text) const {
-      return std::hash<std::string_view>{}(text);
-    }
-  };
-  using Index =
-      std::unordered_map<std::string, uint32_t, StringHash, std::equal_to<>>;
-
-  Slot* Find(std::string_view id);
+  WorkerView ViewOf(uint32_t position) const;
+  std::optional<uint32_t> Find(std::string_view id) const;
+  uint32_t AddSlot(const std::string& id);
   uint32_t InternRack(const std::string& rack);
-  WorkerState ToState(const Slot& slot) const;
-  std::vector<Candidate> GangCandidates(const TaskDemand& demand) const;
-  Refusal RefuseOne(const TaskDemand& demand) const;
-  Refusal RefuseGang(const TaskDemand& demand) const;
+  void SetRoom(uint32_t position, const Resources& room);
+  void CountTotals(const Slot& slot, int64_t sign);
+  void RefreshBlock(uint32_t position);
+  bool TakesWork(const Slot& slot, const TaskDemand& demand) const;
+  Resources UsableRoom(uint32_t position, const PlaceOptions& options) const;
+  std::vector<Candidate> GangCandidates(const TaskDemand& demand,
+                                        const PlaceOptions& options) const;
 
   std::vector<Slot> m_slots;
+  std::vector<std::string> m_ids;
+  std::vector<Block> m_blocks;
   std::vector<uint32_t> m_free_slots;
-  Index m_index;
+  StringMap<uint32_t> m_index;
   std::vector<std::string> m_racks;
-  Index m_rack_index;
+  StringMap<uint32_t> m_rack_index;
+  std::vector<HeldRoom> m_held_rooms;  // By slot; valid where `held` is set.
+  Resources m_total_capacity;
+  Resources m_total_room;
   uint64_t m_next_sequence = 0;
 };
 
--- /dev/null
+++ b/packages/placement/include/placement/job_key.h
@@ -0,0 +1,30 @@
+// Names a kind of work: a job of a plan.
+
+#ifndef PLACEMENT_JOB_KEY_H_
+#define PLACEMENT_JOB_KEY_H_
+
+#include <cstddef>
+#include <functional>
+#include <string>
+
+namespace azurespur::placement {
+
+struct JobKey {
+  std::string plan;
+  std::string job;
+
+  friend bool operator==(const JobKey&, const JobKey&) = default;
+  friend auto operator<=>(const JobKey&, const JobKey&) = default;
+};
+
+struct JobKeyHash {
+  size_t operator()(const JobKey& key) const {
+    constexpr size_t kMultiplier = 0x9E3779B97F4A7C15;
+    const size_t plan = std::hash<std::string>{}(key.plan);
+    return (plan * kMultiplier) ^ std::hash<std::string>{}(key.job);
+  }
+};
+
+}  // namespace azurespur::placement
+
+#endif  // PLACEMENT_JOB_KEY_H_
--- a/packages/placement/include/placement/task_demand.h
+++ b/packages/placement/include/placement/task_demand.h
@@ -32,6 +32,8 @@
   int64_t rack_spread = 0;
   // Urgent work goes first and may preempt within the allowances.
   bool urgent = false;
+  // A checkpoint of the task can be taken and run on later.
+  bool checkpointable = false;
   // Higher goes first within a plan.
   int64_t priority = 0;
   // Run time that the caller expects. 0 is unknown.
--- a/packages/placement/include/placement/worker_state.h
+++ b/packages/placement/include/placement/worker_state.h
@@ -12,7 +12,8 @@
 enum class WorkerCondition {
   kLive,
   kLeaving,      // Gets nothing new.
-  kQuarantined,  // Gets nothing new until it is probed or released.
+  kQuarantined,  // Gets nothing new until it is probed.
+  kProbing,      // Gets one single batch task that is not urgent.
 };
 
 struct WorkerState {
--- a/packages/placement/src/cell.cc
+++ b/packages/placement/src/cell.cc
@@ -1,94 +1,96 @@
 #include "placement/cell.h"
 
 #include <algorithm>
-#include <functional>
+#include <utility>
 
 #include "placement/fit_score.h"
+#include "refusal_reason.h"
 
 namespace azurespur::placement {
 namespace {
 
-std::string NeverFitsReason(const TaskDemand& demand,
-                            std::string_view resource,
-                            int64_t wanted,
-                            int64_t largest,
-                            std::string_view worker) {
-  return "task \"" + demand.id + "\" needs " + std::string(resource) + "=" +
-         std::to_string(wanted) + ", the largest worker \"" +
-         std::string(worker) + "\" has " + std::to_string(largest);
+constexpr uint32_t kSlotsPerBlock = 16;
+
+Resources ClampToZero(const Resources& room) {
+  return Max(room, Resources{});
 }
 
 }  // namespace
 
 void Cell::UpdateWorker(const WorkerState& worker) {
-  Slot* slot = Find(worker.id);
-  if (slot == nullptr) {
-    uint32_t position = 0;
-    if (m_free_slots.empty()) {
-      position = static_cast<uint32_t>(m_slots.size());
-      m_slots.emplace_back();
-    } else {
-      position = m_free_slots.back();
-      m_free_slots.pop_back();
-    }
-    m_index.emplace(worker.id, position);
-    slot = &m_slots[position];
-    slot->id = worker.id;
-    slot->present = true;
-    slot->sequence = m_next_sequence++;
-  }
-  slot->rack = InternRack(worker.rack);
-  slot->condition = worker.condition;
-  slot->capacity = worker.capacity;
-  slot->room = Subtract(worker.capacity, worker.used);
+  const std::optional<uint32_t> known = Find(worker.id);
+  const uint32_t position = known ? *known : AddSlot(worker.id);
+  Slot& slot = m_slots[position];
+  CountTotals(slot, -1);
+  slot.rack = InternRack(worker.rack);
+  slot.condition = static_cast<uint64_t>(worker.condition);
+  slot.capacity = worker.capacity;
+  slot.room = Subtract(worker.capacity, worker.used);
+  CountTotals(slot, 1);
+  RefreshBlock(position);
 }
 
 void Cell::RemoveWorker(std::string_view id) {
-  const auto found = m_index.find(id);
-  if (found == m_index.end()) {
+  const std::optional<uint32_t> position = Find(id);
+  if (!position) {
     return;
   }
-  const uint32_t position = found->second;
-  m_slots[position] = Slot{};
-  m_free_slots.push_back(position);
-  m_index.erase(found);
+  CountTotals(m_slots[*position], -1);
+  m_slots[*position] = Slot{};
+  m_index.erase(m_index.find(id));
+  m_ids[*position].clear();
+  m_free_slots.push_back(*position);
+  RefreshBlock(*position);
 }
 
-Decision Cell::Place(const TaskDemand& demand) const {
-  return MemberCount(demand) > 1 ? PlaceGang(demand) : PlaceOne(demand);
+Decision Cell::Place(const TaskDemand& demand,
+                     const PlaceOptions& options) const {
+  return MemberCount(demand) > 1 ? PlaceGang(demand, options)
+                                 : PlaceOne(demand, options);
 }
 
-Decision Cell::PlaceOne(const TaskDemand& demand) const {
-  const Slot* best = nullptr;
+Decision Cell::PlaceOne(const TaskDemand& demand,
+                        const PlaceOptions& options) const {
+  std::optional<uint32_t> best;
   double best_score = 0;
-  for (const Slot& slot : m_slots) {
-    if (!slot.present || slot.condition != WorkerCondition::kLive ||
-        !Fits(demand.size, slot.room)) {
+  for (uint32_t block = 0; block < m_blocks.size(); ++block) {
+    if (!Fits(demand.size, m_blocks[block].largest_room)) {
       continue;
     }
-    const double score = FitScore(demand.size, slot.room, slot.capacity);
-    if (best == nullptr || score < best_score ||
-        (score == best_score && slot.sequence < best->sequence)) {
-      best = &slot;
-      best_score = score;
+    const uint32_t first = block * kSlotsPerBlock;
+    const uint32_t end =
+        std::min(first + kSlotsPerBlock, static_cast<uint32_t>(m_slots.size()));
+    for (uint32_t i = first; i < end; ++i) {
+      const Slot& slot = m_slots[i];
+      if (!Fits(demand.size, slot.room) || !TakesWork(slot, demand) ||
+          !Fits(demand.size, UsableRoom(i, options))) {
+        continue;
+      }
+      const double score = FitScore(demand.size, slot.room, slot.capacity);
+      if (!best || score < best_score ||
+          (score == best_score && slot.sequence < m_slots[*best].sequence)) {
+        best = i;
+        best_score = score;
+      }
     }
   }
-  if (best == nullptr) {
-    return RefuseOne(demand);
+  if (!best) {
+    return ExplainRefusal(*this, demand);
   }
-  return Placement{{best->id}};
+  return Placement{{m_ids[*best]}};
 }
 
 std::vector<Cell::Candidate> Cell::GangCandidates(
-    const TaskDemand& demand) const {
+    const TaskDemand& demand,
+    const PlaceOptions& options) const {
   std::vector<Candidate> candidates;
   for (uint32_t i = 0; i < m_slots.size(); ++i) {
     const Slot& slot = m_slots[i];
-    if (!slot.present || slot.condition != WorkerCondition::kLive) {
+    if (!Fits(demand.size, slot.room) || !TakesWork(slot, demand)) {
       continue;
     }
     const int64_t members =
-        CountFitting(demand.size, slot.room, MemberCount(demand));
+        CountFitting(demand.size, UsableRoom(i, options), MemberCount(demand));
     if (members > 0) {
       candidates.push_back({FitScore(demand.size, slot.room, slot.capacity),
                             slot.sequence, i, members});
@@ -102,7 +104,8 @@
   return candidates;
 }
 
-Decision Cell::PlaceGang(const TaskDemand& demand) const {
+Decision Cell::PlaceGang(const TaskDemand& demand,
+                         const PlaceOptions& options) const {
   const int64_t wanted = MemberCount(demand);
   const int64_t per_rack = demand.rack_spread > 0 ? demand.rack_spread : wanted;
   std::vector<int64_t> rack_room(m_racks.size(), per_rack);
@@ -110,181 +113,190 @@
   // Filling in any order finds a placement if there is one: what one worker
   // takes only lessens what its own rack may still take.
   int64_t left = wanted;
-  for (const Candidate& candidate : GangCandidates(demand)) {
-    const Slot& slot = m_slots[candidate.slot];
-    const int64_t taken =
-        std::min({candidate.members, rack_room[slot.rack], left});
-    rack_room[slot.rack] -= taken;
+  for (const Candidate& candidate : GangCandidates(demand, options)) {
+    const uint32_t rack = m_slots[candidate.slot].rack;
+    const int64_t taken = std::min({candidate.members, rack_room[rack], left});
+    rack_room[rack] -= taken;
     left -= taken;
     placement.workers.insert(placement.workers.end(),
-                             static_cast<size_t>(taken), slot.id);
+                             static_cast<size_t>(taken), m_ids[candidate.slot]);
     if (left == 0) {
       return placement;
     }
   }
-  return RefuseGang(demand);
+  return ExplainRefusal(*this, demand);
 }
 
-Refusal Cell::RefuseOne(const TaskDemand& demand) const {
-  const Slot* largest_cpu = nullptr;
-  const Slot* largest_memory = nullptr;
-  const Slot* largest_accelerators = nullptr;
-  for (const Slot& slot : m_slots) {
-    if (!slot.present) {
-      continue;
+bool Cell::Reserve(const Placement& placement,
+                   const Resources& size,
+                   int64_t ends_by_ms) {
+  size_t reserved = 0;
+  for (const std::string& worker : placement.workers) {
+    const std::optional<uint32_t> position = Find(worker);
+    if (!position) {
+      break;
     }
-    if (Fits(demand.size, slot.capacity)) {
-      return {RefusalKind::kNotNow, "no live worker has room"};
+    const Slot& slot = m_slots[*position];
+    const auto condition = static_cast<WorkerCondition>(slot.condition);
+    if (!Fits(size, slot.room) || (condition != WorkerCondition::kLive &&
+                                   condition != WorkerCondition::kProbing)) {
+      break;
     }
-    const auto keep_larger = [&slot](const Slot*& largest,
-                                     int64_t Resources::*amount) {
-      if (largest == nullptr ||
-          slot.capacity.*amount > largest->capacity.*amount) {
-        largest = &slot;
-      }
-    };
-    keep_larger(largest_cpu, &Resources::cpu_millis);
-    keep_larger(largest_memory, &Resources::memory_mb);
-    keep_larger(largest_accelerators, &Resources::accelerators);
-  }
-  if (largest_cpu == nullptr) {
-    return {RefusalKind::kNotNow, "the cell has no workers"};
+    SetRoom(*position, Subtract(slot.room, size));
+    ++reserved;
   }
-  const Resources& size = demand.size;
-  if (size.cpu_millis > largest_cpu->capacity.cpu_millis) {
-    return {RefusalKind::kNever,
-            NeverFitsReason(demand, "cpu_millis", size.cpu_millis,
-                            largest_cpu->capacity.cpu_millis, largest_cpu->id)};
+  if (reserved < placement.workers.size()) {
+    for (size_t i = 0; i < reserved; ++i) {
+      Release(placement.workers[i], size);
+    }
+    return false;
   }
-  if (size.memory_mb > largest_memory->capacity.memory_mb) {
-    return {RefusalKind::kNever,
-            NeverFitsReason(demand, "memory_mb", size.memory_mb,
-                            largest_memory->capacity.memory_mb,
-                            largest_memory->id)};
+  for (const std::string& worker : placement.workers) {
+    const uint32_t position = *Find(worker);
+    Slot& slot = m_slots[position];
+    if (slot.condition == static_cast<uint64_t>(WorkerCondition::kProbing)) {
+      slot.condition = static_cast<uint64_t>(WorkerCondition::kQuarantined);
+    }
+    if (slot.held && ends_by_ms > m_held_rooms[position].start_ms) {
+      Resources& spare = m_held_rooms[position].spare;
+      spare = Subtract(spare, size);
+    }
   }
-  if (size.accelerators > largest_accelerators->capacity.accelerators) {
-    return {RefusalKind::kNever,
-            NeverFitsReason(demand, "accelerators", size.accelerators,
-                            largest_accelerators->capacity.accelerators,
-                            largest_accelerators->id)};
+  return true;
+}
+
+void Cell::Release(std::string_view worker, const Resources& size) {
+  const std::optional<uint32_t> position = Find(worker);
+  if (position) {
+    SetRoom(*position, Add(m_slots[*position].room, size));
   }
-  return {RefusalKind::kNever,
-          "task \"" + demand.id + "\" needs " + ToString(size) +
-              ", no single worker has all of it; the largest in cpu_millis is "
-              "\"" +
-              largest_cpu->id + "\" with " + ToString(largest_cpu->capacity)};
 }
 
-Refusal Cell::RefuseGang(const TaskDemand& demand) const {
-  const int64_t wanted = MemberCount(demand);
-  const int64_t per_rack = demand.rack_spread > 0 ? demand.rack_spread : wanted;
-  std::vector<int64_t> rack_room(m_racks.size(), per_rack);
-  int64_t most = 0;
-  for (const Slot& slot : m_slots) {
-    if (!slot.present) {
+void Cell::SetHolds(std::span<const WorkerHold> holds) {
+  for (Slot& slot : m_slots) {
+    slot.held = false;
+  }
+  m_held_rooms.resize(holds.empty() ? 0 : m_slots.size());
+  for (const WorkerHold& hold : holds) {
+    const std::optional<uint32_t> position = Find(hold.worker);
+    if (!position) {
       continue;
     }
-    const int64_t members = std::min(
-        CountFitting(demand.size, slot.capacity, wanted), rack_room[slot.rack]);
-    rack_room[slot.rack] -= members;
-    most += members;
-  }
-  if (most >= wanted) {
-    return {RefusalKind::kNotNow, "not enough live workers have room"};
+    m_slots[*position].held = true;
+    m_held_rooms[*position] = {hold.start_ms, hold.spare};
   }
-  if (most == 0) {
-    return RefuseOne(demand);
-  }
-  return {RefusalKind::kNever,
-          "gang \"" + demand.id + "\" needs " + std::to_string(wanted) +
-              " members of " + ToString(demand.size) +
-              " with rack_spread=" + std::to_string(demand.rack_spread) +
-              ", the empty cell holds " + std::to_string(most)};
 }
 
-bool Cell::Reserve(const Placement& placement, const Resources& size) {
-  size_t reserved = 0;
-  for (const std::string& worker : placement.workers) {
-    Slot* slot = Find(worker);
-    if (slot == nullptr || slot->condition != WorkerCondition::kLive ||
-        !Fits(size, slot->room)) {
-      break;
-    }
-    slot->room = Subtract(slot->room, size);
-    ++reserved;
-  }
-  if (reserved == placement.workers.size()) {
-    return true;
-  }
-  for (size_t i = 0; i < reserved; ++i) {
-    Release(placement.workers[i], size);
+std::optional<WorkerState> Cell::FindWorker(std::string_view id) const {
+  const std::optional<uint32_t> position = Find(id);
+  if (!position) {
+    return std::nullopt;
   }
-  return false;
+  const WorkerView view = ViewOf(*position);
+  return WorkerState{std::string(view.id), std::string(view.rack),
+                     view.condition, view.capacity,
+                     Subtract(view.capacity, view.room)};
 }
 
-void Cell::Release(std::string_view worker, const Resources& size) {
-  Slot* slot = Find(worker);
-  if (slot != nullptr) {
-    slot->room = Add(slot->room, size);
-  }
+WorkerView Cell::ViewOf(uint32_t position) const {
+  const Slot& slot = m_slots[position];
+  return {m_ids[position], m_racks[slot.rack],
+          static_cast<WorkerCondition>(slot.condition), slot.capacity,
+          slot.room};
 }
 
-std::optional<WorkerState> Cell::FindWorker(std::string_view id) const {
+std::optional<uint32_t> Cell::Find(std::string_view id) const {
   const auto found = m_index.find(id);
   if (found == m_index.end()) {
     return std::nullopt;
   }
-  return ToState(m_slots[found->second]);
+  return found->second;
 }
 
-std::vector<WorkerState> Cell::Workers() const {
-  std::vector<WorkerState> workers;
-  workers.reserve(m_index.size());
-  for (const Slot& slot : m_slots) {
-    if (slot.present) {
-      workers.push_back(ToState(slot));
+uint32_t Cell::AddSlot(const std::string& id) {
+  uint32_t position = static_cast<uint32_t>(m_slots.size());
+  if (m_free_slots.empty()) {
+    m_slots.emplace_back();
+    m_ids.emplace_back();
+    m_blocks.resize(position / kSlotsPerBlock + 1);
+    if (!m_held_rooms.empty()) {
+      m_held_rooms.emplace_back();
     }
+  } else {
+    position = m_free_slots.back();
+    m_free_slots.pop_back();
   }
-  return workers;
+  m_slots[position].present = true;
+  m_slots[position].sequence = m_next_sequence++;
+  m_ids[position] = id;
+  m_index.emplace(id, position);
+  return position;
 }
 
-Resources Cell::TotalCapacity() const {
-  Resources total;
-  for (const Slot& slot : m_slots) {
-    if (slot.present && slot.condition == WorkerCondition::kLive) {
-      total = Add(total, slot.capacity);
-    }
+uint32_t Cell::InternRack(const std::string& rack) {
+  const auto [found, added] =
+      m_rack_index.emplace(rack, static_cast<uint32_t>(m_racks.size()));
+  if (added) {
+    m_racks.push_back(rack);
   }
-  return total;
+  return found->second;
 }
 
-Resources Cell::TotalUsed() const {
-  Resources total;
-  for (const Slot& slot : m_slots) {
-    if (slot.present && slot.condition == WorkerCondition::kLive) {
-      total = Add(total, Subtract(slot.capacity, slot.room));
-    }
+void Cell::SetRoom(uint32_t position, const Resources& room) {
+  Slot& slot = m_slots[position];
+  CountTotals(slot, -1);
+  slot.room = room;
+  CountTotals(slot, 1);
+  RefreshBlock(position);
+}
+
+void Cell::CountTotals(const Slot& slot, int64_t sign) {
+  if (slot.condition != static_cast<uint64_t>(WorkerCondition::kLive)) {
+    return;
   }
-  return total;
+  m_total_capacity = Add(m_total_capacity, Multiply(slot.capacity, sign));
+  m_total_room = Add(m_total_room, Multiply(ClampToZero(slot.room), sign));
 }
 
-Cell::Slot* Cell::Find(std::string_view id) {
-  const auto found = m_index.find(id);
-  return found == m_index.end() ? nullptr : &m_slots[found->second];
+void Cell::RefreshBlock(uint32_t position) {
+  const uint32_t block = position / kSlotsPerBlock;
+  const uint32_t first = block * kSlotsPerBlock;
+  const uint32_t end =
+      std::min(first + kSlotsPerBlock, static_cast<uint32_t>(m_slots.size()));
+  Resources largest = {-1, -1, -1};
+  for (uint32_t i = first; i < end; ++i) {
+    if (m_slots[i].present) {
+      largest = Max(largest, m_slots[i].room);
+    }
+  }
+  m_blocks[block].largest_room = largest;
 }
 
-uint32_t Cell::InternRack(const std::string& rack) {
-  const auto [found, added] =
-      m_rack_index.emplace(rack, static_cast<uint32_t>(m_racks.size()));
-  if (added) {
-    m_racks.push_back(rack);
+bool Cell::TakesWork(const Slot& slot, const TaskDemand& demand) const {
+  if (!slot.present) {
+    return false;
   }
-  return found->second;
+  switch (static_cast<WorkerCondition>(slot.condition)) {
+    case WorkerCondition::kLive:
+      return true;
+    case WorkerCondition::kProbing:
+      return demand.task_class == TaskClass::kBatch && !demand.urgent &&
+             MemberCount(demand) == 1;
+    case WorkerCondition::kLeaving:
+    case WorkerCondition::kQuarantined:
+      return false;
+  }
+  return false;
 }
 
-WorkerState Cell::ToState(const Slot& slot) const {
-  return {slot.id, m_racks[slot.rack], slot.condition, slot.capacity,
-          Subtract(slot.capacity, slot.room)};
+Resources Cell::UsableRoom(uint32_t position,
+                           const PlaceOptions& options) const {
+  const Slot& slot = m_slots[position];
+  if (!slot.held || options.ignore_holds ||
+      options.ends_by_ms <= m_held_rooms[position].start_ms) {
+    return slot.room;
+  }
+  return Min(slot.room, m_held_rooms[position].spare);
 }
 
 }  // namespace azurespur::placement
