Add the scheduler: queue, fair share, preemption, health, moves

A pass takes the urgent work first, then the plan with the smallest dominant share of its quota, then by response ratio, so that short work passes long work. Tasks that ask for the same are blocked together; a demand as large as a refused one is not tried. A gang that waits gets one reservation in time; other work passes it only where seen run times say that it ends before.

A refusal for good is passed on only when the caller says that all workers are known: a cell that fills while ownership is taken would fail good work otherwise.

--- a/packages/placement/include/placement/cell.h
+++ b/packages/placement/include/placement/cell.h
@@ -72,6 +72,10 @@
   Decision Place(const TaskDemand& demand,
                  const PlaceOptions& options = {}) const;
 
+  // Why `demand` has no place now: kNever if it would have none in an empty
+  // cell.
+  Refusal Explain(const TaskDemand& demand) const;
+
   // Counts `size` as used on each worker of `placement`. Returns false, and
   // changes nothing, if one is unknown, takes no work or has no room. A worker
   // that is probing is quarantined again by its one task.
@@ -93,6 +97,20 @@
   const Resources& TotalCapacity() const { return m_total_capacity; }
   const Resources& TotalRoom() const { return m_total_room; }
 
+  // Sum over all workers, whatever their condition.
+  const Resources& KnownCapacity() const { return m_known_capacity; }
+
+  // True if `predicate` holds for the view of a worker.
+  template <typename Predicate>
+  bool AnyWorker(Predicate predicate) const {
+    for (uint32_t i = 0; i < m_slots.size(); ++i) {
+      if (m_slots[i].present && predicate(ViewOf(i))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   template <typename Visitor>
   void ForEachWorker(Visitor visit) const {
     for (uint32_t i = 0; i < m_slots.size(); ++i) {
@@ -151,6 +169,7 @@
   std::vector<std::string> m_racks;
   StringMap<uint32_t> m_rack_index;
   std::vector<HeldRoom> m_held_rooms;  // By slot; valid where `held` is set.
+  Resources m_known_capacity;
   Resources m_total_capacity;
   Resources m_total_room;
   uint64_t m_next_sequence = 0;
--- a/packages/placement/include/placement/running_tasks.h
+++ b/packages/placement/include/placement/running_tasks.h
@@ -23,6 +23,7 @@
   TaskClass task_class = TaskClass::kBatch;
   bool urgent = false;
   bool checkpointable = false;
+  int64_t rack_spread = 0;
   // Reserved for each member.
   Resources size;
   // One for each member.
@@ -39,6 +40,10 @@
 // Not thread-safe.
 class RunningTasks {
  public:
+  RunningTasks() = default;
+  RunningTasks(RunningTasks&&) = default;
+  RunningTasks& operator=(RunningTasks&&) = default;
+
   // Replaces a task with the same id.
   void Add(RunningTask task);
 
--- a/packages/placement/include/placement/timed_reservation.h
+++ b/packages/placement/include/placement/timed_reservation.h
@@ -17,6 +17,7 @@
 
 struct TimedReservation {
   std::string task;
+  int64_t planned_ms = 0;
   int64_t start_ms = 0;
   std::vector<WorkerHold> holds;
 };
--- a/packages/placement/include/placement/worker_state.h
+++ b/packages/placement/include/placement/worker_state.h
@@ -11,6 +11,7 @@
 
 enum class WorkerCondition {
   kLive,
+  kUnowned,      // Known, but not ours to start work on.
   kLeaving,      // Gets nothing new.
   kQuarantined,  // Gets nothing new until it is probed.
   kProbing,      // Gets one single batch task that is not urgent.
--- a/packages/placement/src/cell.cc
+++ b/packages/placement/src/cell.cc
@@ -75,7 +75,7 @@
     }
   }
   if (!best) {
-    return ExplainRefusal(*this, demand);
+    return Explain(demand);
   }
   return Placement{{m_ids[*best]}};
 }
@@ -124,6 +124,10 @@
       return placement;
     }
   }
+  return Explain(demand);
+}
+
+Refusal Cell::Explain(const TaskDemand& demand) const {
   return ExplainRefusal(*this, demand);
 }
 
@@ -251,6 +255,7 @@
 }
 
 void Cell::CountTotals(const Slot& slot, int64_t sign) {
+  m_known_capacity = Add(m_known_capacity, Multiply(slot.capacity, sign));
   if (slot.condition != static_cast<uint64_t>(WorkerCondition::kLive)) {
     return;
   }
@@ -282,6 +287,7 @@
     case WorkerCondition::kProbing:
       return demand.task_class == TaskClass::kBatch && !demand.urgent &&
              MemberCount(demand) == 1;
+    case WorkerCondition::kUnowned:
     case WorkerCondition::kLeaving:
     case WorkerCondition::kQuarantined:
       return false;
--- /dev/null
+++ b/packages/placement/src/pending_queue.cc
@@ -0,0 +1,292 @@
+#include "placement/pending_queue.h"
+
+#include <algorithm>
+#include <bit>
+#include <limits>
+#include <tuple>
+
+namespace azurespur::placement {
+namespace {
+
+// A wait of this long weighs as much as a whole quota.
+constexpr double kShareCreditMillis = 10.0 * 60 * 1000;
+
+// Work without quota ranks behind work within a quota.
+constexpr double kNoQuotaShare = 1.0;
+
+// A wait of this long weighs as much as one step of priority.
+constexpr double kPriorityCreditMillis = 30.0 * 60 * 1000;
+
+// Keeps the response ratio below one step of priority.
+constexpr double kLargestResponseRatio = 1000.0;
+
+Resources SaturatedAdd(const Resources& a, const Resources& b) {
+  const auto add = [](int64_t x, int64_t y) {
+    const int64_t largest = std::numeric_limits<int64_t>::max();
+    return x > largest - y ? largest : x + y;
+  };
+  return {add(a.cpu_millis, b.cpu_millis), add(a.memory_mb, b.memory_mb),
+          add(a.accelerators, b.accelerators)};
+}
+
+// Run times are learned anew all the time; close ones must share a group.
+int64_t RunTimeBucket(int64_t run_ms) {
+  const auto positive = static_cast<uint64_t>(std::max<int64_t>(run_ms, 1));
+  return static_cast<int64_t>(std::bit_ceil(positive));
+}
+
+bool HasQuota(const Resources& quota) {
+  return quota.cpu_millis > 0 || quota.memory_mb > 0 || quota.accelerators > 0;
+}
+
+}  // namespace
+
+struct PendingQueue::GroupKey {
+  std::string job;
+  TaskClass task_class;
+  bool urgent;
+  int64_t priority;
+  int64_t cpu_millis;
+  int64_t memory_mb;
+  int64_t accelerators;
+  int64_t gang_size;
+  int64_t rack_spread;
+  int64_t run_ms;
+
+  friend auto operator<=>(const GroupKey&, const GroupKey&) = default;
+};
+
+// Tasks of one plan that ask for the same, oldest first.
+struct PendingQueue::Group {
+  using Order = std::pair<int64_t, uint64_t>;
+
+  std::map<Order, const Task*> tasks;
+  int64_t run_ms = 1;
+  uint64_t blocked_pass = 0;
+};
+
+struct PendingQueue::Plan {
+  PlanAllowance allowance;
+  Resources used;
+  Resources used_urgent;
+  std::map<GroupKey, Group> groups;
+  // The best candidate, while `ranked_pass` is the current pass.
+  Candidate best;
+  uint64_t ranked_pass = 0;
+};
+
+struct PendingQueue::Task {
+  TaskDemand demand;
+  Plan* plan = nullptr;
+  std::map<GroupKey, Group>::iterator group;
+  Group::Order order;
+};
+
+PendingQueue::PendingQueue() = default;
+PendingQueue::~PendingQueue() = default;
+PendingQueue::PendingQueue(PendingQueue&&) noexcept = default;
+PendingQueue& PendingQueue::operator=(PendingQueue&&) noexcept = default;
+
+void PendingQueue::SetAllowance(std::string_view plan,
+                                const PlanAllowance& allowance) {
+  Plan& found = GetPlan(plan);
+  found.allowance = allowance;
+  found.ranked_pass = 0;
+}
+
+const PlanAllowance& PendingQueue::AllowanceOf(std::string_view plan) const {
+  static const PlanAllowance kDefault;
+  const auto found = m_plans.find(plan);
+  return found == m_plans.end() ? kDefault : found->second->allowance;
+}
+
+void PendingQueue::CountUsed(std::string_view plan,
+                             const Resources& size,
+                             bool urgent,
+                             int64_t sign) {
+  Plan& found = GetPlan(plan);
+  const Resources change = Multiply(size, sign);
+  found.used = Add(found.used, change);
+  if (urgent) {
+    found.used_urgent = Add(found.used_urgent, change);
+  }
+  found.ranked_pass = 0;
+}
+
+Resources PendingQueue::UsedBy(std::string_view plan) const {
+  const auto found = m_plans.find(plan);
+  return found == m_plans.end() ? Resources{} : found->second->used;
+}
+
+bool PendingQueue::Enqueue(TaskDemand demand, int64_t run_ms) {
+  if (m_tasks.contains(demand.id)) {
+    return false;
+  }
+  const GroupKey key = {demand.job,
+                        demand.task_class,
+                        demand.urgent,
+                        demand.priority,
+                        demand.size.cpu_millis,
+                        demand.size.memory_mb,
+                        demand.size.accelerators,
+                        demand.gang_size,
+                        demand.rack_spread,
+                        RunTimeBucket(run_ms)};
+  auto task = std::make_unique<Task>();
+  Plan& plan = GetPlan(demand.plan);
+  task->plan = &plan;
+  task->group = plan.groups.try_emplace(key).first;
+  task->group->second.run_ms = key.run_ms;
+  task->order = {demand.submitted_ms, m_next_sequence++};
+  task->demand = std::move(demand);
+  task->group->second.tasks.emplace(task->order, task.get());
+  plan.ranked_pass = 0;
+  m_tasks.emplace(task->demand.id, std::move(task));
+  return true;
+}
+
+bool PendingQueue::Remove(std::string_view id) {
+  const auto found = m_tasks.find(id);
+  if (found == m_tasks.end()) {
+    return false;
+  }
+  const Task& task = *found->second;
+  Plan& plan = *task.plan;
+  task.group->second.tasks.erase(task.order);
+  if (task.group->second.tasks.empty()) {
+    plan.groups.erase(task.group);
+  }
+  plan.ranked_pass = 0;
+  m_tasks.erase(found);
+  return true;
+}
+
+const TaskDemand* PendingQueue::Find(std::string_view id) const {
+  const auto found = m_tasks.find(id);
+  return found == m_tasks.end() ? nullptr : &found->second->demand;
+}
+
+bool PendingQueue::IsEligible(std::string_view id) const {
+  const auto found = m_tasks.find(id);
+  return found != m_tasks.end() &&
+         WithinLimits(*found->second->plan, found->second->demand);
+}
+
+void PendingQueue::BeginPass(int64_t now_ms, const Resources& capacity) {
+  ++m_pass;
+  m_now_ms = now_ms;
+  m_capacity = capacity;
+}
+
+const TaskDemand* PendingQueue::Next() {
+  Candidate best;
+  for (auto& [name, plan] : m_plans) {
+    if (plan->groups.empty()) {
+      continue;
+    }
+    if (plan->ranked_pass != m_pass) {
+      plan->best = BestOf(*plan);
+      plan->ranked_pass = m_pass;
+    }
+    const Candidate& candidate = plan->best;
+    if (candidate.group == nullptr) {
+      continue;
+    }
+    if (best.group == nullptr || GoesBefore(candidate, best)) {
+      best = candidate;
+    }
+  }
+  if (best.group == nullptr) {
+    return nullptr;
+  }
+  return &best.group->tasks.begin()->second->demand;
+}
+
+const TaskDemand* PendingQueue::NextLike(const TaskDemand& demand) const {
+  const auto found = m_tasks.find(demand.id);
+  if (found == m_tasks.end()) {
+    return nullptr;
+  }
+  const Task& task = *found->second;
+  const auto& tasks = task.group->second.tasks;
+  const auto next = tasks.upper_bound(task.order);
+  return next == tasks.end() ? nullptr : &next->second->demand;
+}
+
+void PendingQueue::Block(const TaskDemand& demand) {
+  const auto found = m_tasks.find(demand.id);
+  if (found == m_tasks.end()) {
+    return;
+  }
+  found->second->group->second.blocked_pass = m_pass;
+  found->second->plan->ranked_pass = 0;
+}
+
+bool PendingQueue::GoesBefore(const Candidate& a, const Candidate& b) {
+  return std::tuple(!a.urgent, a.rank, a.sequence) <
+         std::tuple(!b.urgent, b.rank, b.sequence);
+}
+
+PendingQueue::Plan& PendingQueue::GetPlan(std::string_view plan) {
+  const auto found = m_plans.find(plan);
+  if (found != m_plans.end()) {
+    return *found->second;
+  }
+  return *m_plans.emplace(plan, std::make_unique<Plan>()).first->second;
+}
+
+bool PendingQueue::WithinLimits(const Plan& plan,
+                                const TaskDemand& demand) const {
+  const Resources total = TotalSize(demand);
+  if (!Fits(SaturatedAdd(plan.used, total), plan.allowance.limit)) {
+    return false;
+  }
+  return !demand.urgent || Fits(SaturatedAdd(plan.used_urgent, total),
+                                plan.allowance.urgent_limit);
+}
+
+double PendingQueue::PlanShare(const Plan& plan) const {
+  if (HasQuota(plan.allowance.quota)) {
+    return DominantShare(plan.used, plan.allowance.quota);
+  }
+  return kNoQuotaShare + DominantShare(plan.used, m_capacity);
+}
+
+PendingQueue::Candidate PendingQueue::BestOf(Plan& plan) const {
+  Candidate best;
+  for (auto& [key, group] : plan.groups) {
+    const TaskDemand& demand = group.tasks.begin()->second->demand;
+    if (group.blocked_pass == m_pass || !WithinLimits(plan, demand)) {
+      continue;
+    }
+    const Candidate candidate = Rank(group);
+    if (best.group == nullptr || GoesBefore(candidate, best)) {
+      best = candidate;
+    }
+  }
+  if (best.group == nullptr || best.urgent) {
+    return best;
+  }
+  // Between plans the share counts, not the order within the plan.
+  const TaskDemand& demand = best.group->tasks.begin()->second->demand;
+  const auto waited = static_cast<double>(m_now_ms - demand.submitted_ms);
+  best.rank = PlanShare(plan) - waited / kShareCreditMillis;
+  return best;
+}
+
+PendingQueue::Candidate PendingQueue::Rank(Group& group) const {
+  const TaskDemand& demand = group.tasks.begin()->second->demand;
+  const uint64_t sequence = group.tasks.begin()->first.second;
+  if (demand.urgent) {
+    return {&group, true, static_cast<double>(demand.submitted_ms), sequence};
+  }
+  const auto waited =
+      static_cast<double>(std::max<int64_t>(m_now_ms - demand.submitted_ms, 0));
+  const auto run = static_cast<double>(group.run_ms);
+  const double ratio = std::min((waited + run) / run, kLargestResponseRatio);
+  const double priority =
+      static_cast<double>(demand.priority) + waited / kPriorityCreditMillis;
+  return {&group, false, -(priority + ratio / kLargestResponseRatio), sequence};
+}
+
+}  // namespace azurespur::placement
--- /dev/null
+++ b/packages/placement/src/preemption.cc
@@ -0,0 +1,238 @@
+#include "placement/preemption.h"
+
+#include <algorithm>
+#include <limits>
+#include <unordered_map>
+#include <unordered_set>
+#include <utility>
+
+namespace azurespur::placement {
+namespace {
+
+// Evicting work above its plan's quota costs this much less.
+constexpr double kOverQuotaFactor = 0.1;
+
+// A checkpoint keeps all but this part of the work done.
+constexpr double kCheckpointFactor = 0.1;
+
+// Each eviction costs a restart, however little work it loses.
+constexpr double kRestartMillis = 10'000;
+
+struct Victim {
+  const RunningTask* task = nullptr;
+  double cost = 0;
+  Resources size;  // Of all its members on the worker.
+};
+
+// Evictions on one worker that make room for one more member.
+struct Choice {
+  std::string_view worker;
+  std::string_view rack;
+  double cost = std::numeric_limits<double>::infinity();
+  std::vector<Victim> victims;
+};
+
+// Room and evictions that are decided already, for the members placed so far.
+struct Draft {
+  std::unordered_map<std::string_view, Resources> room_change;
+  std::unordered_map<std::string_view, int64_t> rack_members;
+  std::unordered_set<const RunningTask*> victims;
+};
+
+Resources SizeOn(const RunningTask& task, std::string_view worker) {
+  const int64_t members =
+      std::count(task.workers.begin(), task.workers.end(), worker);
+  return Multiply(task.size, members);
+}
+
+class Planner {
+ public:
+  Planner(const Cell& cell,
+          const RunningTasks& running,
+          const TaskDemand& demand,
+          const VictimPlanLookup& lookup,
+          const BusyWorkers& busy,
+          int64_t now_ms)
+      : m_cell(cell),
+        m_running(running),
+        m_demand(demand),
+        m_lookup(lookup),
+        m_busy(busy),
+        m_now_ms(now_ms) {}
+
+  std::optional<PreemptionPlan> Plan() {
+    PreemptionPlan plan;
+    plan.task = m_demand.id;
+    for (int64_t i = 0; i < MemberCount(m_demand); ++i) {
+      const Choice choice = CheapestWorker();
+      if (choice.worker.empty()) {
+        return std::nullopt;
+      }
+      Take(choice);
+      plan.placement.workers.emplace_back(choice.worker);
+    }
+    for (const RunningTask* victim : m_draft.victims) {
+      plan.victims.push_back(victim->id);
+      plan.needs_approval |= m_lookup(victim->plan).needs_approval;
+    }
+    std::sort(plan.victims.begin(), plan.victims.end());
+    return plan;
+  }
+
+ private:
+  Choice CheapestWorker() {
+    Choice best;
+    m_cell.ForEachWorker([&](const WorkerView& worker) {
+      if (worker.condition != WorkerCondition::kLive ||
+          !Fits(m_demand.size, worker.capacity) || RackIsFull(worker.rack) ||
+          m_busy(worker.id)) {
+        return;
+      }
+      Choice choice = ChooseOn(worker, best.cost);
+      if (choice.cost < best.cost) {
+        best = std::move(choice);
+      }
+    });
+    return best;
+  }
+
+  bool RackIsFull(std::string_view rack) const {
+    if (m_demand.rack_spread <= 0) {
+      return false;
+    }
+    const auto found = m_draft.rack_members.find(rack);
+    return found != m_draft.rack_members.end() &&
+           found->second >= m_demand.rack_spread;
+  }
+
+  Resources RoomOn(const WorkerView& worker) const {
+    const auto change = m_draft.room_change.find(worker.id);
+    return change == m_draft.room_change.end()
+               ? worker.room
+               : Add(worker.room, change->second);
+  }
+
+  std::vector<Victim> VictimsOn(std::string_view worker) {
+    std::vector<Victim> victims;
+    for (const RunningTask* task : m_running.OnWorker(worker)) {
+      if (m_draft.victims.contains(task)) {
+        continue;
+      }
+      const std::optional<double> cost =
+          EvictionCost(*task, PlanOf(task->plan), m_now_ms);
+      if (cost) {
+        victims.push_back({task, *cost, SizeOn(*task, worker)});
+      }
+    }
+    std::sort(
+        victims.begin(), victims.end(), [](const Victim& a, const Victim& b) {
+          return a.cost != b.cost ? a.cost < b.cost : a.task->id < b.task->id;
+        });
+    return victims;
+  }
+
+  const VictimPlan& PlanOf(const std::string& plan) {
+    const auto [found, added] = m_plans.try_emplace(plan);
+    if (added) {
+      found->second = m_lookup(plan);
+    }
+    return found->second;
+  }
+
+  // Stops early where the cost reaches `bound`.
+  Choice ChooseOn(const WorkerView& worker, double bound) {
+    Choice choice = {worker.id, worker.rack, 0, {}};
+    Resources room = RoomOn(worker);
+    if (Fits(m_demand.size, room)) {
+      return choice;
+    }
+    for (const Victim& victim : VictimsOn(worker.id)) {
+      if (!HelpsWith(victim, room)) {
+        continue;
+      }
+      room = Add(room, victim.size);
+      choice.victims.push_back(victim);
+      if (Fits(m_demand.size, room)) {
+        break;
+      }
+    }
+    if (!Fits(m_demand.size, room)) {
+      return {};
+    }
+    DropNeedless(choice.victims, room);
+    for (const Victim& victim : choice.victims) {
+      choice.cost += victim.cost;
+    }
+    return choice.cost < bound ? choice : Choice{};
+  }
+
+  // True if the victim has some of a resource that is short.
+  bool HelpsWith(const Victim& victim, const Resources& room) const {
+    const Resources& size = m_demand.size;
+    return (size.cpu_millis > room.cpu_millis && victim.size.cpu_millis > 0) ||
+           (size.memory_mb > room.memory_mb && victim.size.memory_mb > 0) ||
+           (size.accelerators > room.accelerators &&
+            victim.size.accelerators > 0);
+  }
+
+  // Spares the dearest victims without which there is room still.
+  void DropNeedless(std::vector<Victim>& victims, Resources room) const {
+    for (size_t i = victims.size(); i-- > 0;) {
+      const Resources without = Subtract(room, victims[i].size);
+      if (Fits(m_demand.size, without)) {
+        room = without;
+        victims.erase(victims.begin() + static_cast<ptrdiff_t>(i));
+      }
+    }
+  }
+
+  void Take(const Choice& choice) {
+    for (const Victim& victim : choice.victims) {
+      m_draft.victims.insert(victim.task);
+      for (const std::string& worker : victim.task->workers) {
+        Resources& change = m_draft.room_change[worker];
+        change = Add(change, victim.task->size);
+      }
+    }
+    Resources& change = m_draft.room_change[choice.worker];
+    change = Subtract(change, m_demand.size);
+    ++m_draft.rack_members[choice.rack];
+  }
+
+  const Cell& m_cell;
+  const RunningTasks& m_running;
+  const TaskDemand& m_demand;
+  const VictimPlanLookup& m_lookup;
+  const BusyWorkers& m_busy;
+  int64_t m_now_ms;
+  Draft m_draft;
+  std::unordered_map<std::string, VictimPlan> m_plans;
+};
+
+}  // namespace
+
+std::optional<double> EvictionCost(const RunningTask& task,
+                                   const VictimPlan& plan,
+                                   int64_t now_ms) {
+  if (task.task_class == TaskClass::kService || task.urgent) {
+    return std::nullopt;
+  }
+  const auto ran =
+      static_cast<double>(std::max<int64_t>(now_ms - task.started_ms, 0));
+  const double lost = task.checkpointable ? ran * kCheckpointFactor : ran;
+  // All members of a gang lose their work with the first.
+  const auto members = static_cast<double>(task.workers.size());
+  const double cost = (lost + kRestartMillis) * members;
+  return plan.over_quota ? cost * kOverQuotaFactor : cost;
+}
+
+std::optional<PreemptionPlan> PlanPreemption(const Cell& cell,
+                                             const RunningTasks& running,
+                                             const TaskDemand& demand,
+                                             const VictimPlanLookup& lookup,
+                                             const BusyWorkers& busy,
+                                             int64_t now_ms) {
+  return Planner(cell, running, demand, lookup, busy, now_ms).Plan();
+}
+
+}  // namespace azurespur::placement
--- /dev/null
+++ b/packages/placement/src/rebalance.cc
@@ -0,0 +1,91 @@
+#include "placement/rebalance.h"
+
+#include <algorithm>
+#include <unordered_set>
+#include <utility>
+
+#include "placement/task_demand.h"
+
+namespace azurespur::placement {
+namespace {
+
+struct Leaver {
+  const RunningTask* task = nullptr;
+  std::string_view worker;
+};
+
+// Services first, then the largest, which are the hardest to place.
+bool MovesBefore(const Leaver& a, const Leaver& b) {
+  const bool a_service = a.task->task_class == TaskClass::kService;
+  const bool b_service = b.task->task_class == TaskClass::kService;
+  if (a_service != b_service) {
+    return a_service;
+  }
+  if (a.task->size.memory_mb != b.task->size.memory_mb) {
+    return a.task->size.memory_mb > b.task->size.memory_mb;
+  }
+  return a.task->id < b.task->id;
+}
+
+std::vector<Leaver> CollectLeavers(const Cell& cell,
+                                   const RunningTasks& running,
+                                   const MovePolicy& policy,
+                                   int64_t now_ms) {
+  std::vector<Leaver> leavers;
+  std::unordered_set<const RunningTask*> seen;
+  cell.ForEachWorker([&](const WorkerView& worker) {
+    if (worker.condition != WorkerCondition::kLeaving) {
+      return;
+    }
+    for (const RunningTask* task : running.OnWorker(worker.id)) {
+      const bool stays = ExpectedEnd(*task, now_ms) <= policy.leave_until_ms;
+      if (!stays && seen.insert(task).second) {
+        leavers.push_back({task, worker.id});
+      }
+    }
+  });
+  std::sort(leavers.begin(), leavers.end(), MovesBefore);
+  return leavers;
+}
+
+TaskDemand DemandOf(const RunningTask& task) {
+  TaskDemand demand;
+  demand.id = task.id;
+  demand.plan = task.plan;
+  demand.job = task.job;
+  demand.task_class = task.task_class;
+  demand.gang_size = static_cast<int64_t>(task.workers.size());
+  demand.rack_spread = task.rack_spread;
+  demand.size = task.size;
+  demand.urgent = task.urgent;
+  return demand;
+}
+
+}  // namespace
+
+std::vector<TaskMove> PlanMoves(
+    const Cell& cell,
+    const RunningTasks& running,
+    const MovePolicy& policy,
+    const std::function<bool(std::string_view plan)>& needs_approval,
+    int64_t now_ms) {
+  std::vector<TaskMove> moves;
+  Cell draft = cell;
+  for (const Leaver& leaver : CollectLeavers(cell, running, policy, now_ms)) {
+    if (moves.size() >= policy.most_moves) {
+      break;
+    }
+    const RunningTask& task = *leaver.task;
+    Decision decision = draft.Place(DemandOf(task));
+    auto* placement = std::get_if<Placement>(&decision);
+    if (placement == nullptr || !draft.Reserve(*placement, task.size)) {
+      continue;
+    }
+    moves.push_back({task.id, std::string(leaver.worker),
+                     std::move(placement->workers), task.checkpointable,
+                     needs_approval(task.plan)});
+  }
+  return moves;
+}
+
+}  // namespace azurespur::placement
--- a/packages/placement/src/refusal_reason.cc
+++ b/packages/placement/src/refusal_reason.cc
@@ -78,13 +78,19 @@
   if (cell.WorkerCount() == 0) {
     return {RefusalKind::kNotNow, "the cell has no workers"};
   }
+  const bool member_fits = cell.AnyWorker([&demand](const WorkerView& worker) {
+    return Fits(demand.size, worker.capacity);
+  });
+  if (!member_fits) {
+    return ExplainMember(cell, demand);
+  }
+  if (MemberCount(demand) == 1) {
+    return NotNow();
+  }
   const int64_t most = CountInEmptyCell(cell, demand);
   if (most >= MemberCount(demand)) {
     return NotNow();
   }
-  if (most == 0) {
-    return ExplainMember(cell, demand);
-  }
   return {RefusalKind::kNever,
           "gang \"" + demand.id +
               "\" needs gang_size=" + std::to_string(demand.gang_size) +
--- /dev/null
+++ b/packages/placement/src/scheduler.cc
@@ -0,0 +1,371 @@
+#include "placement/scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace azurespur::placement {
+namespace {
+
+bool IsLong(const TaskDemand& demand, int64_t run_ms, int64_t long_run_ms) {
+  return demand.task_class == TaskClass::kGang || run_ms > long_run_ms;
+}
+
+bool LeavesShare(const Resources& total,
+                 const Resources& room,
+                 const Resources& capacity,
+                 double share) {
+  const Resources left = Subtract(room, total);
+  const auto keeps = [share](int64_t amount, int64_t of) {
+    return static_cast<double>(amount) >= share * static_cast<double>(of);
+  };
+  return keeps(left.cpu_millis, capacity.cpu_millis) &&
+         keeps(left.memory_mb, capacity.memory_mb);
+}
+
+JobKey KeyOf(const TaskDemand& demand) {
+  return {demand.plan, demand.job};
+}
+
+RunningTask MakeRunning(const TaskDemand& demand,
+                        const Placement& placement,
+                        int64_t run_bound_ms,
+                        int64_t now_ms) {
+  RunningTask task;
+  task.id = demand.id;
+  task.plan = demand.plan;
+  task.job = demand.job;
+  task.task_class = demand.task_class;
+  task.urgent = demand.urgent;
+  task.checkpointable = demand.checkpointable;
+  task.rack_spread = demand.rack_spread;
+  task.size = demand.size;
+  task.workers = placement.workers;
+  task.started_ms = now_ms;
+  task.run_bound_ms = run_bound_ms;
+  return task;
+}
+
+}  // namespace
+
+Scheduler::Scheduler(const SchedulerOptions& options)
+    : m_options(options), m_statistics(options.most_jobs_remembered) {}
+
+bool Scheduler::Submit(TaskDemand demand) {
+  if (m_running.Find(demand.id) != nullptr ||
+      m_queue.Find(demand.id) != nullptr) {
+    return false;
+  }
+  const Resources& limit = m_queue.AllowanceOf(demand.plan).limit;
+  if (!Fits(TotalSize(demand), limit)) {
+    m_early_failures.push_back(
+        {demand.id, "task \"" + demand.id + "\" needs " +
+                        ToString(TotalSize(demand)) + ", the limit of plan \"" +
+                        demand.plan + "\" is " + ToString(limit)});
+    return true;
+  }
+  const int64_t run_ms =
+      ExpectedRunTime(m_statistics.Find(KeyOf(demand)), demand.expected_run_ms);
+  return m_queue.Enqueue(std::move(demand), run_ms);
+}
+
+PassResult Scheduler::Pass(int64_t now_ms, const PassLimits& limits) {
+  PassResult result;
+  result.failures = std::exchange(m_early_failures, {});
+  m_refused.clear();
+  m_queue.BeginPass(now_ms, m_cell.TotalCapacity());
+  TryReserved(now_ms, result);
+  for (size_t attempts = 0; attempts < limits.most_attempts &&
+                            result.starts.size() < limits.most_starts;
+       ++attempts) {
+    const TaskDemand* demand = m_queue.Next();
+    if (demand == nullptr) {
+      break;
+    }
+    TryOne(*demand, Prepare(*demand, now_ms), now_ms, result);
+  }
+  return result;
+}
+
+// The task with the reservation goes first and sees the whole cell. Its
+// reservation is renewed from time to time, since running work ends as it
+// likes.
+void Scheduler::TryReserved(int64_t now_ms, PassResult& result) {
+  if (!m_reservation) {
+    return;
+  }
+  const TaskDemand* demand = m_queue.Find(m_reservation->task);
+  if (demand == nullptr || !m_queue.IsEligible(demand->id)) {
+    ClearReservation();
+    return;
+  }
+  Attempt attempt = Prepare(*demand, now_ms);
+  attempt.options.ignore_holds = true;
+  if (!KeepsReservation(now_ms)) {
+    ClearReservation();
+  }
+  TryOne(*demand, std::move(attempt), now_ms, result);
+}
+
+bool Scheduler::KeepsReservation(int64_t now_ms) const {
+  return now_ms < m_reservation->start_ms &&
+         now_ms - m_reservation->planned_ms < m_options.replan_interval_ms;
+}
+
+void Scheduler::ClearReservation() {
+  m_reservation.reset();
+  m_cell.SetHolds({});
+}
+
+void Scheduler::TryOne(const TaskDemand& demand,
+                       Attempt attempt,
+                       int64_t now_ms,
+                       PassResult& result) {
+  const int64_t run_ms =
+      ExpectedRunTime(m_statistics.Find(KeyOf(demand)), demand.expected_run_ms);
+  const double reserved = ReservedShare(demand, run_ms);
+  const bool hopeless =
+      !Leaves(attempt.demand, reserved) || IsHopeless(attempt);
+  Decision decision =
+      hopeless ? Decision(m_cell.Explain(demand)) : Decide(attempt, demand);
+  if (auto* placement = std::get_if<Placement>(&decision)) {
+    Start(demand, std::move(attempt), std::move(*placement), now_ms, result);
+    return;
+  }
+  std::optional<std::string> never = WhyNever(demand, reserved, decision);
+  if (never) {
+    result.failures.push_back({demand.id, std::move(*never)});
+    m_queue.Remove(demand.id);
+    return;
+  }
+  if (!hopeless && MemberCount(demand) == 1) {
+    m_refused.push_back({attempt.demand.size, attempt.options.ends_by_ms});
+  }
+  Refuse(demand, attempt, now_ms, result);
+}
+
+Scheduler::Attempt Scheduler::Prepare(const TaskDemand& demand,
+                                      int64_t now_ms) const {
+  const std::optional<JobEstimate> estimate = m_statistics.Find(KeyOf(demand));
+  Attempt attempt;
+  attempt.demand = demand;
+  attempt.demand.size = SizeToReserve(estimate, demand.size);
+  attempt.options.ignore_holds = demand.urgent;
+  const std::optional<int64_t> bound = RunTimeBound(estimate);
+  if (bound && demand.task_class != TaskClass::kService) {
+    attempt.options.ends_by_ms = now_ms + *bound;
+  }
+  return attempt;
+}
+
+// Falls back to the declared size where no worker holds the learned one: what
+// was seen is no reason to fail the task.
+Decision Scheduler::Decide(Attempt& attempt, const TaskDemand& declared) const {
+  Decision decision = m_cell.Place(attempt.demand, attempt.options);
+  const auto* refusal = std::get_if<Refusal>(&decision);
+  if (refusal == nullptr || refusal->kind != RefusalKind::kNever ||
+      attempt.demand.size == declared.size) {
+    return decision;
+  }
+  attempt.demand.size = declared.size;
+  return m_cell.Place(attempt.demand, attempt.options);
+}
+
+// The share of the cell that must stay free beside `demand`.
+double Scheduler::ReservedShare(const TaskDemand& demand,
+                                int64_t run_ms) const {
+  if (demand.task_class == TaskClass::kService || demand.urgent) {
+    return 0;
+  }
+  if (IsLong(demand, run_ms, m_options.long_run_ms)) {
+    return m_options.service_reserve + m_options.short_work_reserve;
+  }
+  return m_options.service_reserve;
+}
+
+std::optional<std::string> Scheduler::WhyNever(const TaskDemand& demand,
+                                               double reserved_share,
+                                               const Decision& decision) const {
+  if (!m_all_workers_known) {
+    return std::nullopt;
+  }
+  const auto& refusal = std::get<Refusal>(decision);
+  if (refusal.kind == RefusalKind::kNever) {
+    return refusal.reason;
+  }
+  const Resources& capacity = m_cell.KnownCapacity();
+  if (LeavesShare(TotalSize(demand), capacity, capacity, reserved_share)) {
+    return std::nullopt;
+  }
+  return "task \"" + demand.id + "\" needs " + ToString(TotalSize(demand)) +
+         " of a cell of " + ToString(capacity) +
+         ", which does not leave the reserve for other work";
+}
+
+bool Scheduler::Leaves(const TaskDemand& demand, double reserved_share) const {
+  return reserved_share <= 0 ||
+         LeavesShare(TotalSize(demand), m_cell.TotalRoom(),
+                     m_cell.TotalCapacity(), reserved_share);
+}
+
+bool Scheduler::IsHopeless(const Attempt& attempt) const {
+  return std::any_of(
+      m_refused.begin(), m_refused.end(), [&attempt](const Refused& refused) {
+        return !attempt.options.ignore_holds &&
+               attempt.options.ends_by_ms >= refused.ends_by_ms &&
+               Fits(refused.size, attempt.demand.size);
+      });
+}
+
+void Scheduler::Refuse(const TaskDemand& demand,
+                       const Attempt& attempt,
+                       int64_t now_ms,
+                       PassResult& result) {
+  if (demand.urgent) {
+    ProposePreemptions(demand, now_ms, result);
+  } else if (!m_reservation &&
+             (MemberCount(demand) > 1 ||
+              now_ms - demand.submitted_ms >= m_options.reserve_after_ms)) {
+    MakeReservation(attempt, now_ms);
+  }
+  m_queue.Block(demand);
+}
+
+// Proposes for all that ask for the same, since they are blocked together.
+void Scheduler::ProposePreemptions(const TaskDemand& demand,
+                                   int64_t now_ms,
+                                   PassResult& result) {
+  const TaskDemand* next = &demand;
+  for (size_t i = 0; next != nullptr && i < m_options.most_preemptions_per_pass;
+       ++i) {
+    ProposePreemption(*next, now_ms, result);
+    next = m_queue.NextLike(*next);
+  }
+}
+
+void Scheduler::ProposePreemption(const TaskDemand& demand,
+                                  int64_t now_ms,
+                                  PassResult& result) {
+  const int64_t expired_ms = now_ms - m_options.preemption_interval_ms;
+  const auto earlier = m_proposals.find(demand.id);
+  if (earlier != m_proposals.end() &&
+      earlier->second.proposed_ms > expired_ms) {
+    return;
+  }
+  ForgetProposal(demand.id);
+  const Attempt attempt = Prepare(demand, now_ms);
+  std::optional<PreemptionPlan> plan = PlanPreemption(
+      m_cell, m_running, attempt.demand,
+      [this](std::string_view name) { return StandingOf(name); },
+      [&](std::string_view worker) {
+        const auto found = m_preempting_ms.find(worker);
+        return found != m_preempting_ms.end() && found->second > expired_ms;
+      },
+      now_ms);
+  Proposal& proposal = m_proposals[demand.id];
+  proposal.proposed_ms = now_ms;
+  if (!plan) {
+    return;
+  }
+  proposal.workers = plan->placement.workers;
+  for (const std::string& worker : proposal.workers) {
+    m_preempting_ms[worker] = now_ms;
+  }
+  result.preemptions.push_back(std::move(*plan));
+}
+
+void Scheduler::ForgetProposal(std::string_view id) {
+  const auto found = m_proposals.find(id);
+  if (found == m_proposals.end()) {
+    return;
+  }
+  for (const std::string& worker : found->second.workers) {
+    m_preempting_ms.erase(worker);
+  }
+  m_proposals.erase(found);
+}
+
+void Scheduler::MakeReservation(const Attempt& attempt, int64_t now_ms) {
+  m_reservation = PlanReservation(m_cell, m_running, attempt.demand, now_ms);
+  if (m_reservation) {
+    m_cell.SetHolds(m_reservation->holds);
+  }
+}
+
+void Scheduler::Start(const TaskDemand& demand,
+                      Attempt attempt,
+                      Placement placement,
+                      int64_t now_ms,
+                      PassResult& result) {
+  const Resources size = attempt.demand.size;
+  const int64_t ends_by_ms = attempt.options.ends_by_ms;
+  m_cell.Reserve(placement, size, ends_by_ms);
+  const int64_t bound_ms = ends_by_ms == kUnknownEnd ? 0 : ends_by_ms - now_ms;
+  m_running.Add(MakeRunning(attempt.demand, placement, bound_ms, now_ms));
+  m_queue.CountUsed(demand.plan, TotalSize(attempt.demand), demand.urgent, 1);
+  ForgetProposal(demand.id);
+  if (m_reservation && m_reservation->task == demand.id) {
+    ClearReservation();
+  }
+  StartDecision start = {demand, std::move(placement), size};
+  m_queue.Remove(start.demand.id);
+  result.starts.push_back(std::move(start));
+}
+
+VictimPlan Scheduler::StandingOf(std::string_view plan) const {
+  const PlanAllowance& allowance = m_queue.AllowanceOf(plan);
+  return {!Fits(m_queue.UsedBy(plan), allowance.quota),
+          allowance.mode == ActionMode::kApprove};
+}
+
+void Scheduler::Adopt(RunningTask task) {
+  if (m_running.Find(task.id) != nullptr) {
+    return;
+  }
+  m_queue.CountUsed(
+      task.plan, Multiply(task.size, static_cast<int64_t>(task.workers.size())),
+      task.urgent, 1);
+  m_running.Add(std::move(task));
+}
+
+bool Scheduler::EndTask(std::string_view id) {
+  const RunningTask* task = m_running.Find(id);
+  if (task == nullptr) {
+    return false;
+  }
+  for (const std::string& worker : task->workers) {
+    m_cell.Release(worker, task->size);
+  }
+  m_queue.CountUsed(
+      task->plan,
+      Multiply(task->size, static_cast<int64_t>(task->workers.size())),
+      task->urgent, -1);
+  return m_running.Remove(id);
+}
+
+void Scheduler::ObserveRun(const JobKey& key,
+                           int64_t run_ms,
+                           const Resources& peak) {
+  m_statistics.ObserveRun(key, run_ms, peak);
+}
+
+void Scheduler::Requeue(TaskDemand demand) {
+  EndTask(demand.id);
+  Submit(std::move(demand));
+}
+
+CancelResult Scheduler::Cancel(std::span<const std::string> ids) {
+  CancelResult result;
+  for (const std::string& id : ids) {
+    if (m_queue.Remove(id)) {
+      ForgetProposal(id);
+      result.not_started.push_back(id);
+    } else if (m_running.Find(id) != nullptr) {
+      result.running.push_back(id);
+    } else {
+      result.unknown.push_back(id);
+    }
+  }
+  return result;
+}
+
+}  // namespace azurespur::placement
--- a/packages/placement/src/timed_reservation.cc
+++ b/packages/placement/src/timed_reservation.cc
@@ -141,7 +141,8 @@
     start_ms = next.end_ms;
     timeline.Release(next.row, next.size);
   }
-  return TimedReservation{demand.id, start_ms, timeline.MakeHolds(start_ms)};
+  return TimedReservation{demand.id, now_ms, start_ms,
+                          timeline.MakeHolds(start_ms)};
 }
 
 }  // namespace azurespur::placement
