--- a/packages/placement/src/pending_queue.cc
+++ b/packages/placement/src/pending_queue.cc
@@ -17,6 +17,10 @@
 // A wait of this long weighs as much as one step of priority.
 constexpr double kPriorityCreditMillis = 30.0 * 60 * 1000;
 
+// Counted as waited by all, so that short work goes before long work that came
+// at the same time.
+constexpr double kRankingWaitMillis = 1000;
+
 // Keeps the response ratio below one step of priority.
 constexpr double kLargestResponseRatio = 1000.0;
 
@@ -283,7 +287,8 @@
   const auto waited =
       static_cast<double>(std::max<int64_t>(m_now_ms - demand.submitted_ms, 0));
   const auto run = static_cast<double>(group.run_ms);
-  const double ratio = std::min((waited + run) / run, kLargestResponseRatio);
+  const double ratio = std::min((waited + kRankingWaitMillis + run) / run,
+                                kLargestResponseRatio);
   const double priority =
       static_cast<double>(demand.priority) + waited / kPriorityCreditMillis;
   return {&group, false, -(priority + ratio / kLargestResponseRatio), sequence};
