Decide edits of the two lists at their place in the log

Operators of two camps edit the same lists at once, so the verdict on an edit has to be the same on every VM without a vote. An edit names the version it was made from; the ledger accepts it at its offset iff that version is in force and the content is valid beside the other list in force.

Ruled out: one refresh record per list. References between the lists mean that the verdict on an edit depends on both, so a refresh states both lists, the verdicts on recent edits, and the place that it covers. A VM whose first record is later than that place holds edits unjudged until a refresh covers the gap; LogObserver::OnGap tells it of expired records.

--- a/packages/control/include/control/log_observer.h
+++ b/packages/control/include/control/log_observer.h
@@ -30,6 +30,10 @@
   virtual void OnEntry(const LogPosition& position,
                        const wire::LogEntry& entry) = 0;
 
+  // The records from `from` up to `first` expired before they were read. Called
+  // on the reader's thread, before the next OnEntry.
+  virtual void OnGap(uint64_t /*from*/, uint64_t /*first*/) {}
+
   // Restates the state still needed whose last record is older than
   // `written_before_ms` (log service's clock).
   virtual std::vector<RefreshEntry> Refresh(int64_t written_before_ms) = 0;
