Add the request service with a thin working path

Decode, plan check, route to a live executor of the own domain, dispatch and answer. The service's header, the once ledger and the executor client have their final shape; limits, waiting and slot sharing follow behind them.

--- /dev/null
+++ b/packages/filters/include/filters/once_records.h
@@ -0,0 +1,41 @@
+// Payloads of the stream "once".
+
+#ifndef FILTERS_ONCE_RECORDS_H_
+#define FILTERS_ONCE_RECORDS_H_
+
+#include <cstdint>
+#include <string>
+
+namespace azurespur::filters {
+
+// Claims `key` for one attempt by one VM. Payload of kOnceClaim.
+struct OnceClaim {
+  std::string key;
+  uint32_t attempt = 1;
+  std::string claim_id;  // Unique for each claim made.
+  std::string vm;
+  uint64_t incarnation = 0;
+  std::string plan;
+  uint64_t body_digest = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(key, attempt, claim_id, vm, incarnation, plan, body_digest);
+  }
+};
+
+// Ends the attempt won by `claim_id`. Payload of kOnceFate.
+struct OnceFate {
+  std::string key;
+  std::string claim_id;
+  uint8_t fate = 0;  // filters::Fate.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(key, claim_id, fate);
+  }
+};
+
+}  // namespace azurespur::filters
+
+#endif  // FILTERS_ONCE_RECORDS_H_
--- /dev/null
+++ b/packages/filters/src/decode.h
@@ -0,0 +1,35 @@
+// First filter: from an HTTP request to a checked caller request.
+
+#ifndef FILTERS_DECODE_H_
+#define FILTERS_DECODE_H_
+
+#include <optional>
+#include <string>
+#include <variant>
+
+#include "base/clock.h"
+#include "http/http_message.h"
+#include "refusal.h"
+
+namespace azurespur::filters {
+
+struct CallerRequest {
+  std::string id;  // Empty: the caller named none.
+  std::string plan;
+  std::string key;  // Empty: none.
+  bool idempotent = true;
+  std::optional<base::Millis> deadline;  // From arrival.
+  std::string body;
+};
+
+// Asks for the fate of a key.
+struct FateQuery {
+  std::string key;
+};
+
+std::variant<CallerRequest, FateQuery, Refusal> Decode(
+    http::HttpRequest request);
+
+}  // namespace azurespur::filters
+
+#endif  // FILTERS_DECODE_H_
