--- a/packages/http/src/http_server.cc
+++ b/packages/http/src/http_server.cc
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <atomic>
+#include <cstring>
 #include <mutex>
 #include <optional>
 #include <utility>
@@ -100,6 +101,13 @@
   bool handed_over = false;
 };
 
+// Leaves URLs as they came; HttpRequest carries escaped paths.
+size_t KeepEscapes(void* /*closure*/,
+                   MHD_Connection* /*connection*/,
+                   char* text) {
+  return std::strlen(text);
+}
+
 MHD_Result AppendField(void* closure,
                        MHD_ValueKind /*kind*/,
                        const char* name,
@@ -168,7 +176,8 @@
       MHD_OPTION_CONNECTION_TIMEOUT,
       static_cast<unsigned>(m_options.idle_timeout.count()),
       MHD_OPTION_LISTENING_ADDRESS_REUSE, 0U, MHD_OPTION_NOTIFY_COMPLETED,
-      &Server::OnCompleted, this, MHD_OPTION_END);
+      &Server::OnCompleted, this, MHD_OPTION_UNESCAPE_CALLBACK, &KeepEscapes,
+      nullptr, MHD_OPTION_END);
   if (m_daemon == nullptr) {
     return base::Error{base::ErrorCode::kUnavailable,
                        "address " + m_options.address + ":" +
@@ -205,6 +214,10 @@
                               &fresh->request.headers);
     MHD_get_connection_values(connection, MHD_GET_ARGUMENT_KIND, &AppendField,
                               &fresh->request.query);
+    for (HttpField& field : fresh->request.query) {
+      field.name = UrlUnescape(field.name);
+      field.value = UrlUnescape(field.value);
+    }
     fresh->exchange =
         std::make_shared<Exchange>(server->m_in_flight, connection);
     *state = fresh;
--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -30,13 +30,13 @@
   auto client = StartHttpClient();
   HttpCall call;
   call.method = "POST";
-  call.url = Url(*server, "/a?q=1");
+  call.url = Url(*server, "/a%2Fb?q=%31");
   call.body = "body";
   const HttpResult result = client->Fetch(call);
   answering.join();
   REQUIRE(base::Ok(result));
   CHECK(base::Value(result).status == 200);
-  CHECK(base::Value(result).body == "POST/abody1");
+  CHECK(base::Value(result).body == "POST/a%2Fbbody1");
 }
 
 TEST_CASE("a dropped reply answers 500 and an oversized body 413") {
