--- a/packages/placement/include/placement/worker_state.h
+++ b/packages/placement/include/placement/worker_state.h
@@ -11,8 +11,10 @@
 
 enum class WorkerCondition {
   kLive,
+  kUnowned,      // Known, but not ours to start work on.
   kLeaving,      // Gets nothing new.
-  kQuarantined,  // Gets nothing new until it is probed or released.
+  kQuarantined,  // Gets nothing new until it is probed.
+  kProbing,      // Gets one single batch task that is not urgent.
 };
 
 struct WorkerState {
