--- /dev/null
+++ b/packages/control/include/control/fleet_listener.h
@@ -0,0 +1,33 @@
+// Receives what the worker fleet learns. Runs on the controllers' thread.
+
+#ifndef CONTROL_FLEET_LISTENER_H_
+#define CONTROL_FLEET_LISTENER_H_
+
+#include <span>
+#include <string>
+
+#include "platform/worker_client.h"
+
+namespace azurespur::control {
+
+class FleetListener {
+ public:
+  virtual ~FleetListener() = default;
+
+  // `report` was made after every earlier owner's lease had lapsed.
+  virtual void OnWorkerOwned(const std::string& worker,
+                             const platform::WorkerReport& report) = 0;
+  virtual void OnWorkerLost(const std::string& worker) = 0;
+  // A newer report of an owned worker.
+  virtual void OnWorkerReport(const std::string& worker,
+                              const platform::WorkerReport& report) = 0;
+  // Ids that a renewal found not running.
+  virtual void OnNotRunning(const std::string& worker,
+                            std::span<const std::string> ids) = 0;
+  // The worker is off the VM list: it does not run any more.
+  virtual void OnWorkerRemoved(const std::string& worker) = 0;
+};
+
+}  // namespace azurespur::control
+
+#endif  // CONTROL_FLEET_LISTENER_H_
--- /dev/null
+++ b/packages/control/src/worker_fleet.cc
@@ -0,0 +1,383 @@
+#include "control/worker_fleet.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/metrics.h"
+#include "control/fleet_listener.h"
+#include "control/peer_bus.h"
+#include "control/vm_directory.h"
+
+namespace azurespur::control {
+
+namespace {
+
+LeaseAnswer ToLeaseAnswer(const base::Outcome<base::Unit>& result) {
+  if (base::Ok(result)) {
+    return LeaseAnswer::kGranted;
+  }
+  const base::ErrorCode code = base::GetError(result).code;
+  return code == base::ErrorCode::kUnknown ? LeaseAnswer::kUnanswered
+                                           : LeaseAnswer::kGone;
+}
+
+bool RunsNow(const platform::WorkerTask& task) {
+  return task.state == platform::WorkerTaskState::kRunning ||
+         task.state == platform::WorkerTaskState::kThrottled;
+}
+
+}  // namespace
+
+size_t SeekRank(size_t rank, size_t rack, size_t owners_per_domain) {
+  if (rank >= owners_per_domain) {
+    return rank;
+  }
+  const size_t turn = rack % owners_per_domain;
+  return (rank + owners_per_domain - turn) % owners_per_domain;
+}
+
+WorkerFleet::WorkerFleet(const WorkerFleetDeps& deps,
+                         const WorkerFleetOptions& options,
+                         FleetListener& listener)
+    : m_deps(deps),
+      m_options(options),
+      m_listener(listener),
+      m_owned_gauge(deps.metrics.GetCounter("azurespur_workers_owned")),
+      m_takeovers(deps.metrics.GetCounter("azurespur_worker_takeovers_total")),
+      m_losses(deps.metrics.GetCounter("azurespur_worker_losses_total")) {}
+
+void WorkerFleet::Tick() {
+  SyncList();
+  const size_t rank = m_deps.peers.RankInDomain();
+  for (auto& [id, worker] : m_workers) {
+    TickWorker(worker, rank);
+  }
+}
+
+void WorkerFleet::SyncList() {
+  const auto list = m_deps.directory.Current();
+  if (list->version == 0 || list->version == m_list_version) {
+    return;
+  }
+  m_list_version = list->version;
+  std::set<std::string> racks;
+  std::set<std::string, std::less<>> listed;
+  for (const platform::Vm& vm : list->vms) {
+    if (vm.kind == platform::VmKind::kWorker &&
+        vm.domain == m_deps.identity.domain) {
+      racks.insert(vm.rack);
+      listed.insert(vm.id);
+    }
+  }
+  for (const platform::Vm& vm : list->vms) {
+    if (!listed.contains(vm.id)) {
+      continue;
+    }
+    Worker& worker = m_workers[vm.id];
+    worker.vm = vm;
+    worker.rack = std::distance(racks.begin(), racks.find(vm.rack));
+    if (worker.ownership.candidate.empty()) {
+      worker.ownership.candidate = m_deps.identity.vm + "~" +
+                                   std::to_string(m_deps.identity.incarnation);
+    }
+  }
+  std::vector<std::string> removed;
+  for (auto& [id, worker] : m_workers) {
+    if (!listed.contains(id)) {
+      removed.push_back(id);
+    }
+  }
+  for (const std::string& id : removed) {
+    m_workers.erase(id);
+    m_listener.OnWorkerRemoved(id);
+  }
+}
+
+void WorkerFleet::TickWorker(Worker& worker, size_t rank) {
+  const base::MonoTime now = m_deps.clock.Now();
+  const size_t seek_rank =
+      SeekRank(rank, worker.rack, m_options.owners_per_domain);
+  Act(worker, OnOwnershipTick(worker.ownership, m_options.ownership, m_seeking,
+                              seek_rank, now));
+  if (OwnsWorker(worker.ownership, now) && !worker.tasks.empty() &&
+      now >= worker.tasks_renew_sent + m_options.task_renew_interval) {
+    RenewTasks(worker, {worker.tasks.begin(), worker.tasks.end()}, true);
+  }
+  PollReport(worker);
+}
+
+base::Millis WorkerFleet::PollInterval(const Worker& worker) const {
+  const OwnershipPhase phase = worker.ownership.phase;
+  const bool seeking =
+      phase == OwnershipPhase::kStarting || phase == OwnershipPhase::kSettling;
+  return seeking ? m_options.seek_report_interval : m_options.report_interval;
+}
+
+void WorkerFleet::PollReport(Worker& worker) {
+  const base::MonoTime now = m_deps.clock.Now();
+  const base::Millis wait =
+      worker.report_pending ? m_options.call_timeout : PollInterval(worker);
+  if (now < worker.report_sent + wait) {
+    return;
+  }
+  worker.report_sent = now;
+  worker.report_pending = m_deps.workers.Report(
+      worker.vm.address, [this, id = worker.vm.id, now](auto result) mutable {
+        m_deps.mailbox.Push([this, id = std::move(id), now,
+                             result = std::move(result)]() mutable {
+          OnReport(id, now, std::move(result));
+        });
+      });
+}
+
+void WorkerFleet::OnReport(const std::string& id,
+                           base::MonoTime sent,
+                           base::Outcome<platform::WorkerReport> result) {
+  Worker* worker = Find(id);
+  if (worker == nullptr || worker->report_sent != sent) {
+    return;  // Reports must stay in order: only the newest call counts.
+  }
+  worker->report_pending = false;
+  if (!base::Ok(result)) {
+    return;
+  }
+  const platform::WorkerReport& report = base::Value(result);
+  const bool repeated = worker->ownership.boot == report.boot &&
+                        report.made_ms <= worker->ownership.made_ms;
+  if (repeated) {
+    return;
+  }
+  worker->any_report = true;
+  worker->report_received = m_deps.clock.Now();
+  AdvanceOwnership(*worker, report);
+  KeepTasksAlive(*worker, report);
+}
+
+void WorkerFleet::AdvanceOwnership(Worker& worker,
+                                   const platform::WorkerReport& report) {
+  std::vector<std::string_view> markers;
+  for (const platform::WorkerTask& task : report.tasks) {
+    if (RunsNow(task) && IsOwnershipMarker(task.id)) {
+      markers.push_back(task.id);
+    }
+  }
+  const OwnershipStep step = OnOwnershipReport(
+      worker.ownership, m_options.ownership,
+      {report.boot, report.made_ms, markers}, m_deps.clock.Now());
+  Act(worker, step);
+  if (step.owned) {
+    m_takeovers.Add(1);
+    m_owned_gauge.Add(1);
+    base::LogEvent(
+        base::Severity::kInfo, "AZ5001", "worker owned",
+        {{"worker", worker.vm.id}, {"marker", worker.ownership.marker}});
+    worker.tasks_renew_sent = {};
+    m_listener.OnWorkerOwned(worker.vm.id, report);
+  } else if (worker.ownership.phase == OwnershipPhase::kOwned) {
+    m_listener.OnWorkerReport(worker.vm.id, report);
+  }
+}
+
+// While ownership changes hands, the tasks on the worker must not lapse. To
+// renew a task decides nothing about it.
+void WorkerFleet::KeepTasksAlive(Worker& worker,
+                                 const platform::WorkerReport& report) {
+  const OwnershipPhase phase = worker.ownership.phase;
+  if (phase != OwnershipPhase::kStarting &&
+      phase != OwnershipPhase::kSettling) {
+    return;
+  }
+  std::vector<std::string> ids;
+  for (const platform::WorkerTask& task : report.tasks) {
+    if (RunsNow(task) && !IsOwnershipMarker(task.id) &&
+        task.lease_left_ms < m_options.task_lease.count() / 2) {
+      ids.push_back(task.id);
+    }
+  }
+  if (!ids.empty()) {
+    RenewTasks(worker, std::move(ids), false);
+  }
+}
+
+void WorkerFleet::Act(Worker& worker, const OwnershipStep& step) {
+  if (step.lost) {
+    Lose(worker);
+  }
+  if (step.stop) {
+    StopMarker(worker, *step.stop);
+  }
+  if (step.start) {
+    StartMarker(worker, *step.start);
+  }
+  if (step.renew) {
+    RenewMarker(worker, *step.renew);
+  }
+}
+
+void WorkerFleet::StartMarker(Worker& worker, const std::string& marker) {
+  platform::WorkerStart start;
+  start.id = marker;
+  start.lease = m_options.ownership.lease;
+  const base::MonoTime sent = m_deps.clock.Now();
+  const auto done = [this, id = worker.vm.id, marker, sent](auto result) {
+    m_deps.mailbox.Push([this, id, marker, sent, result] {
+      if (Worker* found = Find(id)) {
+        Act(*found, OnMarkerStartAnswer(found->ownership, m_options.ownership,
+                                        marker, ToLeaseAnswer(result), sent,
+                                        m_deps.clock.Now()));
+      }
+    });
+  };
+  if (!m_deps.workers.Start(worker.vm.address, std::move(start), done)) {
+    Act(worker, OnMarkerStartAnswer(worker.ownership, m_options.ownership,
+                                    marker, LeaseAnswer::kGone, sent, sent));
+  }
+}
+
+void WorkerFleet::RenewMarker(Worker& worker, const std::string& marker) {
+  const base::MonoTime sent = m_deps.clock.Now();
+  const auto done = [this, id = worker.vm.id, marker, sent](auto result) {
+    m_deps.mailbox.Push([this, id, marker, sent, result] {
+      Worker* found = Find(id);
+      if (found == nullptr || !base::Ok(result)) {
+        return;
+      }
+      const LeaseAnswer answer = base::Value(result).empty()
+                                     ? LeaseAnswer::kGranted
+                                     : LeaseAnswer::kGone;
+      Act(*found,
+          OnMarkerRenewAnswer(found->ownership, m_options.ownership, marker,
+                              answer, sent, m_deps.clock.Now()));
+    });
+  };
+  m_deps.workers.Renew(worker.vm.address, m_options.ownership.lease, {marker},
+                       done);
+}
+
+void WorkerFleet::RenewTasks(Worker& worker,
+                             std::vector<std::string> ids,
+                             bool owner) {
+  worker.tasks_renew_sent = m_deps.clock.Now();
+  const auto done = [this, id = worker.vm.id, owner](auto result) {
+    if (!owner || !base::Ok(result) || base::Value(result).empty()) {
+      return;
+    }
+    m_deps.mailbox.Push([this, id, result] {
+      if (Owns(id)) {
+        m_listener.OnNotRunning(id, base::Value(result));
+      }
+    });
+  };
+  m_deps.workers.Renew(worker.vm.address, m_options.task_lease, std::move(ids),
+                       done);
+}
+
+void WorkerFleet::StopMarker(Worker& worker, const std::string& marker) {
+  m_deps.workers.Stop(worker.vm.address, marker, [](auto) {});
+}
+
+void WorkerFleet::Lose(Worker& worker) {
+  m_losses.Add(1);
+  m_owned_gauge.Add(-1);
+  worker.tasks.clear();
+  base::LogEvent(base::Severity::kWarning, "AZ5002", "worker lost",
+                 {{"worker", worker.vm.id}});
+  m_listener.OnWorkerLost(worker.vm.id);
+}
+
+bool WorkerFleet::Owns(std::string_view id) const {
+  const Worker* worker = Find(id);
+  return worker != nullptr && OwnsWorker(worker->ownership, m_deps.clock.Now());
+}
+
+const platform::Vm* WorkerFleet::FindVm(std::string_view id) const {
+  const Worker* worker = Find(id);
+  return worker == nullptr ? nullptr : &worker->vm;
+}
+
+std::string WorkerFleet::MarkerOf(std::string_view id) const {
+  const Worker* worker = Find(id);
+  if (worker == nullptr || worker->ownership.phase != OwnershipPhase::kOwned) {
+    return {};
+  }
+  return worker->ownership.marker;
+}
+
+TaskPlace WorkerFleet::PlaceOn(std::string_view id) const {
+  if (!Owns(id)) {
+    return {};
+  }
+  const OwnershipState& ownership = Find(id)->ownership;
+  return {std::string(id), ownership.marker, ownership.boot, ownership.made_ms};
+}
+
+int64_t WorkerFleet::ReportAgeMillis(std::string_view id) const {
+  const Worker* worker = Find(id);
+  if (worker == nullptr || !worker->any_report) {
+    return -1;
+  }
+  return base::MillisBetween(worker->report_received, m_deps.clock.Now());
+}
+
+std::vector<std::string> WorkerFleet::OwnedWorkers() const {
+  std::vector<std::string> owned;
+  for (const auto& [id, worker] : m_workers) {
+    if (worker.ownership.phase == OwnershipPhase::kOwned) {
+      owned.push_back(id);
+    }
+  }
+  return owned;
+}
+
+void WorkerFleet::AddTask(std::string_view id, const std::string& task) {
+  if (Worker* worker = Find(id)) {
+    worker->tasks.insert(task);
+  }
+}
+
+void WorkerFleet::RemoveTask(std::string_view id, const std::string& task) {
+  if (Worker* worker = Find(id)) {
+    worker->tasks.erase(task);
+  }
+}
+
+void WorkerFleet::Resign() {
+  m_seeking = false;
+  for (auto& [id, worker] : m_workers) {
+    if (worker.ownership.phase != OwnershipPhase::kIdle) {
+      Act(worker, ResignOwnership(worker.ownership, m_deps.clock.Now()));
+    }
+  }
+}
+
+std::vector<FleetWorkerView> WorkerFleet::View() const {
+  std::vector<FleetWorkerView> views;
+  const base::MonoTime now = m_deps.clock.Now();
+  for (const auto& [id, worker] : m_workers) {
+    FleetWorkerView view;
+    view.id = id;
+    view.phase = worker.ownership.phase;
+    view.marker = worker.ownership.marker;
+    view.lease_left_ms = std::max<int64_t>(
+        0, base::MillisBetween(now, worker.ownership.valid_until));
+    view.report_age_ms = ReportAgeMillis(id);
+    view.tasks = worker.tasks.size();
+    view.leaving = worker.vm.leaving;
+    views.push_back(std::move(view));
+  }
+  return views;
+}
+
+WorkerFleet::Worker* WorkerFleet::Find(std::string_view id) {
+  const auto found = m_workers.find(id);
+  return found == m_workers.end() ? nullptr : &found->second;
+}
+
+const WorkerFleet::Worker* WorkerFleet::Find(std::string_view id) const {
+  const auto found = m_workers.find(id);
+  return found == m_workers.end() ? nullptr : &found->second;
+}
+
+}  // namespace azurespur::control
