--- /dev/null
+++ b/bench/task_faults.cc
@@ -0,0 +1,43 @@
+// Plays seeded fault runs over the real controllers in virtual time and prints
+// what was violated. Usage: bench_task_faults FIRST_SEED LAST_SEED
+
+#include <cstdint>
+#include <cstdlib>
+#include <iostream>
+
+#include "fault_plan.h"
+
+int main(int argc, char** argv) {
+  using azurespur::control::FaultRun;
+  const uint64_t first = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
+  const uint64_t last = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 200;
+  FaultRun total;
+  size_t violations = 0;
+  for (uint64_t seed = first; seed <= last; ++seed) {
+    const FaultRun run = azurespur::control::PlayFaults(seed);
+    for (const std::string& violation : run.verdict.violations) {
+      std::cout << "seed=" << seed << " " << violation << "\n";
+      ++violations;
+    }
+    total.kills += run.kills;
+    total.pauses += run.pauses;
+    total.cuts += run.cuts;
+    total.outages += run.outages;
+    total.worker_restarts += run.worker_restarts;
+    total.workers_removed += run.workers_removed;
+    total.accepted += run.accepted;
+    total.verdict.finished += run.verdict.finished;
+    total.verdict.failed += run.verdict.failed;
+    total.verdict.may_have_run += run.verdict.may_have_run;
+  }
+  std::cout << "runs=" << last - first + 1 << " violations=" << violations
+            << " accepted=" << total.accepted
+            << " finished=" << total.verdict.finished
+            << " failed=" << total.verdict.failed
+            << " may_have_run=" << total.verdict.may_have_run
+            << " kills=" << total.kills << " pauses=" << total.pauses
+            << " cuts=" << total.cuts << " outages=" << total.outages
+            << " worker_restarts=" << total.worker_restarts
+            << " workers_removed=" << total.workers_removed << "\n";
+  return violations == 0 ? 0 : 1;
+}
--- a/packages/control/include/control/fleet_listener.h
+++ b/packages/control/include/control/fleet_listener.h
@@ -6,6 +6,7 @@
 #include <span>
 #include <string>
 
+#include "base/clock.h"
 #include "platform/worker_client.h"
 
 namespace azurespur::control {
@@ -21,9 +22,10 @@
   // A newer report of an owned worker.
   virtual void OnWorkerReport(const std::string& worker,
                               const platform::WorkerReport& report) = 0;
-  // Ids that a renewal found not running.
+  // Ids that a renewal sent at `sent` found not running.
   virtual void OnNotRunning(const std::string& worker,
-                            std::span<const std::string> ids) = 0;
+                            std::span<const std::string> ids,
+                            base::MonoTime sent) = 0;
   // The worker is off the VM list: it does not run any more.
   virtual void OnWorkerRemoved(const std::string& worker) = 0;
 };
--- a/packages/control/include/control/run_controller.h
+++ b/packages/control/include/control/run_controller.h
@@ -34,6 +34,13 @@
   base::Millis call_timeout{2000};
   // See SettleFromReport().
   base::Millis settle{6000};
+  // How long room is kept for a start without an answer: it may still land.
+  base::Millis late_start_hold{15000};
+  // How long a worker with bound tasks must be off the VM list before it is
+  // taken as gone by a process that never saw it there.
+  base::Millis removal_grace{30000};
+  // How long a run waits for a worker that another VM owns.
+  base::Millis split_run_wait{12000};
   // How long an intent stays on its worker; see IntentId().
   base::Millis intent_lease{1800000};
 };
@@ -62,7 +69,8 @@
   void OnWorkerReport(const std::string& worker,
                       const platform::WorkerReport& report) override;
   void OnNotRunning(const std::string& worker,
-                    std::span<const std::string> ids) override;
+                    std::span<const std::string> ids,
+                    base::MonoTime sent) override;
   void OnWorkerRemoved(const std::string& worker) override;
 
   // The stream told a change of the task.
@@ -83,14 +91,26 @@
  private:
   using Runs = std::unordered_map<std::string, TaskRun>;
 
+  struct LateStart {
+    base::MonoTime until;
+    placement::Resources size;
+  };
+
   struct OwnedWorker {
     platform::WorkerReport report;
     std::set<std::string> tasks;  // With a member here.
+    std::vector<LateStart> late_starts;
   };
 
   void CreateRun(const TaskState& task);
   void Inherit(TaskRun& run, const TaskState& task, size_t member);
+  void RegainMembers(TaskRun& run, const TaskState& task);
+  void StopIfThrottled(TaskRun& run, MemberRun& member);
   void DropRun(const std::string& id);
+  void SweepRemovedWorkers();
+  void YieldSplitTasks();
+  bool HasRoomFor(const std::string& worker) const;
+  void HoldLateStart(const TaskRun& run, const MemberRun& member);
   void StopLeftovers(const std::string& worker);
   void ApplyReport(const std::string& worker);
   void Advance(TaskRun& run);
@@ -131,6 +151,12 @@
   Runs m_runs;
   std::map<std::string, OwnedWorker> m_owned;
   std::set<std::string> m_busy;  // Runs that Tick() looks at.
+  // Bound tasks with some workers owned here and some elsewhere, and since
+  // when.
+  std::map<std::string, base::MonoTime> m_split;
+  std::set<std::string> m_gone;  // Workers off the VM list.
+  std::map<std::string, base::MonoTime> m_absent_since;
+  base::MonoTime m_swept_at;
   base::Counter& m_starts;
   base::Counter& m_adoptions;
 };
--- a/packages/control/include/control/task_ledger.h
+++ b/packages/control/include/control/task_ledger.h
@@ -56,6 +56,8 @@
 
   std::optional<TaskState> Find(std::string_view id) const;
   std::vector<std::string> BoundTo(std::string_view worker) const;
+  // Workers with tasks that `domain` claims.
+  std::vector<std::string> BoundWorkers(std::string_view domain) const;
   // Unbound tasks that `domain` claims; an empty domain: those given back.
   std::vector<std::string> Unbound(std::string_view domain) const;
   // Tasks for which `accept` is true, by id, at most `limit`.
--- a/packages/control/include/control/task_run.h
+++ b/packages/control/include/control/task_run.h
@@ -37,11 +37,13 @@
   std::string run_id;  // On the worker.
   MemberPhase phase = MemberPhase::kIdle;
   bool may_be_released = false;
+  bool lost = false;  // Its worker is not owned at the moment.
   bool seen = false;  // A report showed it held or running.
   bool intent_written = false;
   bool intent_pending = false;
   int64_t absent_from_ms = 0;  // Made time of the first report without it.
   base::MonoTime sent;         // Newest message about it.
+  base::MonoTime held_since;   // It is known to be on the worker.
   std::string detail;          // Result, or why it failed.
 };
 
--- a/packages/control/include/control/worker_fleet.h
+++ b/packages/control/include/control/worker_fleet.h
@@ -97,6 +97,12 @@
   void AddTask(std::string_view worker, const std::string& id);
   void RemoveTask(std::string_view worker, const std::string& id);
 
+  // Gives one worker up, for a VM of lower rank; no effect at the lowest rank.
+  void Yield(const std::string& worker);
+
+  // True once a VM list was read.
+  bool ListKnown() const { return m_list_version != 0; }
+
   // Stops seeking and gives up every owned worker.
   void Resign();
 
--- a/packages/control/src/run_controller.cc
+++ b/packages/control/src/run_controller.cc
@@ -50,13 +50,61 @@
   const std::set<std::string> tasks = std::move(found->second.tasks);
   m_owned.erase(found);
   for (const std::string& id : tasks) {
-    DropRun(id);
+    const auto run = m_runs.find(id);
+    if (run == m_runs.end()) {
+      continue;
+    }
+    for (MemberRun& member : run->second.members) {
+      if (member.worker == worker) {
+        member.phase = MemberPhase::kUnsettled;
+        member.lost = true;
+        member.sent = m_deps.clock.Now();
+      }
+    }
+    const bool all_lost =
+        std::ranges::all_of(run->second.members, &MemberRun::lost);
+    if (all_lost) {
+      DropRun(id);
+    } else {
+      m_split.emplace(id, m_deps.clock.Now());
+    }
   }
   m_listener.OnWorkerChanged(worker);
 }
 
 void RunController::OnWorkerRemoved(const std::string& worker) {
+  m_gone.insert(worker);
   OnWorkerLost(worker);
+  for (const std::string& id : m_deps.ledger.BoundTo(worker)) {
+    if (const auto task = m_deps.ledger.Find(id)) {
+      OnTaskChanged(*task);
+    }
+  }
+}
+
+// A process that started after the worker left the VM list never saw it there.
+void RunController::SweepRemovedWorkers() {
+  constexpr base::Millis kSweepInterval{1000};
+  const base::MonoTime now = m_deps.clock.Now();
+  if (now < m_swept_at + kSweepInterval || !m_deps.fleet.ListKnown()) {
+    return;
+  }
+  m_swept_at = now;
+  std::map<std::string, base::MonoTime> absent;
+  for (const std::string& worker :
+       m_deps.ledger.BoundWorkers(m_deps.identity.domain)) {
+    if (m_deps.fleet.FindVm(worker) != nullptr) {
+      m_gone.erase(worker);
+      continue;
+    }
+    const auto since = m_absent_since.find(worker);
+    absent[worker] = since == m_absent_since.end() ? now : since->second;
+    if (!m_gone.contains(worker) &&
+        now >= absent[worker] + m_options.removal_grace) {
+      OnWorkerRemoved(worker);
+    }
+  }
+  m_absent_since = std::move(absent);
 }
 
 void RunController::OnWorkerReport(const std::string& worker,
@@ -66,6 +114,9 @@
     return;
   }
   found->second.report = report;
+  std::erase_if(found->second.late_starts, [this](const LateStart& late) {
+    return late.until <= m_deps.clock.Now();
+  });
   ApplyReport(worker);
   StopLeftovers(worker);
   m_listener.OnWorkerChanged(worker);
@@ -127,12 +178,13 @@
 }
 
 void RunController::OnNotRunning(const std::string& worker,
-                                 std::span<const std::string> ids) {
+                                 std::span<const std::string> ids,
+                                 base::MonoTime sent) {
   (void)worker;
   for (const std::string& id : ids) {
     const auto [run, member] = FindMember(id);
-    if (member == nullptr) {
-      continue;
+    if (member == nullptr || sent < member->held_since) {
+      continue;  // The renewal may have come before the start.
     }
     if (member->phase == MemberPhase::kThrottled && !member->may_be_released) {
       member->phase = MemberPhase::kNotRun;
@@ -155,6 +207,7 @@
       run.started_recorded |= task.phase != TaskPhase::kBound;
       run.held = task.phase == TaskPhase::kMayHaveRun;
       run.cancel = task.cancel_requested;
+      RegainMembers(run, task);
       Advance(run);
       return;
     }
@@ -168,23 +221,37 @@
 
 void RunController::CreateRun(const TaskState& task) {
   bool all_owned = true;
+  bool any_owned = false;
   for (size_t i = 0; i < task.places.size(); ++i) {
     const std::string& worker = task.places[i].worker;
-    if (!m_owned.contains(worker)) {
+    if (m_gone.contains(worker) && task.domain == m_deps.identity.domain) {
+      continue;
+    }
+    // `task` was read before: if the lease still holds now, no other VM can
+    // have bound and started it meanwhile, so the newest report tells.
+    if (!m_owned.contains(worker) || !m_deps.fleet.Owns(worker)) {
       all_owned = false;
       continue;
     }
+    any_owned = true;
     // Renewed even while other members' workers are not owned yet.
     m_deps.fleet.AddTask(worker, MemberRunId(task.spec.id, task.attempt, i));
   }
   if (!all_owned || task.places.empty()) {
+    if (any_owned) {
+      m_split.emplace(task.spec.id, m_deps.clock.Now());
+    }
     return;
   }
+  m_split.erase(task.spec.id);
   TaskRun run = MakeTaskRun(task);
   for (size_t i = 0; i < task.places.size(); ++i) {
-    m_owned.at(task.places[i].worker).tasks.insert(run.id);
+    const auto owned = m_owned.find(task.places[i].worker);
+    if (owned != m_owned.end()) {
+      owned->second.tasks.insert(run.id);
+    }
     const bool own_binding =
-        task.phase == TaskPhase::kBound &&
+        owned != m_owned.end() && task.phase == TaskPhase::kBound &&
         task.places[i].marker == m_deps.fleet.MarkerOf(task.places[i].worker);
     if (!own_binding) {
       Inherit(run, task, i);
@@ -193,20 +260,72 @@
   const std::string id = run.id;
   TaskRun& created = m_runs.insert_or_assign(id, std::move(run)).first->second;
   for (MemberRun& member : created.members) {
-    if (member.phase == MemberPhase::kThrottled) {
-      // Its release may be under way: the stop's answer decides.
-      StopMember(created, member);
-    }
+    StopIfThrottled(created, member);
     m_listener.OnWorkerChanged(member.worker);
   }
   Advance(created);
 }
 
+// An inherited member's release may be under way: the stop's answer decides.
+void RunController::StopIfThrottled(TaskRun& run, MemberRun& member) {
+  if (member.phase == MemberPhase::kThrottled) {
+    StopMember(run, member);
+  }
+}
+
+// Takes up the members on workers that were lost and are owned again, or gone.
+void RunController::RegainMembers(TaskRun& run, const TaskState& task) {
+  for (size_t i = 0; i < run.members.size(); ++i) {
+    MemberRun& member = run.members[i];
+    const bool gone = m_gone.contains(member.worker);
+    const bool owned =
+        m_owned.contains(member.worker) && m_deps.fleet.Owns(member.worker);
+    if (!member.lost || (!gone && !owned)) {
+      continue;
+    }
+    member.lost = false;
+    Inherit(run, task, i);
+    if (owned) {
+      m_owned.at(member.worker).tasks.insert(run.id);
+      m_deps.fleet.AddTask(member.worker, member.run_id);
+    }
+    StopIfThrottled(run, member);
+  }
+}
+
+// A gang whose workers belong to several VMs can't be led by any of them. All
+// but the VM of lowest rank give way.
+void RunController::YieldSplitTasks() {
+  const base::MonoTime now = m_deps.clock.Now();
+  for (auto it = m_split.begin(); it != m_split.end();) {
+    if (now < it->second + m_options.split_run_wait) {
+      ++it;
+      continue;
+    }
+    const std::string id = it->first;
+    it = m_split.erase(it);
+    const auto task = m_deps.ledger.Find(id);
+    const auto run = m_runs.find(id);
+    const bool whole =
+        run != m_runs.end() &&
+        std::ranges::none_of(run->second.members, &MemberRun::lost);
+    if (whole || !task || task->places.empty()) {
+      continue;
+    }
+    for (const TaskPlace& place : task->places) {
+      m_deps.fleet.Yield(place.worker);
+    }
+    m_split[id] = now;
+    return;  // Yielding changes what is split.
+  }
+}
+
 void RunController::Inherit(TaskRun& run, const TaskState& task, size_t i) {
   MemberRun& member = run.members[i];
   const platform::WorkerTask* entry =
       FindReported(member.worker, member.run_id);
   SettleInherited(member, entry, IsUntouched(task, i));
+  member.held_since = m_deps.clock.Now();
   if (entry != nullptr) {
     m_adoptions.Add(1);
   }
@@ -216,7 +335,11 @@
 // an intent, and it would still be there.
 bool RunController::IsUntouched(const TaskState& task, size_t i) const {
   const TaskPlace& place = task.places[i];
-  const platform::WorkerReport& report = m_owned.at(place.worker).report;
+  const auto owned = m_owned.find(place.worker);
+  if (owned == m_owned.end()) {
+    return false;
+  }
+  const platform::WorkerReport& report = owned->second.report;
   const bool remembers =
       report.boot == place.boot &&
       report.made_ms < place.made_ms + m_options.intent_lease.count();
@@ -294,6 +417,9 @@
   }
   bool written = true;
   for (MemberRun& member : run.members) {
+    if (m_gone.contains(member.worker)) {
+      continue;
+    }
     if (!member.intent_written && !member.intent_pending) {
       WriteIntent(run, member);
     }
@@ -343,6 +469,18 @@
   if (!owned || !task || !WriteIntents(run)) {
     return;
   }
+  const bool room = std::ranges::all_of(
+      run.members, [this](const auto& m) { return HasRoomFor(m.worker); });
+  if (!room) {
+    for (MemberRun& member : run.members) {
+      if (member.phase == MemberPhase::kIdle) {
+        member.phase = MemberPhase::kNotRun;
+        member.detail = "no room on worker " + member.worker;
+        NoteSettled(run, member);
+      }
+    }
+    return;
+  }
   const TaskSpec& spec = task->spec;
   for (MemberRun& member : run.members) {
     if (member.phase == MemberPhase::kIdle) {
@@ -379,7 +517,6 @@
                            });
   if (queued) {
     member.phase = MemberPhase::kStarting;
-    m_deps.fleet.AddTask(member.worker, member.run_id);
   }
 }
 
@@ -392,6 +529,8 @@
   }
   if (base::Ok(result)) {
     member->phase = MemberPhase::kThrottled;
+    member->held_since = m_deps.clock.Now();
+    m_deps.fleet.AddTask(member->worker, run_id);
     if (!m_deps.fleet.Owns(member->worker)) {
       StopMember(*run, *member);
       return;
@@ -405,6 +544,9 @@
     return;
   }
   member->detail = error.message;
+  if (error.code == base::ErrorCode::kUnknown) {
+    HoldLateStart(*run, *member);
+  }
   if (error.code == base::ErrorCode::kUnknown ||
       error.code == base::ErrorCode::kConflict) {
     StopMember(*run, *member);
@@ -582,7 +724,30 @@
   }
 }
 
+void RunController::HoldLateStart(const TaskRun& run, const MemberRun& member) {
+  const auto owned = m_owned.find(member.worker);
+  if (owned != m_owned.end()) {
+    owned->second.late_starts.push_back(
+        {m_deps.clock.Now() + m_options.late_start_hold, run.size});
+  }
+}
+
+// The last guard before a start. Bindings of an earlier owner were made without
+// knowledge of what came after.
+bool RunController::HasRoomFor(const std::string& worker) const {
+  const platform::Vm* vm = m_deps.fleet.FindVm(worker);
+  if (vm == nullptr) {
+    return false;
+  }
+  const placement::Resources capacity{vm->cpu_millis, vm->memory_mb,
+                                      vm->accelerators};
+  return placement::Fits(placement::UsedResources(UsageOf(worker), capacity),
+                         capacity);
+}
+
 void RunController::Tick() {
+  SweepRemovedWorkers();
+  YieldSplitTasks();
   const std::vector<std::string> busy(m_busy.begin(), m_busy.end());
   for (const std::string& id : busy) {
     const auto found = m_runs.find(id);
@@ -616,6 +781,7 @@
       member.intent_pending = false;
     }
     if (member.phase == MemberPhase::kStarting && late) {
+      HoldLateStart(run, member);
       StopMember(run, member);
     } else if (member.phase == MemberPhase::kStopping && due) {
       StopMember(run, member);
@@ -664,6 +830,12 @@
           {entry.cpu_millis, entry.memory_mb, entry.accelerators});
     }
   }
+  for (const LateStart& late : found->second.late_starts) {
+    if (m_deps.clock.Now() < late.until) {
+      usage.bound = placement::Add(usage.bound, late.size);
+      usage.unseen = placement::Add(usage.unseen, late.size);
+    }
+  }
   for (const TaskRun* run : RunsOn(worker)) {
     for (const MemberRun& member : run->members) {
       if (member.worker != worker || IsSettled(member)) {
--- a/packages/control/src/task_ledger.cc
+++ b/packages/control/src/task_ledger.cc
@@ -384,6 +384,19 @@
   return {found->second.begin(), found->second.end()};
 }
 
+std::vector<std::string> TaskLedger::BoundWorkers(
+    std::string_view domain) const {
+  std::lock_guard lock(m_mutex);
+  std::vector<std::string> workers;
+  for (const auto& [worker, ids] : m_by_worker) {
+    const auto task = m_tasks.find(*ids.begin());
+    if (task != m_tasks.end() && task->second.domain == domain) {
+      workers.push_back(worker);
+    }
+  }
+  return workers;
+}
+
 std::vector<std::string> TaskLedger::Unbound(std::string_view domain) const {
   std::lock_guard lock(m_mutex);
   const auto found = m_unbound.find(domain);
--- a/packages/control/src/task_service.cc
+++ b/packages/control/src/task_service.cc
@@ -99,6 +99,8 @@
 }
 
 void TaskService::RunOnce() {
+  // First of all: a process that was paused must learn what it lost.
+  m_fleet.Tick();
   while (auto mail = m_mailbox.Pop()) {
     (*mail)();
   }
@@ -110,7 +112,6 @@
       m_placement.OnTaskGone(id);
     }
   }
-  m_fleet.Tick();
   m_runs.Tick();
   if (!m_draining) {
     m_placement.Tick();
--- a/packages/control/src/worker_fleet.cc
+++ b/packages/control/src/worker_fleet.cc
@@ -259,14 +259,15 @@
 void WorkerFleet::RenewTasks(Worker& worker,
                              std::vector<std::string> ids,
                              bool owner) {
-  worker.tasks_renew_sent = m_deps.clock.Now();
-  const auto done = [this, id = worker.vm.id, owner](auto result) {
+  const base::MonoTime sent = m_deps.clock.Now();
+  worker.tasks_renew_sent = sent;
+  const auto done = [this, id = worker.vm.id, owner, sent](auto result) {
     if (!owner || !base::Ok(result) || base::Value(result).empty()) {
       return;
     }
-    m_deps.mailbox.Push([this, id, result] {
+    m_deps.mailbox.Push([this, id, sent, result] {
       if (Owns(id)) {
-        m_listener.OnNotRunning(id, base::Value(result));
+        m_listener.OnNotRunning(id, base::Value(result), sent);
       }
     });
   };
@@ -343,6 +344,17 @@
   }
 }
 
+void WorkerFleet::Yield(const std::string& id) {
+  Worker* worker = Find(id);
+  if (worker == nullptr || worker->ownership.phase != OwnershipPhase::kOwned ||
+      m_deps.peers.RankInDomain() == 0) {
+    return;
+  }
+  const base::MonoTime now = m_deps.clock.Now();
+  Act(*worker, ResignOwnership(worker->ownership, now));
+  worker->ownership.retry_at = now + m_options.ownership.lease * 2;
+}
+
 void WorkerFleet::Resign() {
   m_seeking = false;
   for (auto& [id, worker] : m_workers) {
--- a/packages/control/tests/fake_cell.cc
+++ b/packages/control/tests/fake_cell.cc
@@ -295,8 +295,8 @@
     vm.domain = "a";
     vm.rack = "r" + std::to_string(index++ / 2);
     vm.cpu_millis = m_cell.options.worker_cpu_millis;
-    vm.memory_mb = 1 << 20;
-    if (!m_cell.removed_workers.contains(vm.id)) {
+    vm.memory_mb = m_cell.options.worker_memory_mb;
+    if (!m_cell.listed_removals.contains(vm.id)) {
       page->vms.push_back(std::move(vm));
     }
   }
@@ -338,6 +338,7 @@
 }
 
 void FakeCell::Submit(FakeVm& vm, const TaskSpec& spec) {
+  submitted[spec.id] = spec;
   vm.service->Submit(spec, [this, spec](base::Outcome<TaskFate> result) {
     if (base::Ok(result)) {
       accepted[base::Value(result).id] = spec;
--- a/packages/control/tests/fake_cell.h
+++ b/packages/control/tests/fake_cell.h
@@ -29,6 +29,7 @@
   int entry_vms = 3;
   int workers = 4;
   int64_t worker_cpu_millis = 4000;
+  int64_t worker_memory_mb = 3000;
   int64_t report_lag_ms = 100;
   double lost_answers = 0;  // Share of calls whose answer is lost.
   double late_calls = 0;    // Share of calls that land after their timeout.
@@ -172,7 +173,8 @@
   std::mt19937_64 random;
   std::vector<std::unique_ptr<FakeWorker>> workers;
   std::vector<std::unique_ptr<FakeVm>> vms;
-  std::set<std::string> removed_workers;
+  std::set<std::string> removed_workers;  // Dead.
+  std::set<std::string> listed_removals;  // Dead, and off the VM list.
   uint64_t list_version = 1;
   bool log_away = false;
   struct Record {
@@ -180,6 +182,7 @@
     std::vector<wire::LogEntry> entries;
   };
   std::vector<Record> log;
+  std::map<std::string, TaskSpec> submitted;
   std::map<std::string, TaskSpec> accepted;
   std::map<std::string, std::string> refused;
 };
