--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -167,9 +167,8 @@
   options.retention = m_settings.log_retention;
   const auto spread = static_cast<int64_t>(
       std::hash<std::string>{}(m_settings.vm_id) % kRefreshSpread);
-  options.refresh_age =
-      options.retention / 2 +
-      base::Millis{options.retention.count() * spread / (8 * kRefreshSpread)};
+  options.refresh_age = options.retention / 2 +
+                        options.retention * spread / (8L * kRefreshSpread);
   return options;
 }
 
--- a/packages/http/src/http_client.cc
+++ b/packages/http/src/http_client.cc
@@ -225,8 +225,8 @@
 }
 
 std::unique_ptr<HttpClient> StartHttpClient(const HttpClientOptions& options) {
-  static const CURLcode kGlobal = curl_global_init(CURL_GLOBAL_DEFAULT);
-  (void)kGlobal;
+  static const CURLcode global_state = curl_global_init(CURL_GLOBAL_DEFAULT);
+  (void)global_state;
   return std::make_unique<Client>(options);
 }
 
