--- a/packages/control/src/list_ledger.cc
+++ b/packages/control/src/list_ledger.cc
@@ -104,7 +104,7 @@
   base::Outcome<ListEdit> edit = wire::Decode<ListEdit>(entry.payload);
   if (!base::Ok(edit)) {
     base::LogEvent(
-        base::Severity::kError, "AZ6001", "list edit is malformed",
+        base::Severity::kError, "AZ8001", "list edit is malformed",
         {{"entry", entry.id}, {"error", base::GetError(edit).message}});
     return;
   }
@@ -121,7 +121,7 @@
       wire::Decode<ListsState>(entry.payload);
   if (!base::Ok(state)) {
     base::LogEvent(
-        base::Severity::kError, "AZ6002", "list refresh is malformed",
+        base::Severity::kError, "AZ8002", "list refresh is malformed",
         {{"entry", entry.id}, {"error", base::GetError(state).message}});
     return;
   }
@@ -143,7 +143,7 @@
   const auto before = m_machine.current();
   const base::Outcome<base::Unit> adopted = m_machine.Adopt(state);
   if (!base::Ok(adopted)) {
-    base::LogEvent(base::Severity::kError, "AZ6003", "list refresh not applied",
+    base::LogEvent(base::Severity::kError, "AZ8003", "list refresh not applied",
                    {{"error", base::GetError(adopted).message}});
     return;
   }
@@ -151,7 +151,7 @@
   if (closes_gap) {
     m_complete = true;
     ReplayHeld(PlaceOf(state));
-    base::LogEvent(base::Severity::kInfo, "AZ6004", "lists are complete",
+    base::LogEvent(base::Severity::kInfo, "AZ8004", "lists are complete",
                    {{"offset", std::to_string(state.offset)}});
   }
 }
@@ -197,7 +197,7 @@
     }
     m_in_force_since[list] = m_clock.WallMillis();
     const ListVersion& version = m_machine.history(list).Latest();
-    base::LogEvent(base::Severity::kInfo, "AZ6005", "list version in force",
+    base::LogEvent(base::Severity::kInfo, "AZ8005", "list version in force",
                    {{"list", std::string(ListNameText(list))},
                     {"version", std::to_string(version.version)},
                     {"author", version.author},
@@ -210,7 +210,7 @@
   base::Outcome<Proposal> proposal = wire::Decode<Proposal>(entry.payload);
   if (!base::Ok(proposal)) {
     base::LogEvent(
-        base::Severity::kError, "AZ6006", "proposal is malformed",
+        base::Severity::kError, "AZ8006", "proposal is malformed",
         {{"entry", entry.id}, {"error", base::GetError(proposal).message}});
     return;
   }
@@ -224,7 +224,7 @@
   m_complete = false;
   m_complete_from = first;
   m_held.clear();
-  base::LogEvent(base::Severity::kWarning, "AZ6007",
+  base::LogEvent(base::Severity::kWarning, "AZ8007",
                  "lists are incomplete until they are restated",
                  {{"first", std::to_string(first)}});
 }
--- a/packages/control/src/list_reporter.cc
+++ b/packages/control/src/list_reporter.cc
@@ -76,7 +76,7 @@
       wire::Decode<ListsReport>(message.payload);
   if (!base::Ok(report)) {
     base::LogEvent(
-        base::Severity::kWarning, "AZ6008", "lists report is malformed",
+        base::Severity::kWarning, "AZ8008", "lists report is malformed",
         {{"from", message.from}, {"error", base::GetError(report).message}});
     return;
   }
