--- a/packages/control/src/log_channel.cc
+++ b/packages/control/src/log_channel.cc
@@ -378,6 +378,9 @@
       continue;
     }
     const platform::LogPage& page = base::Value(read);
+    if (page.first > from) {
+      m_observer.OnGap(from, page.first);
+    }
     if (page.first > from && from > 0) {
       base::LogEvent(base::Severity::kError, "AZ7002",
                      "records expired before they were read",
