--- /dev/null
+++ b/tools/lint.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Checks format and lint of all sources: tools/lint.sh [FILE-PATTERN]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+tools/install.sh
+git ls-files -z '*.cc' '*.h' | xargs -0 clang-format --dry-run --Werror
+cmake --preset release >/dev/null
+findings=build/release/lint.txt
+if ! run-clang-tidy -quiet -p build/release -j "${BUILD_JOBS:-4}" \
+  "${1:-/(packages|testing|bench)/}" >"$findings" 2>&1; then
+  grep -E 'warning:|error:' "$findings" | sort -u
+  exit 1
+fi
