--- a/testing/standins/include/standins/task_event.h
+++ b/testing/standins/include/standins/task_event.h
@@ -14,7 +14,8 @@
 struct TaskEvent {
   int64_t time_ms = 0;
   std::string_view worker;
-  std::string_view event;   // start, release, throttle, end or restart.
+  std::string_view event;   // start, release, throttle, end, restart, or
+                            // capacity: the sizes of the worker itself.
   std::string_view reason;  // Of an end: finished, failed, stopped, lapsed,
                             // restart or down.
   const TaskSpec* task = nullptr;  // Null for a restart.
--- a/testing/standins/src/worker_fleet.cc
+++ b/testing/standins/src/worker_fleet.cc
@@ -80,6 +80,12 @@
   host.port = base::Value(port);
   PrintReady(id, host.port);
   m_hosts[id] = std::move(host);
+  TaskSpec capacity;
+  capacity.cpu_millis = m_options.cpu_millis;
+  capacity.memory_mb = m_options.memory_mb;
+  capacity.accelerators = m_options.accelerators;
+  m_journal.Add(RenderTaskEvent(
+      {base::SystemClock().WallMillis(), id, "capacity", "", &capacity}));
   return base::Unit{};
 }
 
