--- a/packages/daemon/include/daemon/settings.h
+++ b/packages/daemon/include/daemon/settings.h
@@ -31,7 +31,7 @@
   base::Millis vm_list_interval{500};
   base::Millis heartbeat_interval{200};
   base::Millis suspect_after{1000};
-  base::Millis worker_lease{4000};
+  base::Millis worker_lease{3000};
   base::Millis worker_renew_interval{1000};
   base::Millis worker_report_interval{500};
   base::Millis worker_timeout{1000};
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -17,6 +17,9 @@
 #include "control/list_service.h"
 #include "control/log_channel.h"
 #include "control/peer_service.h"
+#include "control/task_api.h"
+#include "control/task_ledger.h"
+#include "control/task_service.h"
 #include "control/vm_poller.h"
 #include "filters/once_ledger.h"
 #include "filters/request_service.h"
@@ -26,6 +29,7 @@
 #include "platform/executor_client.h"
 #include "platform/log_service.h"
 #include "platform/vm_list.h"
+#include "platform/worker_client.h"
 
 namespace azurespur::daemon {
 
@@ -35,6 +39,11 @@
 constexpr base::Millis kDrainPoll{20};
 // Streams expected to be read at once; the rest of a client's connections.
 constexpr long kPlatformConnections = 16;
+constexpr long kWorkerConnections = 8;
+// Tasks outlive the takeover of their worker: see docs/design/ownership.md.
+constexpr int kTaskLeaseFactor = 5;
+// Late accept records count for this part of the retention at most.
+constexpr int64_t kRecordValidityShare = 4;
 // Refresh ages of VMs differ, so that one VM mostly writes for all.
 constexpr int kRefreshSpread = 16;
 
@@ -80,12 +89,14 @@
  private:
   control::LogChannelOptions StreamOptions(const std::string& stream) const;
   filters::RequestServiceDeps RequestDeps();
+  control::TaskLedgerOptions TaskLedgerSettings() const;
+  control::TaskServiceDeps TaskDeps();
   void Bootstrap();
   void Route(http::HttpRequest request,
              const std::shared_ptr<http::HttpReply>& reply);
   bool RouteOperators(const http::HttpRequest& request, http::HttpReply& reply);
   bool Ready() const;
-  nlohmann::json Dump() const;
+  nlohmann::json Dump();
   void StopThreads();
 
   const Settings m_settings;
@@ -101,23 +112,30 @@
       http::StartHttpClient(ClientOptions(kPlatformConnections));
   std::unique_ptr<http::HttpClient> m_executor_http =
       http::StartHttpClient(ClientOptions(m_settings.executor_connections));
+  std::unique_ptr<http::HttpClient> m_worker_http =
+      http::StartHttpClient(ClientOptions(kWorkerConnections));
   std::unique_ptr<platform::LogService> m_log;
   std::unique_ptr<platform::VmList> m_vm_list;
   std::unique_ptr<platform::ExecutorClient> m_executors;
+  std::unique_ptr<platform::WorkerClient> m_workers;
 
   control::VmPoller m_vms;
   std::unique_ptr<control::PeerService> m_peers;
 
   control::ListLedger m_list_ledger;
   filters::OnceLedger m_once_ledger;
+  control::TaskLedger m_task_ledger;
   LogStreams m_streams;
   control::LogChannel& m_lists_channel;
   control::LogChannel& m_once_channel;
+  control::LogChannel& m_tasks_channel;
 
   control::ListService m_list_service;
   control::ListReporter m_list_reporter;
   control::ListApi m_list_api;
   filters::RequestService m_requests;
+  control::TaskService m_tasks;
+  control::TaskApi m_task_api;
 
   std::unique_ptr<http::HttpServer> m_server;
   std::atomic<bool> m_draining{false};
@@ -134,6 +152,8 @@
       m_vm_list(
           platform::MakeHttpVmList(*m_platform_http, settings.vm_list_url)),
       m_executors(platform::MakeHttpExecutorClient(*m_executor_http)),
+      m_workers(platform::MakeHttpWorkerClient(*m_worker_http,
+                                               settings.worker_timeout)),
       m_vms(*m_vm_list, m_clock, settings.vm_list_interval),
       m_peers(control::MakePeerService(PeerOptions(settings, m_incarnation),
                                        m_vms,
@@ -141,9 +161,11 @@
                                        m_metrics)),
       m_list_ledger(m_clock),
       m_once_ledger(settings.log_retention),
+      m_task_ledger(TaskLedgerSettings()),
       m_streams(*m_log, m_clock, m_metrics),
       m_lists_channel(m_streams.Add(StreamOptions("lists"), m_list_ledger)),
       m_once_channel(m_streams.Add(StreamOptions("once"), m_once_ledger)),
+      m_tasks_channel(m_streams.Add(StreamOptions("tasks"), m_task_ledger)),
       m_list_service({.writer = m_writer},
                      m_lists_channel,
                      m_list_ledger,
@@ -154,7 +176,9 @@
                       m_list_ledger,
                       m_clock),
       m_list_api(m_list_service, m_list_ledger, m_list_reporter),
-      m_requests(RequestDeps()) {
+      m_requests(RequestDeps()),
+      m_tasks(TaskDeps()),
+      m_task_api(m_tasks, m_list_ledger) {
   m_streams.ServePeers(settings.domain, *m_peers);
 }
 
@@ -188,6 +212,34 @@
           options};
 }
 
+control::TaskLedgerOptions Daemon::Impl::TaskLedgerSettings() const {
+  control::TaskLedgerOptions options;
+  options.fate_retention_ms = m_settings.log_retention.count();
+  options.record_validity_ms = options.fate_retention_ms / kRecordValidityShare;
+  return options;
+}
+
+control::TaskServiceDeps Daemon::Impl::TaskDeps() {
+  control::TaskServiceOptions options;
+  control::WorkerFleetOptions& fleet = options.fleet;
+  fleet.ownership.lease = m_settings.worker_lease;
+  fleet.ownership.settle = m_settings.worker_lease;
+  fleet.ownership.renew_interval = m_settings.worker_renew_interval;
+  fleet.task_lease = m_settings.worker_lease * kTaskLeaseFactor;
+  fleet.task_renew_interval = m_settings.worker_renew_interval;
+  fleet.report_interval = m_settings.worker_report_interval;
+  return {m_tasks_channel,
+          m_task_ledger,
+          *m_peers,
+          m_vms,
+          m_list_ledger,
+          *m_workers,
+          m_clock,
+          m_metrics,
+          {m_settings.vm_id, m_settings.domain, m_incarnation},
+          options};
+}
+
 base::Outcome<base::Unit> Daemon::Impl::Start() {
   http::HttpServerOptions options;
   options.address = m_settings.listen.address;
@@ -210,6 +262,7 @@
   }
   m_list_reporter.Start();
   m_requests.Start();
+  m_tasks.Start();
   m_bootstrap = std::thread([this] { Bootstrap(); });
   base::LogEvent(base::Severity::kInfo, "AZ1001", "started",
                  {{"vm", m_settings.vm_id},
@@ -246,7 +299,8 @@
     m_requests.Handle(std::move(request), reply);
     return;
   }
-  if (m_list_api.Handle(request, reply) || RouteOperators(request, *reply)) {
+  if (m_list_api.Handle(request, reply) || m_task_api.Handle(request, reply) ||
+      RouteOperators(request, *reply)) {
     return;
   }
   reply->Send(JsonResponse(
@@ -287,7 +341,7 @@
          !m_vms.Current()->vms.empty();
 }
 
-nlohmann::json Daemon::Impl::Dump() const {
+nlohmann::json Daemon::Impl::Dump() {
   nlohmann::json peers = nlohmann::json::array();
   for (const control::Peer& peer : m_peers->Peers()) {
     peers.push_back({{"id", peer.id},
@@ -317,7 +371,8 @@
             {"plans_digest", lists->plans_digest},
             {"allowances_version", lists->allowances_version},
             {"allowances_digest", lists->allowances_digest}}},
-          {"requests", m_requests.Dump()}};
+          {"requests", m_requests.Dump()},
+          {"tasks", nlohmann::json::parse(m_tasks.Dump(), nullptr, false)}};
 }
 
 bool Daemon::Impl::Shutdown() {
@@ -332,6 +387,7 @@
     m_stop_signal.Wait(kDrainPoll);
   }
   const size_t left = m_server->InFlight();
+  m_tasks.Drain(m_settings.drain_timeout);
   StopThreads();
   base::LogEvent(base::Severity::kInfo, "AZ1005", "stopped",
                  {{"cut_off", std::to_string(left)}});
@@ -347,6 +403,7 @@
     m_bootstrap.join();
   }
   m_requests.Stop();
+  m_tasks.Stop();
   m_streams.Stop();
   m_list_reporter.Stop();
   m_peers->Stop();
