Tell truthfully whether a request can have reached an executor

Found by a raw-socket test of the executor client: - libcurl sends a request again when a used connection closes without an answer (3 requests seen for 2 sent), so a non-idempotent request could run twice. Such calls now get a new connection. - A malformed answer was reported as not sent, because libcurl calls it an unsupported protocol; so was a second try that was refused after the first had been sent. Only the count of bytes sent decides now.

Calls carry the time by which they must be sent: the request's deadline or the end of the slot's loan, checked on the client's thread.

--- a/packages/control/include/control/slot_share.h
+++ b/packages/control/include/control/slot_share.h
@@ -74,6 +74,10 @@
   // Takes an idle slot. Call right before the request is sent.
   std::optional<SlotId> Acquire(size_t executor, base::MonoTime now);
 
+  // Time before which a request must be sent on the slot that was just taken;
+  // MonoTime::max() for a slot that is not on loan.
+  base::MonoTime SendBy(SlotId id) const;
+
   // The request on the slot ended for certain.
   void Release(SlotId id);
 
--- a/packages/control/src/slot_share.cc
+++ b/packages/control/src/slot_share.cc
@@ -175,6 +175,17 @@
   return SlotId{executor, slot};
 }
 
+base::MonoTime SlotShare::SendBy(SlotId id) const {
+  base::MonoTime end = base::MonoTime::max();
+  for (const auto& [name, member] : m_members) {
+    const SlotPair& pair = member.pairs[id.executor];
+    if ((pair.precedes & Bit(id.slot)) != 0) {
+      end = std::min(end, pair.granted_until[static_cast<size_t>(id.slot)]);
+    }
+  }
+  return end;
+}
+
 void SlotShare::Release(SlotId id) {
   Executor& executor = m_executors[id.executor];
   executor.busy &= ~Bit(id.slot);
--- a/packages/filters/src/dispatcher.cc
+++ b/packages/filters/src/dispatcher.cc
@@ -303,6 +303,9 @@
   call.request_id = open.request.id;
   call.body = open.request.body;
   call.timeout = m_deps.options.max_run;
+  call.send_by =
+      std::min(open.item.deadline, m_slots.share().SendBy(attempt.slot));
+  call.idempotent = open.item.idempotent;
   const bool queued = m_deps.executors.Run(
       m_core.AddressOf(attempt.slot.executor), std::move(call),
       [box = m_mailbox, id = attempt.id](platform::ExecutorAnswer answer) {
--- a/packages/http/include/http/http_client.h
+++ b/packages/http/include/http/http_client.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <vector>
 
+#include "base/clock.h"
 #include "base/outcome.h"
 #include "http/http_message.h"
 
@@ -22,6 +23,13 @@
   std::string body;
   std::chrono::milliseconds timeout{1000};
   std::chrono::milliseconds connect_timeout{500};
+  // The call is not sent once this time is reached; it then ends with
+  // kUnavailable. Zero: no limit.
+  base::MonoTime send_by{};
+  // The request must reach the server at most once. libcurl sends a request
+  // again when a connection that it used before closes without an answer, so
+  // such a call gets a new connection.
+  bool send_once = false;
 };
 
 // Errors of a call. `kUnavailable`: nothing was sent, the server has not seen
--- a/packages/http/src/http_client.cc
+++ b/packages/http/src/http_client.cc
@@ -55,12 +55,11 @@
   return size * count;
 }
 
-// Tells whether no byte of the request can have reached the server.
-bool NothingSent(CURL* easy, CURLcode code) {
-  if (code == CURLE_COULDNT_CONNECT || code == CURLE_COULDNT_RESOLVE_HOST ||
-      code == CURLE_URL_MALFORMAT || code == CURLE_UNSUPPORTED_PROTOCOL) {
-    return true;
-  }
+// Tells whether no byte of the request can have reached the server. The error
+// code can't tell: a refused connection may be the second try of a request
+// that was sent before, and libcurl calls a malformed answer an unsupported
+// protocol.
+bool NothingSent(CURL* easy) {
   long request_bytes = 0;
   curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request_bytes);
   curl_off_t uploaded = 0;
@@ -141,6 +140,12 @@
 }
 
 void Client::Begin(std::unique_ptr<Transfer> transfer) {
+  const base::MonoTime send_by = transfer->call.send_by;
+  if (send_by != base::MonoTime{} && base::SystemClock().Now() >= send_by) {
+    transfer->done(base::Error{base::ErrorCode::kUnavailable,
+                               transfer->call.url + ": too late to send"});
+    return;
+  }
   CURL* easy = nullptr;
   if (m_idle.empty()) {
     easy = curl_easy_init();
@@ -164,6 +169,7 @@
                    static_cast<long>(call.timeout.count()));
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(call.connect_timeout.count()));
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.send_once ? 1L : 0L);
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->header_list);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
@@ -189,8 +195,8 @@
     transfer->response.status = static_cast<int>(status);
     result = std::move(transfer->response);
   } else {
-    const auto error = NothingSent(easy, code) ? base::ErrorCode::kUnavailable
-                                               : base::ErrorCode::kUnknown;
+    const auto error = NothingSent(easy) ? base::ErrorCode::kUnavailable
+                                         : base::ErrorCode::kUnknown;
     result = base::Error{error,
                          transfer->call.url + ": " + curl_easy_strerror(code)};
   }
--- a/packages/platform/include/platform/executor_client.h
+++ b/packages/platform/include/platform/executor_client.h
@@ -35,6 +35,9 @@
   std::string request_id;
   std::string body;
   base::Millis timeout{1000};
+  base::MonoTime
+      send_by{};           // Ends as kNotRun if not sent by then; 0: no limit.
+  bool idempotent = true;  // Otherwise sent at most once.
 };
 
 class ExecutorClient {
