--- a/packages/control/src/slot_share.cc
+++ b/packages/control/src/slot_share.cc
@@ -175,6 +175,17 @@
   return SlotId{executor, slot};
 }
 
+base::MonoTime SlotShare::SendBy(SlotId id) const {
+  base::MonoTime end = base::MonoTime::max();
+  for (const auto& [name, member] : m_members) {
+    const SlotPair& pair = member.pairs[id.executor];
+    if ((pair.precedes & Bit(id.slot)) != 0) {
+      end = std::min(end, pair.granted_until[static_cast<size_t>(id.slot)]);
+    }
+  }
+  return end;
+}
+
 void SlotShare::Release(SlotId id) {
   Executor& executor = m_executors[id.executor];
   executor.busy &= ~Bit(id.slot);
@@ -244,7 +255,9 @@
   }
   LearnMembers(message);
   member.heard_version = std::max(member.heard_version, message.list_version);
-  member.knows_me = message.members.contains(m_self);
+  // A late message may speak of an earlier life of this VM.
+  member.knows_me = message.reply_incarnation == m_incarnation &&
+                    message.members.contains(m_self);
   TakeGrants(member, message);
   std::map<std::string, SlotMask> grants = AnswerAsks(member, message, now);
   if (!message.wants_reply || !m_listed) {
