Place by the scheduler: quotas, quarantine, leaving workers, claims by domain

Placement now runs on placement::Scheduler and WorkerHealth. Jobs that fit into no domain are refused at once; jobs that fit elsewhere are given back for another domain to claim. Evictions and moves wait under approve.

--- a/packages/control/include/control/run_controller.h
+++ b/packages/control/include/control/run_controller.h
@@ -85,6 +85,7 @@
   placement::WorkerUsage UsageOf(const std::string& worker) const;
   std::vector<const TaskRun*> RunsOn(const std::string& worker) const;
   size_t RunCount() const { return m_runs.size(); }
+  bool HasRun(const std::string& id) const { return m_runs.contains(id); }
   // Runs with a message or a record under way, or about to be.
   size_t UnsettledCount() const;
 
@@ -120,7 +121,7 @@
                       const base::Outcome<base::Unit>& result);
   bool IsUntouched(const TaskState& task, size_t member) const;
   void StartMembers(TaskRun& run);
-  void StartMember(TaskRun& run, MemberRun& member, const TaskSpec& spec);
+  void StartMember(TaskRun& run, MemberRun& member, const TaskState& task);
   void ReleaseMembers(TaskRun& run);
   void StopMembers(TaskRun& run);
   void StopMember(TaskRun& run, MemberRun& member);
--- a/packages/control/include/control/run_listener.h
+++ b/packages/control/include/control/run_listener.h
@@ -16,6 +16,9 @@
 
   // What the worker carries has changed, or it was owned or lost.
   virtual void OnWorkerChanged(const std::string& worker) = 0;
+  // The run holds its workers from here to OnRunEnded().
+  virtual void OnRunCreated(const TaskRun& run) = 0;
+  virtual void OnRunEnded(const std::string& id) = 0;
   // The worker failed a start or the task itself.
   virtual void OnMemberFailed(const TaskRun& run, const MemberRun& member) = 0;
   virtual void OnMemberFinished(const TaskRun& run,
--- a/packages/control/include/control/task_ledger.h
+++ b/packages/control/include/control/task_ledger.h
@@ -15,12 +15,14 @@
 #include <string_view>
 #include <unordered_map>
 #include <unordered_set>
+#include <utility>
 #include <vector>
 
 #include "base/outcome.h"
 #include "control/log_observer.h"
 #include "control/task_records.h"
 #include "control/task_state.h"
+#include "placement/resources.h"
 
 namespace azurespur::control {
 
@@ -65,6 +67,9 @@
       const std::function<bool(const TaskState&)>& accept,
       size_t limit) const;
   TaskCounts Counts() const;
+  // What the bound tasks of `plan` hold outside `domain`.
+  placement::Resources UsedElsewhere(std::string_view plan,
+                                     std::string_view domain) const;
 
   // Ids that changed since the last call.
   std::vector<std::string> TakeChanges();
@@ -98,6 +103,7 @@
                void (TaskLedger::*apply)(TaskState&, const Record&));
   void ReplayOrphans(const std::string& id);
 
+  void CountUse(const TaskState& task, int64_t sign);
   // Every change of a task stands between these two.
   void Detach(const TaskState& task);
   void Attach(const TaskState& task);
@@ -111,6 +117,8 @@
   std::map<std::string, std::unordered_set<std::string>, std::less<>>
       m_by_worker;
   std::map<std::string, std::set<std::string>, std::less<>> m_unbound;
+  // Of bound tasks, by plan and domain.
+  std::map<std::pair<std::string, std::string>, placement::Resources> m_used;
   // Records of tasks that are unknown here, for a refresh to come.
   std::map<std::string, std::vector<Orphan>> m_orphans;
   std::deque<std::pair<int64_t, std::string>> m_ends;  // By log time.
--- a/packages/control/include/control/task_records.h
+++ b/packages/control/include/control/task_records.h
@@ -43,10 +43,13 @@
   uint64_t version = 0;
   std::string domain;
   std::vector<TaskPlace> places;
+  int64_t cpu_millis = 0;  // Reserved for each member.
+  int64_t memory_mb = 0;
+  int64_t accelerators = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(id, version, domain, places);
+    archive(id, version, domain, places, cpu_millis, memory_mb, accelerators);
   }
 };
 
--- a/packages/control/include/control/task_run.h
+++ b/packages/control/include/control/task_run.h
@@ -44,7 +44,9 @@
   int64_t absent_from_ms = 0;  // Made time of the first report without it.
   base::MonoTime sent;         // Newest message about it.
   base::MonoTime held_since;   // It is known to be on the worker.
-  std::string detail;          // Result, or why it failed.
+  base::MonoTime running_since;
+  placement::Resources peak;  // Largest usage that was reported.
+  std::string detail;         // Result, or why it failed.
 };
 
 struct TaskRun {
@@ -52,9 +54,11 @@
   uint64_t attempt = 0;
   std::string plan;
   std::string name;
-  placement::Resources size;  // Of one member.
+  TaskKind kind = TaskKind::kBatch;
+  bool urgent = false;
+  int64_t rack_limit = 0;
+  placement::Resources size;  // Reserved for one member.
   bool non_idempotent = false;
-  bool restartable = false;  // Batch or service that may be moved.
   bool cancel = false;
   bool moving = false;  // Leaves its worker to run elsewhere.
   std::string move_reason;
--- a/packages/control/include/control/task_service.h
+++ b/packages/control/include/control/task_service.h
@@ -24,6 +24,7 @@
 class ListsView;
 class LogChannel;
 class PeerBus;
+class ProposalBoard;
 class TaskLedger;
 class VmDirectory;
 
@@ -48,6 +49,7 @@
   base::Metrics& metrics;
   VmIdentity identity;
   TaskServiceOptions options;
+  ProposalBoard* proposals = nullptr;  // Where disruptive actions are proposed.
 };
 
 // What is known of a task. An empty `fate` was not found.
--- a/packages/control/include/control/task_state.h
+++ b/packages/control/include/control/task_state.h
@@ -44,6 +44,9 @@
   uint64_t version = 0;  // Grows by one with each record that took effect.
   uint64_t attempt = 0;  // Of the newest binding; 0 if never bound.
   std::vector<TaskPlace> places;  // One for each member while bound.
+  int64_t cpu_millis = 0;         // Reserved for each member while bound.
+  int64_t memory_mb = 0;
+  int64_t accelerators = 0;
   bool cancel_requested = false;
   std::string checkpoint;  // Newest checkpoint to resume from.
   std::string reason;
@@ -54,8 +57,9 @@
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(spec, phase, domain, version, attempt, places, cancel_requested,
-            checkpoint, reason, result, accepted_ms, written_ms, ended_ms);
+    archive(spec, phase, domain, version, attempt, places, cpu_millis,
+            memory_mb, accelerators, cancel_requested, checkpoint, reason,
+            result, accepted_ms, written_ms, ended_ms);
   }
 };
 
--- a/packages/control/include/control/worker_fleet.h
+++ b/packages/control/include/control/worker_fleet.h
@@ -102,6 +102,9 @@
 
   // True once a VM list was read.
   bool ListKnown() const { return m_list_version != 0; }
+  uint64_t ListVersion() const { return m_list_version; }
+  // Workers of the domain, owned or not.
+  size_t WorkerCount() const { return m_workers.size(); }
 
   // Stops seeking and gives up every owned worker.
   void Resign();
--- a/packages/control/src/placement_controller.cc
+++ b/packages/control/src/placement_controller.cc
@@ -5,64 +5,83 @@
 
 #include "base/event_log.h"
 #include "base/metrics.h"
+#include "control/feasibility.h"
 #include "control/lists_view.h"
 #include "control/log_channel.h"
+#include "control/peer_bus.h"
+#include "control/proposal_board.h"
 #include "control/run_controller.h"
+#include "control/task_demand.h"
 #include "control/task_ledger.h"
 #include "control/task_records.h"
+#include "control/vm_directory.h"
 #include "control/worker_fleet.h"
 #include "wire/codec.h"
 
 namespace azurespur::control {
 
-namespace {
-
-placement::TaskClass ToTaskClass(TaskKind kind) {
-  switch (kind) {
-    case TaskKind::kBatch:
-      return placement::TaskClass::kBatch;
-    case TaskKind::kService:
-      return placement::TaskClass::kService;
-    case TaskKind::kGang:
-      return placement::TaskClass::kGang;
-  }
-  return placement::TaskClass::kBatch;
-}
-
-placement::TaskDemand ToDemand(const TaskState& task) {
-  const TaskSpec& spec = task.spec;
-  placement::TaskDemand demand;
-  demand.id = spec.id;
-  demand.plan = spec.plan;
-  demand.job = spec.name;
-  demand.task_class = ToTaskClass(spec.kind);
-  demand.gang_size = spec.members;
-  demand.size = {spec.cpu_millis, spec.memory_mb, spec.accelerators};
-  demand.rack_spread = spec.rack_limit;
-  demand.urgent = spec.urgent;
-  demand.expected_run_ms = spec.expected_ms;
-  demand.submitted_ms = task.accepted_ms;
-  return demand;
-}
-
-}  // namespace
-
 PlacementController::PlacementController(
     const PlacementControllerDeps& deps,
     const PlacementControllerOptions& options)
     : m_deps(deps),
       m_options(options),
+      m_scheduler(options.scheduler),
+      m_health(options.health),
       m_binds(deps.metrics.GetCounter("azurespur_task_binds_total")),
       m_pending_gauge(deps.metrics.GetCounter("azurespur_tasks_pending")),
-      m_decision_us(deps.metrics.GetDistribution("azurespur_decision_us")) {}
+      m_quarantined_gauge(
+          deps.metrics.GetCounter("azurespur_workers_quarantined")),
+      m_pass_us(deps.metrics.GetDistribution("azurespur_placement_pass_us")) {}
+
+int64_t PlacementController::NowMillis() const {
+  return base::MillisBetween(base::MonoTime{}, m_deps.clock.Now());
+}
 
 void PlacementController::OnWorkerChanged(const std::string& worker) {
   m_stale_workers.insert(worker);
 }
 
-void PlacementController::OnMemberFailed(const TaskRun&, const MemberRun&) {}
+void PlacementController::OnRunCreated(const TaskRun& run) {
+  if (m_scheduler.running().Find(run.id) == nullptr) {
+    m_scheduler.Adopt(ToRunningTask(run, NowMillis()));
+  }
+}
+
+void PlacementController::OnRunEnded(const std::string& id) {
+  m_scheduler.EndTask(id);
+  m_changed = true;
+}
+
+void PlacementController::OnMemberFailed(const TaskRun& run,
+                                         const MemberRun& member) {
+  const placement::JobKey job{run.plan, run.name};
+  const placement::HealthVerdict verdict =
+      m_health.RecordFailure(member.worker, job, NowMillis());
+  if (verdict.quarantine_worker) {
+    base::LogEvent(base::Severity::kWarning, "AZ5003", "worker quarantined",
+                   {{"worker", member.worker}, {"reason", member.detail}});
+  }
+  if (verdict.fail_job_reason) {
+    m_failed_jobs[job] = m_deps.clock.Now() + m_options.failed_job_memory;
+    base::LogEvent(base::Severity::kWarning, "AZ5004", "job failed everywhere",
+                   {{"plan", run.plan},
+                    {"job", run.name},
+                    {"reason", *verdict.fail_job_reason}});
+  }
+  m_stale_workers.insert(member.worker);
+  m_stale_workers.insert(verdict.released.begin(), verdict.released.end());
+}
 
-void PlacementController::OnMemberFinished(const TaskRun&, const MemberRun&) {}
+void PlacementController::OnMemberFinished(const TaskRun& run,
+                                           const MemberRun& member) {
+  const placement::JobKey job{run.plan, run.name};
+  m_health.RecordSuccess(member.worker, job);
+  if (member.running_since != base::MonoTime{}) {
+    m_scheduler.ObserveRun(
+        job, base::MillisBetween(member.running_since, m_deps.clock.Now()),
+        member.peak);
+  }
+}
 
 void PlacementController::OnTaskChanged(const TaskState& task) {
   const std::string& id = task.spec.id;
@@ -72,118 +91,213 @@
     OnTaskGone(id);
     return;
   }
-  const Key key{!task.spec.urgent, task.accepted_ms, id};
-  m_pending[id].key = key;
-  m_queue[key] = id;
-  m_room_changed = true;
+  const auto failed = m_failed_jobs.find({task.spec.plan, task.spec.name});
+  if (failed != m_failed_jobs.end() && m_deps.clock.Now() < failed->second) {
+    FailUnbound(id, "its job fails on every worker that starts it");
+    return;
+  }
+  SubmitToScheduler(task);
 }
 
-void PlacementController::OnTaskGone(const std::string& id) {
-  const auto found = m_pending.find(id);
-  if (found == m_pending.end()) {
-    return;
+void PlacementController::SubmitToScheduler(const TaskState& task) {
+  if (m_bindings.contains(task.spec.id)) {
+    return;  // OnBound() decides.
   }
-  m_queue.erase(found->second.key);
-  m_pending.erase(found);
+  m_scheduler.Submit(ToDemand(task, NowMillis()));
+  m_changed = true;
+}
+
+void PlacementController::OnTaskGone(const std::string& id) {
+  m_scheduler.queue().Remove(id);
 }
 
 void PlacementController::UpdateCell(const std::string& worker) {
   const platform::Vm* vm = m_deps.fleet.FindVm(worker);
   if (vm == nullptr || m_deps.fleet.MarkerOf(worker).empty()) {
-    m_cell.RemoveWorker(worker);
+    m_scheduler.cell().RemoveWorker(worker);
     return;
   }
   placement::WorkerState state;
   state.id = worker;
   state.rack = vm->rack;
-  state.condition = vm->leaving ? placement::WorkerCondition::kLeaving
-                                : placement::WorkerCondition::kLive;
+  if (vm->leaving) {
+    state.condition = placement::WorkerCondition::kLeaving;
+    MoveOff(worker, "worker " + worker + " is leaving");
+  } else if (m_health.IsQuarantined(worker) && !m_probes.contains(worker)) {
+    state.condition = placement::WorkerCondition::kQuarantined;
+  }
   state.capacity = {vm->cpu_millis, vm->memory_mb, vm->accelerators};
   placement::WorkerUsage usage = m_runs->UsageOf(worker);
+  if (!placement::Fits(usage.reported, state.capacity)) {
+    RelieveOverload(worker);
+  }
   for (const auto& [id, binding] : m_bindings) {
     for (const std::string& place : binding.placement.workers) {
-      if (place == worker) {
+      if (place == worker && !m_runs->HasRun(id)) {
         usage.bound = placement::Add(usage.bound, binding.size);
         usage.unseen = placement::Add(usage.unseen, binding.size);
       }
     }
   }
   state.used = placement::UsedResources(usage, state.capacity);
-  m_cell.UpdateWorker(state);
+  m_scheduler.cell().UpdateWorker(state);
 }
 
-void PlacementController::Tick() {
-  for (const std::string& worker : m_stale_workers) {
-    UpdateCell(worker);
-    m_room_changed = true;
+void PlacementController::MoveOff(const std::string& worker,
+                                  const std::string& reason) {
+  std::vector<std::string> ids;
+  for (const TaskRun* run : m_runs->RunsOn(worker)) {
+    ids.push_back(run->id);
   }
-  m_stale_workers.clear();
-  m_pending_gauge.Set(static_cast<int64_t>(m_pending.size()));
+  for (const std::string& id : ids) {
+    m_runs->Move(id, reason);
+  }
+}
+
+// Tasks use more than they declared. The one that exceeds its size the most has
+// to go, if it may run again elsewhere.
+void PlacementController::RelieveOverload(const std::string& worker) {
   const base::MonoTime now = m_deps.clock.Now();
-  if (!m_room_changed && now < m_last_round + m_options.retry_interval) {
+  base::MonoTime& relieved_at = m_relieved_at[worker];
+  if (now < relieved_at + m_options.relief_interval) {
     return;
   }
-  m_last_round = now;
-  m_room_changed = false;
-  size_t decisions = 0;
-  std::vector<std::string> ids;
-  for (const auto& [key, id] : m_queue) {
-    if (!m_bindings.contains(id)) {
-      ids.push_back(id);
-    }
-    if (++decisions >= m_options.max_decisions_per_tick) {
-      break;
+  relieved_at = now;
+  std::string worst;
+  int64_t most = 0;
+  for (const TaskRun* run : m_runs->RunsOn(worker)) {
+    for (const MemberRun& member : run->members) {
+      const int64_t excess = member.peak.memory_mb - run->size.memory_mb +
+                             member.peak.cpu_millis - run->size.cpu_millis;
+      if (member.worker == worker && !run->non_idempotent && excess > most) {
+        most = excess;
+        worst = run->id;
+      }
     }
   }
-  for (const std::string& id : ids) {
-    if (const auto task = m_deps.ledger.Find(id)) {
-      Place(*task);
-    }
+  const std::string reason = "worker " + worker + " is overloaded";
+  if (!worst.empty() && MayDisrupt(worst, "rebalance", reason)) {
+    m_runs->Move(worst, reason);
   }
 }
 
-void PlacementController::Place(const TaskState& task) {
-  Pending& pending = m_pending[task.spec.id];
-  pending.reason = QuotaRefusal(task.spec);
-  if (!pending.reason.empty()) {
-    return;
+bool PlacementController::MayDisrupt(const std::string& id,
+                                     std::string_view action,
+                                     const std::string& reason) {
+  const auto task = m_deps.ledger.Find(id);
+  if (!task) {
+    return false;
   }
-  const base::MonoTime start = m_deps.clock.Now();
-  placement::Decision decision = m_cell.Place(ToDemand(task));
-  const base::Micros took = m_deps.clock.Now() - start;
-  m_decision_us.Observe(static_cast<double>(took.count()));
-  if (const auto* refusal = std::get_if<placement::Refusal>(&decision)) {
-    pending.reason = refusal->reason;
-    return;
+  const auto lists = m_deps.lists.Current();
+  const Plan* plan = FindPlan(*lists, task->spec.plan);
+  const Allowance* allowance =
+      plan == nullptr ? nullptr : FindAllowance(*lists, *plan);
+  if (action == "evict" && allowance != nullptr && !allowance->preempt) {
+    return false;
+  }
+  if (allowance == nullptr || allowance->actions == ActionMode::kAutomatic) {
+    return true;
+  }
+  // The same for repeats of the action on this attempt.
+  const std::string proposal =
+      std::string(action) + "." + id + "." + std::to_string(task->attempt);
+  if (std::ranges::find(allowance->approved, proposal) !=
+      allowance->approved.end()) {
+    return true;
   }
-  Bind(task, std::get<placement::Placement>(std::move(decision)));
+  if (m_deps.proposals != nullptr) {
+    constexpr int64_t kProposalMillis = 600'000;
+    m_deps.proposals->Propose({proposal, task->spec.plan, std::string(action),
+                               id, reason, kProposalMillis, 0});
+  }
+  return false;
 }
 
-void PlacementController::Bind(const TaskState& task,
-                               placement::Placement placement) {
-  const placement::Resources size{task.spec.cpu_millis, task.spec.memory_mb,
-                                  task.spec.accelerators};
-  TaskBind bind{task.spec.id, task.version, task.domain, {}};
-  for (const std::string& worker : placement.workers) {
-    TaskPlace place = m_deps.fleet.PlaceOn(worker);
-    if (place.marker.empty()) {
-      return;
+void PlacementController::Tick() {
+  const base::MonoTime now = m_deps.clock.Now();
+  if (m_list_version != m_deps.fleet.ListVersion()) {
+    m_list_version = m_deps.fleet.ListVersion();
+    for (std::string& worker : m_deps.fleet.OwnedWorkers()) {
+      m_stale_workers.insert(std::move(worker));
     }
-    bind.places.push_back(std::move(place));
+  }
+  const std::set<std::string> stale = std::move(m_stale_workers);
+  m_stale_workers.clear();
+  for (const std::string& worker : stale) {
+    UpdateCell(worker);
+    m_changed = true;
+  }
+  if (now >= m_reviewed_at + m_options.review_interval) {
+    m_reviewed_at = now;
+    Review();
+  }
+  const bool waiting = m_scheduler.queue().size() > 0;
+  const bool due = now >= m_passed_at + m_options.pass_interval;
+  if (waiting && (m_changed || due)) {
+    RunPass();
+  }
+}
+
+void PlacementController::RunPass() {
+  const base::MonoTime start = m_deps.clock.Now();
+  m_passed_at = start;
+  m_changed = false;
+  const size_t owned = m_scheduler.cell().WorkerCount();
+  m_scheduler.SetAllWorkersKnown(owned > 0 &&
+                                 owned == m_deps.fleet.WorkerCount());
+  const placement::PassLimits limits;
+  const placement::PassResult result = m_scheduler.Pass(NowMillis(), limits);
+  for (const placement::StartDecision& decision : result.starts) {
+    Bind(decision);
+  }
+  for (const placement::FailDecision& failure : result.failures) {
+    FailUnbound(failure.id, failure.reason);
+  }
+  for (const placement::PreemptionPlan& plan : result.preemptions) {
+    Preempt(plan);
+  }
+  m_changed |= result.starts.size() >= limits.most_starts;
+  const base::Micros took = m_deps.clock.Now() - start;
+  m_pass_us.Observe(static_cast<double>(took.count()));
+}
+
+void PlacementController::Bind(const placement::StartDecision& start) {
+  const std::string& id = start.demand.id;
+  const auto task = m_deps.ledger.Find(id);
+  if (!task || task->phase != TaskPhase::kAccepted) {
+    m_scheduler.EndTask(id);
+    return;
+  }
+  TaskBind bind{id,
+                task->version,
+                task->domain,
+                {},
+                start.size.cpu_millis,
+                start.size.memory_mb,
+                start.size.accelerators};
+  bool owned = true;
+  for (const std::string& worker : start.placement.workers) {
+    bind.places.push_back(m_deps.fleet.PlaceOn(worker));
+    owned &= !bind.places.back().marker.empty();
   }
   const bool queued =
+      owned &&
       m_deps.log.Append(wire::EntryKind::kTaskBind, wire::Encode(bind),
                         m_deps.clock.Now() + m_options.append_deadline,
-                        [this, id = task.spec.id](const auto&) {
+                        [this, id](const auto&) {
                           m_deps.mailbox.Push([this, id] { OnBound(id); });
                         });
   if (!queued) {
-    m_pending[task.spec.id].reason = "the log's queue is full";
+    m_scheduler.Requeue(start.demand);
     return;
   }
   m_binds.Add(1);
-  m_cell.Reserve(placement, size);
-  m_bindings[task.spec.id] = {std::move(placement), size};
+  m_bindings[id] = {start.placement, start.size};
+  for (const std::string& worker : start.placement.workers) {
+    if (m_probes.erase(worker) > 0) {
+      m_stale_workers.insert(worker);
+    }
+  }
 }
 
 // Seen or not, the record has no reservation of its own any more: a binding
@@ -195,29 +309,50 @@
   }
   const std::vector<std::string> workers = found->second.placement.workers;
   m_bindings.erase(found);
-  if (const auto task = m_deps.ledger.Find(id)) {
+  const auto task = m_deps.ledger.Find(id);
+  if (task) {
     m_runs->OnTaskChanged(*task);
-    OnTaskChanged(*task);
+  }
+  if (!m_runs->HasRun(id)) {
+    m_scheduler.EndTask(id);
+    if (task) {
+      OnTaskChanged(*task);
+    }
   }
   m_stale_workers.insert(workers.begin(), workers.end());
 }
 
-std::string PlacementController::QuotaRefusal(const TaskSpec& spec) const {
-  const auto lists = m_deps.lists.Current();
-  const Plan* plan = FindPlan(*lists, spec.plan);
-  if (plan == nullptr) {
-    return "plan \"" + spec.plan + "\" is not in the list";
+void PlacementController::Preempt(const placement::PreemptionPlan& plan) {
+  const std::string reason = "makes room for urgent task " + plan.task;
+  for (const std::string& victim : plan.victims) {
+    if (MayDisrupt(victim, "evict", reason)) {
+      m_runs->Move(victim, reason);
+    }
   }
-  const Allowance* allowance = FindAllowance(*lists, *plan);
-  if (allowance == nullptr) {
-    return "allowance \"" + plan->allowance + "\" is not in the list";
+}
+
+void PlacementController::FailUnbound(const std::string& id,
+                                      const std::string& reason) {
+  const auto task = m_deps.ledger.Find(id);
+  if (!task || task->phase != TaskPhase::kAccepted) {
+    return;
+  }
+  const auto list = m_deps.directory.Current();
+  const std::string never = WhyNeverFits(task->spec, *list);
+  const bool fits_here = FitsDomain(task->spec, *list, m_deps.identity.domain);
+  if (!fits_here && never.empty()) {
+    GiveBack(*task, reason);
+    return;
   }
-  return {};
+  Append(
+      wire::EntryKind::kTaskEnd,
+      wire::Encode(TaskEnd{id, task->attempt, TaskPhase::kFailed, reason, {}}));
 }
 
-std::string PlacementController::WaitReason(const std::string& id) const {
-  const auto found = m_pending.find(id);
-  return found == m_pending.end() ? std::string() : found->second.reason;
+bool PlacementController::Append(wire::EntryKind kind, std::string payload) {
+  return m_deps.log.Append(kind, std::move(payload),
+                           m_deps.clock.Now() + m_options.append_deadline,
+                           [](const auto&) {});
 }
 
 }  // namespace azurespur::control
--- a/packages/control/src/run_controller.cc
+++ b/packages/control/src/run_controller.cc
@@ -259,6 +259,7 @@
   }
   const std::string id = run.id;
   TaskRun& created = m_runs.insert_or_assign(id, std::move(run)).first->second;
+  m_listener.OnRunCreated(created);
   for (MemberRun& member : created.members) {
     StopIfThrottled(created, member);
     m_listener.OnWorkerChanged(member.worker);
@@ -357,6 +358,7 @@
   const TaskRun run = std::move(found->second);
   m_runs.erase(found);
   m_busy.erase(id);
+  m_listener.OnRunEnded(id);
   for (const MemberRun& member : run.members) {
     m_deps.fleet.RemoveTask(member.worker, member.run_id);
     const auto owned = m_owned.find(member.worker);
@@ -481,31 +483,29 @@
     }
     return;
   }
-  const TaskSpec& spec = task->spec;
   for (MemberRun& member : run.members) {
     if (member.phase == MemberPhase::kIdle) {
-      StartMember(run, member, spec);
+      StartMember(run, member, *task);
     }
   }
 }
 
 void RunController::StartMember(TaskRun& run,
                                 MemberRun& member,
-                                const TaskSpec& spec) {
+                                const TaskState& task) {
   const platform::Vm* vm = m_deps.fleet.FindVm(member.worker);
   if (vm == nullptr || !m_deps.fleet.Owns(member.worker)) {
     return;
   }
-  const auto task = m_deps.ledger.Find(run.id);
   platform::WorkerStart start;
   start.id = member.run_id;
-  start.cpu_millis = spec.cpu_millis;
-  start.memory_mb = spec.memory_mb;
-  start.accelerators = spec.accelerators;
+  start.cpu_millis = run.size.cpu_millis;
+  start.memory_mb = run.size.memory_mb;
+  start.accelerators = run.size.accelerators;
   start.lease = m_deps.fleet.TaskLease();
-  start.payload = spec.payload;
-  if (task && !task->checkpoint.empty()) {
-    start.payload += " checkpoint=" + task->checkpoint;
+  start.payload = task.spec.payload;
+  if (!task.checkpoint.empty()) {
+    start.payload += " checkpoint=" + task.checkpoint;
   }
   member.sent = m_deps.clock.Now();
   const bool queued =
@@ -588,6 +588,7 @@
   }
   if (base::Ok(result)) {
     member->phase = MemberPhase::kRunning;
+    member->running_since = m_deps.clock.Now();
     m_starts.Add(1);
     Advance(*run);
     return;
--- a/packages/control/src/task_ledger.cc
+++ b/packages/control/src/task_ledger.cc
@@ -138,6 +138,9 @@
   Detach(task);
   task.phase = TaskPhase::kBound;
   task.places = bind.places;
+  task.cpu_millis = bind.cpu_millis;
+  task.memory_mb = bind.memory_mb;
+  task.accelerators = bind.accelerators;
   ++task.attempt;
   Touch(task);
   Attach(task);
@@ -252,7 +255,31 @@
   }
 }
 
+void TaskLedger::CountUse(const TaskState& task, int64_t sign) {
+  if (!IsBound(task)) {
+    return;
+  }
+  const int64_t factor = sign * static_cast<int64_t>(task.places.size());
+  placement::Resources& used = m_used[{task.spec.plan, task.domain}];
+  used = placement::Add(
+      used, placement::Multiply(
+                {task.cpu_millis, task.memory_mb, task.accelerators}, factor));
+}
+
+placement::Resources TaskLedger::UsedElsewhere(std::string_view plan,
+                                               std::string_view domain) const {
+  std::lock_guard lock(m_mutex);
+  placement::Resources used;
+  for (const auto& [key, amount] : m_used) {
+    if (key.first == plan && key.second != domain) {
+      used = placement::Add(used, amount);
+    }
+  }
+  return used;
+}
+
 void TaskLedger::Detach(const TaskState& task) {
+  CountUse(task, -1);
   for (const TaskPlace& place : task.places) {
     const auto found = m_by_worker.find(place.worker);
     if (found == m_by_worker.end()) {
@@ -272,6 +299,7 @@
 }
 
 void TaskLedger::Attach(const TaskState& task) {
+  CountUse(task, 1);
   if (!HasEnded(task)) {
     for (const TaskPlace& place : task.places) {
       m_by_worker[place.worker].insert(task.spec.id);
@@ -351,6 +379,7 @@
   m_tasks.clear();
   m_by_worker.clear();
   m_unbound.clear();
+  m_used.clear();
   m_orphans.clear();
   m_ends.clear();
   m_applied = {saved.offset, saved.index, saved.time_ms};
--- a/packages/control/src/task_run.cc
+++ b/packages/control/src/task_run.cc
@@ -139,10 +139,11 @@
   run.attempt = task.attempt;
   run.plan = task.spec.plan;
   run.name = task.spec.name;
-  run.size = {task.spec.cpu_millis, task.spec.memory_mb,
-              task.spec.accelerators};
+  run.kind = task.spec.kind;
+  run.urgent = task.spec.urgent;
+  run.rack_limit = task.spec.rack_limit;
+  run.size = {task.cpu_millis, task.memory_mb, task.accelerators};
   run.non_idempotent = task.spec.non_idempotent;
-  run.restartable = !task.spec.non_idempotent;
   run.cancel = task.cancel_requested;
   run.started_recorded = task.phase != TaskPhase::kBound;
   run.held = task.phase == TaskPhase::kMayHaveRun;
@@ -207,6 +208,9 @@
     }
     member.seen = true;
     member.absent_from_ms = 0;
+    member.peak = placement::Max(
+        member.peak,
+        {entry->cpu_millis, entry->memory_mb, entry->accelerators});
     const bool running = entry->state == platform::WorkerTaskState::kRunning;
     if (running && (member.phase == MemberPhase::kReleasing ||
                     member.phase == MemberPhase::kUnsettled)) {
--- a/packages/control/src/task_service.cc
+++ b/packages/control/src/task_service.cc
@@ -7,11 +7,13 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "control/feasibility.h"
 #include "control/lists_view.h"
 #include "control/log_channel.h"
 #include "control/peer_bus.h"
 #include "control/task_ledger.h"
 #include "control/task_records.h"
+#include "control/vm_directory.h"
 #include "wire/codec.h"
 
 namespace azurespur::control {
@@ -52,8 +54,9 @@
 TaskService::TaskService(const TaskServiceDeps& deps)
     : m_deps(deps),
       m_mailbox(deps.options.mailbox_size),
-      m_placement({deps.tasks, deps.ledger, deps.lists, m_fleet, m_mailbox,
-                   deps.clock, deps.metrics, deps.identity},
+      m_placement({deps.tasks, deps.ledger, deps.lists, deps.directory,
+                   deps.peers, m_fleet, m_mailbox, deps.clock, deps.metrics,
+                   deps.identity, deps.proposals},
                   deps.options.placement),
       m_runs({deps.tasks, deps.ledger, deps.workers, m_fleet, m_mailbox,
               deps.clock, deps.metrics, deps.identity},
@@ -123,6 +126,11 @@
     done(Draining());
     return;
   }
+  const std::string never = WhyNeverFits(spec, *m_deps.directory.Current());
+  if (!never.empty()) {
+    done(base::Error{base::ErrorCode::kInvalid, "not-run: " + never});
+    return;
+  }
   if (spec.id.empty()) {
     spec.id = NewId();
   }
@@ -285,6 +293,7 @@
                     {"orphans", counts.orphans}};
   dump["pending_here"] = m_placement.PendingCount();
   dump["runs_here"] = m_runs.RunCount();
+  dump["quarantined_here"] = m_placement.QuarantinedCount();
   dump["workers"] = Json::array();
   for (const FleetWorkerView& worker : m_fleet.View()) {
     static constexpr const char* kPhases[] = {"idle", "starting", "settling",
--- a/packages/control/tests/fake_cell.cc
+++ b/packages/control/tests/fake_cell.cc
@@ -31,6 +31,7 @@
     allowance.id = "allowance";
     allowance.cpu_millis = 1 << 30;
     allowance.memory_mb = 1 << 30;
+    allowance.accelerators = 1 << 30;
     allowance.max_tasks = 1 << 30;
     made.snapshot->allowances = {allowance};
     return made;
