--- a/packages/control/include/control/log_channel.h
+++ b/packages/control/include/control/log_channel.h
@@ -46,7 +46,7 @@
   base::Millis retention{600000};    // Of the log service.
   base::Millis refresh_age{300000};  // State older than this is restated.
   size_t max_batch_bytes = 256 << 10;
-  size_t queue_size = 16384;
+  size_t queue_size = 4096;
 };
 
 struct LogChannelStatus {
--- a/packages/control/include/control/peer_bus_options.h
+++ b/packages/control/include/control/peer_bus_options.h
@@ -30,7 +30,7 @@
   base::Millis far_heartbeat_interval{1000};  // To other domains.
   base::Millis suspect_after{1000};
   base::Millis far_suspect_after{4000};
-  size_t queue_size = 8192;
+  size_t queue_size = 2048;
 };
 
 }  // namespace azurespur::control
--- a/packages/control/src/peer_service.cc
+++ b/packages/control/src/peer_service.cc
@@ -28,6 +28,9 @@
 
 using base::MonoTime;
 
+// Sizes the reactor's table; by default it has a row for each file that the
+// process may open.
+constexpr size_t kMaxHandles = 4096;
 constexpr base::Millis kReactorWait{50};
 constexpr base::Millis kServerFrameTimeout{10000};
 constexpr size_t kMaxDatagramPayloadBytes = 32 << 10;
@@ -55,7 +58,7 @@
             metrics.GetCounter("azurespur_peer_messages_received_total")),
         m_sent_bytes(metrics.GetCounter("azurespur_peer_bytes_sent_total")),
         m_ring(options.queue_size),
-        m_reactor(new ACE_Dev_Poll_Reactor, true),
+        m_reactor(new ACE_Dev_Poll_Reactor(kMaxHandles), true),
         m_datagrams([this](std::string_view bytes) { OnDatagram(bytes); }),
         m_acceptor([this] { return MakeServerConnection(); },
                    [this](std::unique_ptr<FrameConnection> connection) {
--- a/packages/daemon/programs/azurespurd.cc
+++ b/packages/daemon/programs/azurespurd.cc
@@ -1,5 +1,7 @@
 // azurespurd: the daemon on each entry VM.
 
+#include <malloc.h>
+
 #include <csignal>
 #include <iostream>
 #include <variant>
@@ -11,6 +13,8 @@
 namespace {
 
 constexpr int kExitFailure = 1;
+// Each further arena of the allocator keeps pages that other threads could use.
+constexpr int kMallocArenas = 2;
 
 // Blocks the stop signals in this thread and all that it starts.
 sigset_t BlockStopSignals() {
@@ -49,6 +53,7 @@
     std::cout << "settings are valid\n";
     return 0;
   }
+  mallopt(M_ARENA_MAX, kMallocArenas);
   const sigset_t signals = BlockStopSignals();
   std::signal(SIGPIPE, SIG_IGN);
   azurespur::base::InitEventLog(argv[0]);
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -40,6 +40,7 @@
 // Streams expected to be read at once; the rest of a client's connections.
 constexpr long kPlatformConnections = 16;
 constexpr long kWorkerConnections = 8;
+constexpr size_t kMailboxMessages = 8192;
 // Tasks outlive the takeover of their worker: see docs/design/ownership.md.
 constexpr int kTaskLeaseFactor = 5;
 // Late accept records count for this part of the retention at most.
@@ -227,6 +228,7 @@
   fleet.ownership.renew_interval = m_settings.worker_renew_interval;
   fleet.task_lease = m_settings.worker_lease * kTaskLeaseFactor;
   fleet.task_renew_interval = m_settings.worker_renew_interval;
+  options.mailbox_size = kMailboxMessages;
   fleet.report_interval = m_settings.worker_report_interval;
   return {m_tasks_channel,
           m_task_ledger,
--- a/packages/http/include/http/http_client.h
+++ b/packages/http/include/http/http_client.h
@@ -39,7 +39,7 @@
 struct HttpClientOptions {
   long max_connections_per_host = 64;
   size_t max_response_bytes = 16 << 20;
-  size_t queue_size = 8192;
+  size_t queue_size = 4096;
 };
 
 class HttpClient {
