--- a/packages/control/src/list_api.cc
+++ b/packages/control/src/list_api.cc
@@ -196,10 +196,15 @@
                     http::HttpReply& reply) const {
   const CheckedList checked =
       CheckList(list, request.body, *m_ledger.Current());
-  Send(reply, kOk,
-       {{"valid", checked.errors.empty()},
-        {"version", m_ledger.Latest(list).version},
-        {"errors", ErrorsJson(checked.errors)}});
+  const ListVersion in_force = m_ledger.Latest(list);
+  json body = {{"valid", checked.errors.empty()},
+               {"version", in_force.version},
+               {"errors", ErrorsJson(checked.errors)}};
+  if (checked.errors.empty()) {
+    body["diff"] =
+        DiffJson(DiffLists(list, in_force.content, checked.canonical));
+  }
+  Send(reply, kOk, body);
 }
 
 void ListApi::Edit(ListName list,
