Leave waiting requests time to run before their deadline

A request now has a latest start, earlier than its deadline by the time in which nearly all runs of its plan end, and waits are expected by the pace of its class instead of by the mean run.

--- a/bench/requests/simulation.cc
+++ b/bench/requests/simulation.cc
@@ -98,6 +98,7 @@
   size_t crest_previews = 0;
   size_t crest_lost = 0;
   double useful_us = 0;
+  double busy_us = 0;
   std::vector<std::pair<base::MonoTime, base::MonoTime>> crests;
   for (const SimRequest& request : requests) {
     if (request.phase != Phase::kCrest) {
@@ -123,12 +124,16 @@
               : static_cast<double>(
                     (request.deadline - request.arrival).count()) /
                     kMicrosPerMilli;
-    if (in_time) {
-      for (const auto& [from, to] : crests) {
-        const auto overlap =
-            std::min(outcome.ended, to) - std::max(outcome.begun, from);
-        useful_us += std::max(0.0, static_cast<double>(overlap.count()));
+    for (const auto& [from, to] : crests) {
+      if (!begun) {
+        break;
       }
+      const auto overlap =
+          std::min(outcome.ended, to) - std::max(outcome.begun, from);
+      const double work_us =
+          std::max(0.0, static_cast<double>(overlap.count()));
+      busy_us += work_us;
+      useful_us += in_time ? work_us : 0;
     }
     if (request.phase == Phase::kBase) {
       ++base_all;
@@ -161,8 +166,9 @@
   report.crest_previews_lost = Share(crest_lost, crest_previews);
   report.base_blocked = Share(blocked, short_previews);
   report.base_lost = Share(base_lost, base_all);
-  report.crest_useful =
-      useful_us / (crest_us * options.executors * options.slots);
+  const double slot_us = crest_us * options.executors * options.slots;
+  report.crest_useful = useful_us / slot_us;
+  report.crest_busy = busy_us / slot_us;
   return report;
 }
 
--- a/bench/requests/simulation.h
+++ b/bench/requests/simulation.h
@@ -91,6 +91,7 @@
   double base_blocked = 0;  // Share of short previews that wait longer than
                             // they run.
   double crest_useful = 0;  // Share of slot time spent on answers in time.
+  double crest_busy = 0;    // Share of slot time in use.
   double base_lost = 0;     // Share of all requests, at the base load.
   size_t excess = 0;
   double messages_per_s = 0;  // Between the VMs.
--- a/bench/requests/workload.cc
+++ b/bench/requests/workload.cc
@@ -3,6 +3,8 @@
 #include <cmath>
 #include <random>
 
+#include "token_bucket.h"
+
 namespace azurespur::bench {
 
 namespace {
@@ -12,6 +14,7 @@
 constexpr double kPreviewShare = 0.2;
 constexpr double kInteractiveShare = 0.5;
 constexpr int kPlansPerClass = 4;
+constexpr double kBurstSeconds = 0.1;  // Of the previews' allowance.
 constexpr double kMicrosPerSecond = 1e6;
 constexpr double kMicrosPerMilli = 1e3;
 constexpr base::MonoTime kStart{base::Micros(1000000)};
@@ -84,6 +87,11 @@
   const double end = options.warm_up_s + options.base_s +
                      options.crests * (2 * options.ramp_s + options.crest_s +
                                        options.between_s);
+  const double preview_rate =
+      base_rate * kPreviewShare * options.preview_allowance;
+  const filters::TokenRate allowance{preview_rate,
+                                     preview_rate * kBurstSeconds};
+  filters::TokenBucket bucket;
   std::vector<SimRequest> requests;
   double t = 0;
   for (;;) {
@@ -115,7 +123,12 @@
     request.plan = "plan-" +
                    std::to_string(static_cast<int>(request.request_class)) +
                    "-" + std::to_string(random() % kPlansPerClass);
-    requests.push_back(std::move(request));
+    const bool over =
+        request.request_class == RequestClass::kPreview &&
+        filters::TakeToken(bucket, allowance, request.arrival).count() > 0;
+    if (!over) {
+      requests.push_back(std::move(request));
+    }
   }
 }
 
--- a/bench/requests/workload.h
+++ b/bench/requests/workload.h
@@ -29,6 +29,9 @@
   double crest_s = 5;     // Without its ramps.
   double between_s = 10;  // Between two crests.
   double ramp_s = 1;
+  // Rate that the previews' allowance grants, of their rate at the base load.
+  // Previews over it are refused before any policy sees them.
+  double preview_allowance = 1.25;
 };
 
 enum class Phase { kWarmUp, kBase, kRamp, kCrest, kAfter };
--- a/packages/filters/src/dispatch_core.cc
+++ b/packages/filters/src/dispatch_core.cc
@@ -18,8 +18,11 @@
 constexpr uint64_t kBulkTurn = 5;
 constexpr base::Millis kLeavingPause{10000};
 constexpr base::Millis kNoSlotsRetry{1000};
+constexpr double kPaceWeight = 0.02;   // Of the newest interval.
+constexpr double kMostRunShare = 0.5;  // Of the deadline, set aside to run.
 constexpr double kRetryStore = 20;
 constexpr double kMillisPerMicro = 0.001;
+constexpr double kMicrosPerMilli = 1000;
 
 Refusal Busy(std::string error, std::string reason, base::Millis retry_after) {
   Refusal refusal;
@@ -37,7 +40,7 @@
   refusal.fate = may_have_run ? Fate::kMayHaveRun : Fate::kNotRun;
   refusal.reason = may_have_run
                        ? "the deadline passed while an executor had the request"
-                       : "the deadline passed while the request waited";
+                       : "the request waited until too little time was left";
   if (!may_have_run) {
     refusal.retry_after = kNoSlotsRetry;
   }
@@ -92,6 +95,35 @@
   }
 }
 
+// Expected by the pace at which requests of the class have left the queue.
+double DispatchCore::WaitMillis(const WorkItem& item) const {
+  const auto index = static_cast<size_t>(item.request_class);
+  const auto ahead =
+      static_cast<double>(m_queue.Class(item.request_class).Ahead(item.plan));
+  double interval_ms = m_paces[index].interval_ms;
+  if (interval_ms == 0 && m_capacity > 0) {
+    interval_ms = m_run_times.MeanMillis(item.plan) / m_capacity;
+  }
+  return ahead * interval_ms;
+}
+
+// A class that is not dispatched while it waits slows down its pace only when
+// it is dispatched again; the latest start bounds the wait meanwhile.
+void DispatchCore::CountDispatch(RequestClass request_class,
+                                 base::MonoTime now) {
+  Pace& pace = m_paces[static_cast<size_t>(request_class)];
+  if (pace.last != base::MonoTime{}) {
+    const double interval_ms =
+        static_cast<double>((now - pace.last).count()) * kMillisPerMicro;
+    pace.interval_ms =
+        pace.interval_ms == 0
+            ? interval_ms
+            : pace.interval_ms + kPaceWeight * (interval_ms - pace.interval_ms);
+  }
+  const bool more = m_queue.Class(request_class).size() > 0;
+  pace.last = more ? now : base::MonoTime{};
+}
+
 // Refuses what is bound to miss its deadline: waiting would only use up the
 // caller's time.
 std::optional<Refusal> DispatchCore::CheckWait(const WorkItem& item,
@@ -100,27 +132,16 @@
     return Busy("starting", "this VM started lately and holds no slots yet",
                 kNoSlotsRetry);
   }
-  if (m_capacity == 0) {
-    return std::nullopt;
-  }
-  double ahead = 0;
-  for (size_t i = 0; i <= static_cast<size_t>(item.request_class); ++i) {
-    const FairQueue& queue = m_queue.Class(static_cast<RequestClass>(i));
-    ahead += i < static_cast<size_t>(item.request_class)
-                 ? static_cast<double>(queue.size())
-                 : static_cast<double>(queue.Ahead(item.plan));
-  }
-  const double wait_ms = ahead * m_run_times.MeanMillis(item.plan) / m_capacity;
+  const double wait_ms = WaitMillis(item);
   const double left_ms =
-      static_cast<double>((item.deadline - now).count()) * kMillisPerMicro;
+      static_cast<double>((item.latest_start - now).count()) * kMillisPerMicro;
   if (wait_ms <= left_ms) {
     return std::nullopt;
   }
   return Busy("overloaded",
               "expected wait of " +
                   std::to_string(static_cast<int64_t>(wait_ms)) +
-                  " ms is longer than the deadline of " +
-                  std::to_string(static_cast<int64_t>(left_ms)) + " ms",
+                  " ms leaves no time to run before the deadline",
               base::Millis(static_cast<int64_t>(wait_ms)));
 }
 
@@ -131,6 +152,15 @@
   if (item.deadline <= now) {
     return Expired(false);
   }
+  // A full queue serves everything just before its latest start, so this
+  // leaves room for the run itself, long ones included.
+  const double left_ms =
+      static_cast<double>((item.deadline - now).count()) * kMillisPerMicro;
+  const double run_ms =
+      std::min(m_run_times.NearlyAllMillis(item.plan), left_ms * kMostRunShare);
+  item.latest_start =
+      item.deadline -
+      base::Micros(static_cast<int64_t>(run_ms * kMicrosPerMilli));
   size_t& waiting = m_waiting_by_allowance[item.allowance];
   if (waiting >= max_waiting || m_queue.size() >= m_options.max_waiting) {
     return Busy("queue_full",
@@ -260,6 +290,7 @@
       queue.Pop(m_run_times.MeanMillis(queue.Peek()->plan));
   --m_waiting_by_allowance[item->allowance];
   m_slots.SetWaiting(m_queue.size());
+  CountDispatch(*chosen, now);
   request.waiting = false;
   m_sent_deadlines.emplace(item->deadline, item->handle);
   return Begin(request, *slot, false, now);
--- a/packages/filters/src/dispatch_core.h
+++ b/packages/filters/src/dispatch_core.h
@@ -4,6 +4,7 @@
 #ifndef FILTERS_DISPATCH_CORE_H_
 #define FILTERS_DISPATCH_CORE_H_
 
+#include <array>
 #include <cstddef>
 #include <cstdint>
 #include <map>
@@ -132,6 +133,11 @@
     bool waiting = false;
     std::optional<size_t> failed_on;  // Executor of the last failed attempt.
   };
+  // Pace of one class while requests of it wait.
+  struct Pace {
+    double interval_ms = 0;  // Between two dispatches; 0: not known.
+    base::MonoTime last{};   // Zero: nothing waited after the last dispatch.
+  };
   struct Target {
     std::string id;
     std::string address;
@@ -140,6 +146,8 @@
 
   std::optional<Refusal> CheckWait(const WorkItem& item, base::MonoTime now);
   std::optional<control::RequestClass> PickClass();
+  void CountDispatch(control::RequestClass request_class, base::MonoTime now);
+  double WaitMillis(const WorkItem& item) const;
   std::optional<size_t> PickExecutor(base::MonoTime now,
                                      const Request& request,
                                      std::optional<size_t> except);
@@ -165,6 +173,7 @@
   std::unordered_map<uint64_t, Attempt> m_attempts;
   std::map<std::string, size_t> m_waiting_by_allowance;
   std::multimap<base::MonoTime, uint64_t> m_sent_deadlines;
+  std::array<Pace, kRequestClasses> m_paces;
   uint64_t m_next_attempt = 1;
   uint64_t m_turn = 0;
   size_t m_first_executor = 0;
--- a/packages/filters/src/run_times.cc
+++ b/packages/filters/src/run_times.cc
@@ -18,6 +18,7 @@
   estimate.mean_ms += weight * (ms - estimate.mean_ms);
   estimate.median.Observe(ms);
   estimate.p95.Observe(ms);
+  estimate.p99.Observe(ms);
 }
 
 }  // namespace
@@ -48,6 +49,11 @@
   return estimate != nullptr ? estimate->mean_ms : m_all.mean_ms;
 }
 
+double RunTimes::NearlyAllMillis(std::string_view plan) const {
+  const RunTimeEstimate* estimate = Find(plan);
+  return (estimate != nullptr ? *estimate : m_all).p99.value();
+}
+
 bool RunTimes::IsLong(std::string_view plan, double limit_ms) const {
   const RunTimeEstimate* estimate = Find(plan);
   return estimate != nullptr && estimate->count >= kEnoughRuns &&
--- a/packages/filters/src/run_times.h
+++ b/packages/filters/src/run_times.h
@@ -29,6 +29,7 @@
   double mean_ms = 0;  // Exponentially weighted.
   RunTimeQuantile median{0.5};
   RunTimeQuantile p95{0.95};
+  RunTimeQuantile p99{0.99};
 };
 
 class RunTimes {
@@ -41,6 +42,9 @@
   // Mean of all plans, for plans not seen yet.
   double MeanMillis(std::string_view plan) const;
 
+  // Time in which nearly all runs of the plan end.
+  double NearlyAllMillis(std::string_view plan) const;
+
   // True once the median run of the plan is at least `limit_ms`.
   bool IsLong(std::string_view plan, double limit_ms) const;
 
--- a/packages/filters/src/wait_queue.cc
+++ b/packages/filters/src/wait_queue.cc
@@ -21,8 +21,8 @@
     queue.virtual_time = std::max(queue.virtual_time, m_virtual_time);
     m_active.emplace(queue.virtual_time, item.plan);
   }
-  const base::MonoTime deadline = item.deadline;
-  queue.items.emplace(deadline, std::move(item));
+  const base::MonoTime latest_start = item.latest_start;
+  queue.items.emplace(latest_start, std::move(item));
   ++m_size;
 }
 
--- a/packages/filters/src/wait_queue.h
+++ b/packages/filters/src/wait_queue.h
@@ -36,7 +36,7 @@
   // had the same weight and run time.
   size_t Ahead(const std::string& plan) const;
 
-  // Removes requests whose deadline is not after `now`.
+  // Removes requests whose latest start is not after `now`.
   void RemoveExpired(base::MonoTime now, std::vector<WorkItem>& expired);
 
   size_t size() const { return m_size; }
@@ -44,7 +44,7 @@
  private:
   struct PlanQueue {
     double virtual_time = 0;
-    std::multimap<base::MonoTime, WorkItem> items;  // By deadline.
+    std::multimap<base::MonoTime, WorkItem> items;  // By latest start.
   };
   using Active = std::set<std::pair<double, std::string>>;
 
--- a/packages/filters/src/work_item.h
+++ b/packages/filters/src/work_item.h
@@ -20,6 +20,7 @@
   bool idempotent = true;
   base::MonoTime arrived{};
   base::MonoTime deadline{};
+  base::MonoTime latest_start{};  // A later start is likely to be in vain.
 };
 
 }  // namespace azurespur::filters
