--- a/testing/scenarios/files/lists.lua
+++ b/testing/scenarios/files/lists.lua
@@ -2,6 +2,13 @@
 
 local lists = {}
 
+-- Settings of the daemons, short so that a scenario takes seconds.
+lists.daemon = {
+  ["max-request-time-ms"] = 2000, ["worker-lease-ms"] = 1200,
+  ["worker-renew-interval-ms"] = 200, ["worker-report-interval-ms"] = 200,
+  ["vm-list-interval-ms"] = 200, ["drain-timeout-ms"] = 10000,
+}
+
 lists.allowances = {
   { id = "preview", request_class = "preview", requests_per_s = 2000,
     burst = 500, max_waiting = 1000, weight = 4, deadline_ms = 10000 },
--- a/testing/scenarios/files/request_path.lua
+++ b/testing/scenarios/files/request_path.lua
@@ -2,7 +2,8 @@
 
 local lists = require("lists")
 
-cell{ entries = 2, workers = 2, executors = 2 }
+cell{ entries = 2, workers = 2, executors = 2,
+  daemon = lists.daemon }
 lists.publish_all("e-a-1")
 
 local answer = request("e-a-1", { plan = "kapwa-preview", service_ms = 5 })
--- a/testing/scenarios/src/cell.cc
+++ b/testing/scenarios/src/cell.cc
@@ -4,6 +4,8 @@
 #include <set>
 #include <utility>
 
+#include "free_port.h"
+
 namespace azurespur::scenario {
 
 namespace {
@@ -194,7 +196,7 @@
   Flags flags = {{"vm-id", name},
                  {"domain", domain},
                  {"listen", "127.0.0.1:0"},
-                 {"peer-listen", "127.0.0.1:0"},
+                 {"peer-listen", "127.0.0.1:" + std::to_string(FindFreePort())},
                  {"log-url", "http://" + m_domain_log[domain]},
                  {"vm-list-url",
                   "http://" + m_domain_vm_list[domain] + "/views/" + domain}};
@@ -412,10 +414,14 @@
 
 std::optional<std::string> Cell::StopAll(base::Millis limit) {
   std::optional<std::string> failure;
+  std::vector<std::string> running;
   for (const std::string& name : EntryNames()) {
-    if (!EntryAddress(name)) {
-      continue;
+    if (EntryAddress(name)) {
+      running.push_back(name);
+      SignalEntry(name, SIGTERM);
     }
+  }
+  for (const std::string& name : running) {
     const auto code = StopEntry(name, limit);
     if (failure) {
       continue;
