--- a/packages/placement/include/placement/cell.h
+++ b/packages/placement/include/placement/cell.h
@@ -158,6 +158,8 @@
   void RefreshBlock(uint32_t position);
   bool TakesWork(const Slot& slot, const TaskDemand& demand) const;
   Resources UsableRoom(uint32_t position, const PlaceOptions& options) const;
+  static bool FitsWorse(const Candidate& a, const Candidate& b);
+  // A heap of the workers that hold a member, the best fit on top.
   std::vector<Candidate> GangCandidates(const TaskDemand& demand,
                                         const PlaceOptions& options) const;
 
--- a/packages/placement/src/cell.cc
+++ b/packages/placement/src/cell.cc
@@ -80,6 +80,10 @@
   return Placement{{m_ids[*best]}};
 }
 
+bool Cell::FitsWorse(const Candidate& a, const Candidate& b) {
+  return a.score != b.score ? a.score > b.score : a.sequence > b.sequence;
+}
+
 std::vector<Cell::Candidate> Cell::GangCandidates(
     const TaskDemand& demand,
     const PlaceOptions& options) const {
@@ -96,11 +100,7 @@
                             slot.sequence, i, members});
     }
   }
-  std::sort(candidates.begin(), candidates.end(),
-            [](const Candidate& a, const Candidate& b) {
-              return a.score != b.score ? a.score < b.score
-                                        : a.sequence < b.sequence;
-            });
+  std::make_heap(candidates.begin(), candidates.end(), FitsWorse);
   return candidates;
 }
 
@@ -113,7 +113,11 @@
   // Filling in any order finds a placement if there is one: what one worker
   // takes only lessens what its own rack may still take.
   int64_t left = wanted;
-  for (const Candidate& candidate : GangCandidates(demand, options)) {
+  std::vector<Candidate> candidates = GangCandidates(demand, options);
+  while (!candidates.empty()) {
+    std::pop_heap(candidates.begin(), candidates.end(), FitsWorse);
+    const Candidate candidate = candidates.back();
+    candidates.pop_back();
     const uint32_t rack = m_slots[candidate.slot].rack;
     const int64_t taken = std::min({candidate.members, rack_room[rack], left});
     rack_room[rack] -= taken;
--- a/packages/placement/src/fit_score.cc
+++ b/packages/placement/src/fit_score.cc
@@ -1,10 +1,11 @@
 #include "placement/fit_score.h"
 
-#include <algorithm>
-
 namespace azurespur::placement {
 namespace {
 
+// Keeps work without accelerators off workers with free ones.
+constexpr double kStrandingPenalty = 10.0;
+
 double Share(int64_t amount, int64_t capacity) {
   if (capacity <= 0) {
     return 0;
@@ -12,8 +13,13 @@
   return static_cast<double>(amount) / static_cast<double>(capacity);
 }
 
-// Keeps work without accelerators off workers with free ones.
-constexpr double kStrandingPenalty = 10.0;
+// How far processors and memory are from being free in equal shares. Squared,
+// so that a large imbalance is undone before a small one.
+double Imbalance(const Resources& room, const Resources& capacity) {
+  const double difference = Share(room.cpu_millis, capacity.cpu_millis) -
+                            Share(room.memory_mb, capacity.memory_mb);
+  return difference * difference;
+}
 
 }  // namespace
 
@@ -21,13 +27,11 @@
                 const Resources& room,
                 const Resources& capacity) {
   const Resources left = Subtract(room, size);
-  double score = Share(left.cpu_millis, capacity.cpu_millis) +
-                 Share(left.memory_mb, capacity.memory_mb) +
-                 Share(left.accelerators, capacity.accelerators);
-  if (size.accelerators == 0 && room.accelerators > 0) {
-    score += kStrandingPenalty;
+  const double change = Imbalance(left, capacity) - Imbalance(room, capacity);
+  if (size.accelerators > 0) {
+    return change + Share(left.accelerators, capacity.accelerators);
   }
-  return score;
+  return room.accelerators > 0 ? change + kStrandingPenalty : change;
 }
 
 }  // namespace azurespur::placement
--- a/packages/placement/tests/scheduler_test.cc
+++ b/packages/placement/tests/scheduler_test.cc
@@ -128,6 +128,26 @@
   CHECK(shorts_before_long < 10'000);
 }
 
+TEST_CASE("low priority goes after high priority but not for ever") {
+  Scheduler scheduler = MakeScheduler(1, {1000, 4096, 0});
+  scheduler.Submit(MakeTask("low", "a", 1000));
+  constexpr int64_t kMinute = 60'000;
+  int64_t now_ms = 0;
+  bool started = false;
+  for (; !started && now_ms < 1000 * kMinute; now_ms += kMinute) {
+    TaskDemand high = MakeTask("high", "a", 1000);
+    high.priority = 1;
+    high.submitted_ms = now_ms;
+    scheduler.Submit(high);
+    const Ids ids = StartedIds(scheduler.Pass(now_ms, kNoLimits));
+    REQUIRE(ids.size() == 1);
+    started = ids.front() == "low";
+    scheduler.EndTask(ids.front());
+  }
+  CHECK(started);
+  CHECK(now_ms > kMinute);
+}
+
 TEST_CASE("a gang reserves a time, and only work that ends before passes it") {
   Scheduler scheduler = MakeScheduler(2, {4000, 4096, 0});
   Learn(scheduler, {"a", "job"}, 10'000);  // Bound 15 s.
@@ -214,6 +234,21 @@
   CHECK(StartedIds(scheduler.Pass(100'002, kNoLimits)) == Ids{"urgent"});
 }
 
+TEST_CASE("urgent tasks that wait together evict different work") {
+  Scheduler scheduler = MakeScheduler(2, {1000, 4096, 0});
+  scheduler.Submit(MakeTask("b0", "a", 1000));
+  scheduler.Submit(MakeTask("b1", "a", 1000));
+  REQUIRE(scheduler.Pass(0, kNoLimits).starts.size() == 2);
+  for (const char* id : {"u0", "u1", "u2"}) {
+    TaskDemand urgent = MakeTask(id, "b", 1000);
+    urgent.urgent = true;
+    scheduler.Submit(urgent);
+  }
+  const PassResult result = scheduler.Pass(1, kNoLimits);
+  REQUIRE(result.preemptions.size() == 2);
+  CHECK(result.preemptions[0].victims != result.preemptions[1].victims);
+}
+
 TEST_CASE("urgent work stays within the urgent limit of its plan") {
   Scheduler scheduler = MakeScheduler(1, {4000, 4096, 0});
   scheduler.queue().SetAllowance(
