--- a/packages/control/tests/fake_cell.cc
+++ b/packages/control/tests/fake_cell.cc
@@ -296,6 +296,7 @@
     vm.domain = "a";
     vm.rack = "r" + std::to_string(index++ / 2);
     vm.cpu_millis = m_cell.options.worker_cpu_millis;
+    vm.leaving = m_cell.leaving_workers.contains(vm.id);
     vm.memory_mb = m_cell.options.worker_memory_mb;
     if (!m_cell.listed_removals.contains(vm.id)) {
       page->vms.push_back(std::move(vm));
--- a/packages/control/tests/fake_cell.h
+++ b/packages/control/tests/fake_cell.h
@@ -175,6 +175,7 @@
   std::vector<std::unique_ptr<FakeVm>> vms;
   std::set<std::string> removed_workers;  // Dead.
   std::set<std::string> listed_removals;  // Dead, and off the VM list.
+  std::set<std::string> leaving_workers;
   uint64_t list_version = 1;
   bool log_away = false;
   struct Record {
