Read the reports of workers that a peer owns more rarely

Cause: every VM of a domain read every worker's report at the owner's rate; the worker client was the busiest thread of an idle daemon. Ruled out: reading none (the standby must see the marker go); slower reading by the owner (it would delay finished tasks). Conclusion: a suspected owner raises the standby's rank, and it reads at the full rate again; suspicion only changes the reading rate, never ownership.

--- a/packages/control/include/control/worker_fleet.h
+++ b/packages/control/include/control/worker_fleet.h
@@ -112,6 +112,7 @@
   struct Worker {
     platform::Vm vm;
     size_t rack = 0;
+    size_t seek_rank = 0;
     OwnershipState ownership;
     bool report_pending = false;
     base::MonoTime report_sent;
--- a/packages/control/src/worker_fleet.cc
+++ b/packages/control/src/worker_fleet.cc
@@ -23,6 +23,9 @@
                                            : LeaseAnswer::kGone;
 }
 
+// Reports of a worker that another VM owns are read this much more rarely.
+constexpr int kStandbyPollFactor = 5;
+
 bool RunsNow(const platform::WorkerTask& task) {
   return task.state == platform::WorkerTaskState::kRunning ||
          task.state == platform::WorkerTaskState::kThrottled;
@@ -97,10 +100,9 @@
 
 void WorkerFleet::TickWorker(Worker& worker, size_t rank) {
   const base::MonoTime now = m_deps.clock.Now();
-  const size_t seek_rank =
-      SeekRank(rank, worker.rack, m_options.owners_per_domain);
+  worker.seek_rank = SeekRank(rank, worker.rack, m_options.owners_per_domain);
   Act(worker, OnOwnershipTick(worker.ownership, m_options.ownership, m_seeking,
-                              seek_rank, now));
+                              worker.seek_rank, now));
   if (OwnsWorker(worker.ownership, now) && !worker.tasks.empty() &&
       now >= worker.tasks_renew_sent + m_options.task_renew_interval) {
     RenewTasks(worker, {worker.tasks.begin(), worker.tasks.end()}, true);
@@ -109,10 +111,19 @@
 }
 
 base::Millis WorkerFleet::PollInterval(const Worker& worker) const {
-  const OwnershipPhase phase = worker.ownership.phase;
-  const bool seeking =
-      phase == OwnershipPhase::kStarting || phase == OwnershipPhase::kSettling;
-  return seeking ? m_options.seek_report_interval : m_options.report_interval;
+  switch (worker.ownership.phase) {
+    case OwnershipPhase::kStarting:
+    case OwnershipPhase::kSettling:
+      return m_options.seek_report_interval;
+    case OwnershipPhase::kOwned:
+      return m_options.report_interval;
+    case OwnershipPhase::kIdle:
+      break;
+  }
+  // Another VM owns it, or will. A suspected owner raises this VM's rank.
+  const bool standby = worker.seek_rank > 0 && !worker.ownership.seen_free;
+  return standby ? m_options.report_interval * kStandbyPollFactor
+                 : m_options.report_interval;
 }
 
 void WorkerFleet::PollReport(Worker& worker) {
