--- a/packages/cli/src/answers.cc
+++ b/packages/cli/src/answers.cc
@@ -34,7 +34,7 @@
                      std::to_string(answer.response.status);
   for (const char* field : {"error", "reason"}) {
     const std::string value = FieldText(answer.body, field);
-    if (value != "-" && !value.empty()) {
+    if (value != "-") {
       text += ": " + value;
     }
   }
@@ -78,7 +78,11 @@
   if (it == object.end() || it->is_null()) {
     return "-";
   }
-  return it->is_string() ? it->get<std::string>() : it->dump();
+  if (!it->is_string()) {
+    return it->dump();
+  }
+  return it->get_ref<const std::string&>().empty() ? "-"
+                                                   : it->get<std::string>();
 }
 
 std::string TimeText(int64_t wall_ms) {
--- a/packages/cli/src/answers.h
+++ b/packages/cli/src/answers.h
@@ -24,7 +24,7 @@
            nlohmann::json& body,
            ExitCode& exit_code);
 
-// The field as text: strings without quotes, "-" if absent or null.
+// The field as text: strings without quotes, "-" if absent, null or empty.
 std::string FieldText(const nlohmann::json& object, const std::string& field);
 
 // "2026-01-31 12:00:00Z" of milliseconds since the Unix epoch; "-" for 0.
--- a/packages/cli/src/list_publisher.cc
+++ b/packages/cli/src/list_publisher.cc
@@ -154,8 +154,8 @@
 
 void PrintListErrors(Context& context, const json& errors) {
   for (const json& error : errors) {
-    std::string path = FieldText(error, "path");
-    PrintError(context, (path.empty() ? "document" : path) + ": " +
+    const std::string path = FieldText(error, "path");
+    PrintError(context, (path == "-" ? "document" : path) + ": " +
                             FieldText(error, "error"));
   }
 }
--- a/packages/cli/src/task_follower.cc
+++ b/packages/cli/src/task_follower.cc
@@ -58,7 +58,7 @@
       << "workers  " << Workers(task) << '\n';
   for (const char* field : {"reason", "result"}) {
     const std::string text = FieldText(task, field);
-    if (text != "-" && !text.empty()) {
+    if (text != "-") {
       out << field << "   " << text << '\n';
     }
   }
