--- a/packages/control/tests/list_ledger_test.cc
+++ b/packages/control/tests/list_ledger_test.cc
@@ -155,6 +155,26 @@
   CHECK(fresh.ledger.Current()->plans_version == 2);
 }
 
+TEST_CASE("edits held before a refresh are judged after it") {
+  FakeStream stream;
+  AppendBothLists(stream);
+  Replica old(stream);
+  old.reader.Read();
+  stream.now_ms += 1000;
+  const std::vector<RefreshEntry> refresh = old.ledger.Refresh(stream.now_ms);
+  // The refresh is appended after an edit that it does not cover.
+  stream.Append(MakeEdit("p2", ListName::kPlans, 1, kNoPlan));
+  stream.Append(refresh.at(0).kind, refresh.at(0).payload);
+  stream.TrimBefore(stream.now_ms);
+  Replica fresh(stream);
+  fresh.reader.Read(1);
+  CHECK(!fresh.ledger.Complete());
+  fresh.reader.Read();
+  CHECK(fresh.ledger.Complete());
+  CHECK(OutcomeOf(fresh, "p2") == EditOutcome::kAccepted);
+  CHECK(fresh.ledger.Current()->plans_version == 2);
+}
+
 TEST_CASE("a state from before the first record kept completes nothing") {
   FakeStream stream;
   AppendBothLists(stream);
