Judge run times by exact first values and the longest recent run

Tests found that one straggler as an executor's first run made it look slow (the streaming median started from it), and that the first interval after a burst set a class's pace 16 times too low. The 99% quantile needed thousands of runs to climb to the stragglers, so their time was not set aside; the longest recent run is known after the first straggler.

--- a/packages/filters/src/dispatch_core.cc
+++ b/packages/filters/src/dispatch_core.cc
@@ -19,6 +19,7 @@
 constexpr base::Millis kLeavingPause{10000};
 constexpr base::Millis kNoSlotsRetry{1000};
 constexpr double kPaceWeight = 0.02;   // Of the newest interval.
+constexpr double kRunMargin = 1.25;    // Of the longest recent run.
 constexpr double kMostRunShare = 0.5;  // Of the deadline, set aside to run.
 constexpr double kRetryStore = 20;
 constexpr double kMillisPerMicro = 0.001;
@@ -97,30 +98,31 @@
 
 // Expected by the pace at which requests of the class have left the queue.
 double DispatchCore::WaitMillis(const WorkItem& item) const {
-  const auto index = static_cast<size_t>(item.request_class);
   const auto ahead =
       static_cast<double>(m_queue.Class(item.request_class).Ahead(item.plan));
-  double interval_ms = m_paces[index].interval_ms;
-  if (interval_ms == 0 && m_capacity > 0) {
-    interval_ms = m_run_times.MeanMillis(item.plan) / m_capacity;
-  }
-  return ahead * interval_ms;
+  const Pace& pace = m_paces[static_cast<size_t>(item.request_class)];
+  return ahead *
+         (pace.interval_ms > 0 ? pace.interval_ms : FullPaceMillis(item.plan));
+}
+
+// Pace if all slots served one plan.
+double DispatchCore::FullPaceMillis(const std::string& plan) const {
+  return m_capacity > 0 ? m_run_times.MeanMillis(plan) / m_capacity : 0;
 }
 
 // A class that is not dispatched while it waits slows down its pace only when
 // it is dispatched again; the latest start bounds the wait meanwhile.
-void DispatchCore::CountDispatch(RequestClass request_class,
-                                 base::MonoTime now) {
-  Pace& pace = m_paces[static_cast<size_t>(request_class)];
+void DispatchCore::CountDispatch(const WorkItem& item, base::MonoTime now) {
+  Pace& pace = m_paces[static_cast<size_t>(item.request_class)];
   if (pace.last != base::MonoTime{}) {
     const double interval_ms =
         static_cast<double>((now - pace.last).count()) * kMillisPerMicro;
-    pace.interval_ms =
-        pace.interval_ms == 0
-            ? interval_ms
-            : pace.interval_ms + kPaceWeight * (interval_ms - pace.interval_ms);
+    if (pace.interval_ms == 0) {
+      pace.interval_ms = FullPaceMillis(item.plan);
+    }
+    pace.interval_ms += kPaceWeight * (interval_ms - pace.interval_ms);
   }
-  const bool more = m_queue.Class(request_class).size() > 0;
+  const bool more = m_queue.Class(item.request_class).size() > 0;
   pace.last = more ? now : base::MonoTime{};
 }
 
@@ -157,7 +159,7 @@
   const double left_ms =
       static_cast<double>((item.deadline - now).count()) * kMillisPerMicro;
   const double run_ms =
-      std::min(m_run_times.NearlyAllMillis(item.plan), left_ms * kMostRunShare);
+      std::min(m_run_times.LongestMillis(item.plan), left_ms * kMostRunShare);
   item.latest_start =
       item.deadline -
       base::Micros(static_cast<int64_t>(run_ms * kMicrosPerMilli));
@@ -290,7 +292,7 @@
       queue.Pop(m_run_times.MeanMillis(queue.Peek()->plan));
   --m_waiting_by_allowance[item->allowance];
   m_slots.SetWaiting(m_queue.size());
-  CountDispatch(*chosen, now);
+  CountDispatch(*item, now);
   request.waiting = false;
   m_sent_deadlines.emplace(item->deadline, item->handle);
   return Begin(request, *slot, false, now);
--- a/packages/filters/src/dispatch_core.h
+++ b/packages/filters/src/dispatch_core.h
@@ -146,7 +146,8 @@
 
   std::optional<Refusal> CheckWait(const WorkItem& item, base::MonoTime now);
   std::optional<control::RequestClass> PickClass();
-  void CountDispatch(control::RequestClass request_class, base::MonoTime now);
+  void CountDispatch(const WorkItem& item, base::MonoTime now);
+  double FullPaceMillis(const std::string& plan) const;
   double WaitMillis(const WorkItem& item) const;
   std::optional<size_t> PickExecutor(base::MonoTime now,
                                      const Request& request,
--- a/packages/filters/src/run_times.cc
+++ b/packages/filters/src/run_times.cc
@@ -8,7 +8,8 @@
 
 constexpr double kQuantileStep = 0.05;  // Relative move of one value.
 constexpr double kMeanWeight = 0.02;    // Of the newest value.
-constexpr uint64_t kEnoughRuns = 8;     // To tell a plan's length.
+constexpr double kLongestDecay = 0.999;
+constexpr uint64_t kEnoughRuns = 8;  // To tell a plan's length.
 constexpr double kLeastMillis = 0.01;
 
 void ObserveIn(RunTimeEstimate& estimate, double ms) {
@@ -18,16 +19,22 @@
   estimate.mean_ms += weight * (ms - estimate.mean_ms);
   estimate.median.Observe(ms);
   estimate.p95.Observe(ms);
-  estimate.p99.Observe(ms);
+  estimate.longest_ms = std::max(ms, estimate.longest_ms * kLongestDecay);
 }
 
 }  // namespace
 
 void RunTimeQuantile::Observe(double value) {
   value = std::max(value, kLeastMillis);
-  if (m_value == 0) {
-    m_value = value;
-  } else if (value > m_value) {
+  if (m_count < kExactValues) {
+    m_first[m_count++] = value;
+    const auto end = m_first.begin() + static_cast<std::ptrdiff_t>(m_count);
+    std::sort(m_first.begin(), end);
+    m_value = m_first[static_cast<size_t>(
+        m_quantile * static_cast<double>(m_count - 1) + 0.5)];
+    return;
+  }
+  if (value > m_value) {
     m_value *= 1 + kQuantileStep * m_quantile;
   } else {
     m_value *= 1 - kQuantileStep * (1 - m_quantile);
@@ -49,9 +56,9 @@
   return estimate != nullptr ? estimate->mean_ms : m_all.mean_ms;
 }
 
-double RunTimes::NearlyAllMillis(std::string_view plan) const {
+double RunTimes::LongestMillis(std::string_view plan) const {
   const RunTimeEstimate* estimate = Find(plan);
-  return (estimate != nullptr ? *estimate : m_all).p99.value();
+  return (estimate != nullptr ? *estimate : m_all).longest_ms;
 }
 
 bool RunTimes::IsLong(std::string_view plan, double limit_ms) const {
--- a/packages/filters/src/run_times.h
+++ b/packages/filters/src/run_times.h
@@ -3,6 +3,8 @@
 #ifndef FILTERS_RUN_TIMES_H_
 #define FILTERS_RUN_TIMES_H_
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -10,8 +12,9 @@
 
 namespace azurespur::filters {
 
-// Streaming estimate of one quantile in constant memory. Follows a change of
-// the distribution within some tens of values.
+// Streaming estimate of one quantile in constant memory: exact for the first
+// values, then moved by a small step for each. Follows a change of the
+// distribution within some tens of values.
 class RunTimeQuantile {
  public:
   explicit RunTimeQuantile(double quantile) : m_quantile(quantile) {}
@@ -20,8 +23,12 @@
   double value() const { return m_value; }  // 0 before the first value.
 
  private:
+  static constexpr size_t kExactValues = 15;
+
   double m_quantile;
   double m_value = 0;
+  size_t m_count = 0;                          // Up to kExactValues.
+  std::array<double, kExactValues> m_first{};  // Sorted.
 };
 
 struct RunTimeEstimate {
@@ -29,7 +36,7 @@
   double mean_ms = 0;  // Exponentially weighted.
   RunTimeQuantile median{0.5};
   RunTimeQuantile p95{0.95};
-  RunTimeQuantile p99{0.99};
+  double longest_ms = 0;  // Forgotten over some hundreds of runs.
 };
 
 class RunTimes {
@@ -42,8 +49,8 @@
   // Mean of all plans, for plans not seen yet.
   double MeanMillis(std::string_view plan) const;
 
-  // Time in which nearly all runs of the plan end.
-  double NearlyAllMillis(std::string_view plan) const;
+  // Longest of the plan's recent runs.
+  double LongestMillis(std::string_view plan) const;
 
   // True once the median run of the plan is at least `limit_ms`.
   bool IsLong(std::string_view plan, double limit_ms) const;
