--- /dev/null
+++ b/packages/control/include/control/run_controller.h
@@ -0,0 +1,166 @@
+// Runs bound tasks on the workers that this VM owns, from the first message to
+// the record of their end; adopts those of earlier owners.
+
+#ifndef CONTROL_RUN_CONTROLLER_H_
+#define CONTROL_RUN_CONTROLLER_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "control/fleet_listener.h"
+#include "control/mailbox.h"
+#include "control/task_run.h"
+#include "control/vm_identity.h"
+#include "control/worker_fleet.h"
+#include "placement/worker_state.h"
+#include "wire/log_entry.h"
+
+namespace azurespur::control {
+
+class LogChannel;
+class RunListener;
+class TaskLedger;
+
+struct RunControllerOptions {
+  base::Millis append_deadline{10000};
+  base::Millis append_retry{500};
+  base::Millis call_retry{500};
+  // A start or stop unanswered for longer than this counts as unanswered.
+  base::Millis call_timeout{2000};
+  // See SettleFromReport().
+  base::Millis settle{6000};
+  // How long room is kept for a start without an answer: it may still land.
+  base::Millis late_start_hold{15000};
+  // How long a worker with bound tasks must be off the VM list before it is
+  // taken as gone by a process that never saw it there.
+  base::Millis removal_grace{30000};
+  // How long a run waits for a worker that another VM owns.
+  base::Millis split_run_wait{12000};
+  // How long an intent stays on its worker; see IntentId().
+  base::Millis intent_lease{1800000};
+};
+
+struct RunControllerDeps {
+  LogChannel& log;
+  TaskLedger& ledger;
+  platform::WorkerClient& workers;
+  WorkerFleet& fleet;
+  Mailbox& mailbox;
+  const base::Clock& clock;
+  base::Metrics& metrics;
+  VmIdentity identity;
+};
+
+// Runs on the controllers' thread only.
+class RunController : public FleetListener {
+ public:
+  RunController(const RunControllerDeps& deps,
+                const RunControllerOptions& options,
+                RunListener& listener);
+
+  void OnWorkerOwned(const std::string& worker,
+                     const platform::WorkerReport& report) override;
+  void OnWorkerLost(const std::string& worker) override;
+  void OnWorkerReport(const std::string& worker,
+                      const platform::WorkerReport& report) override;
+  void OnNotRunning(const std::string& worker,
+                    std::span<const std::string> ids,
+                    base::MonoTime sent) override;
+  void OnWorkerRemoved(const std::string& worker) override;
+
+  // The stream told a change of the task.
+  void OnTaskChanged(const TaskState& task);
+
+  // Retries what is due.
+  void Tick();
+
+  // Moves the task off its workers, if it may run again elsewhere.
+  void Move(const std::string& id, std::string reason);
+
+  placement::WorkerUsage UsageOf(const std::string& worker) const;
+  std::vector<const TaskRun*> RunsOn(const std::string& worker) const;
+  size_t RunCount() const { return m_runs.size(); }
+  // Runs with a message or a record under way, or about to be.
+  size_t UnsettledCount() const;
+
+ private:
+  using Runs = std::unordered_map<std::string, TaskRun>;
+
+  struct LateStart {
+    base::MonoTime until;
+    placement::Resources size;
+  };
+
+  struct OwnedWorker {
+    platform::WorkerReport report;
+    std::set<std::string> tasks;  // With a member here.
+    std::vector<LateStart> late_starts;
+  };
+
+  void CreateRun(const TaskState& task);
+  void Inherit(TaskRun& run, const TaskState& task, size_t member);
+  void RegainMembers(TaskRun& run, const TaskState& task);
+  void StopIfThrottled(TaskRun& run, MemberRun& member);
+  void DropRun(const std::string& id);
+  void SweepRemovedWorkers();
+  void YieldSplitTasks();
+  bool HasRoomFor(const std::string& worker) const;
+  void HoldLateStart(const TaskRun& run, const MemberRun& member);
+  void StopLeftovers(const std::string& worker);
+  void ApplyReport(const std::string& worker);
+  void Advance(TaskRun& run);
+  bool WriteIntents(TaskRun& run);
+  void WriteIntent(TaskRun& run, MemberRun& member);
+  void OnIntentAnswer(const std::string& run_id,
+                      const base::Outcome<base::Unit>& result);
+  bool IsUntouched(const TaskState& task, size_t member) const;
+  void StartMembers(TaskRun& run);
+  void StartMember(TaskRun& run, MemberRun& member, const TaskSpec& spec);
+  void ReleaseMembers(TaskRun& run);
+  void StopMembers(TaskRun& run);
+  void StopMember(TaskRun& run, MemberRun& member);
+  void TakeCheckpoint(TaskRun& run);
+  void RetryCalls(TaskRun& run);
+  void OnStartAnswer(const std::string& run_id,
+                     const base::Outcome<base::Unit>& result);
+  void OnReleaseAnswer(const std::string& run_id,
+                       const base::Outcome<base::Unit>& result);
+  void OnStopAnswer(const std::string& run_id,
+                    const base::Outcome<platform::WorkerStop>& result);
+  void OnCheckpoint(const std::string& id,
+                    uint64_t attempt,
+                    const base::Outcome<std::string>& result);
+  void Record(TaskRun& run, wire::EntryKind kind, std::string payload);
+  void OnRecorded(const std::string& id,
+                  uint64_t attempt,
+                  wire::EntryKind kind,
+                  bool seen);
+  void NoteSettled(TaskRun& run, MemberRun& member);
+  std::pair<TaskRun*, MemberRun*> FindMember(std::string_view run_id);
+  const platform::WorkerTask* FindReported(const std::string& worker,
+                                           const std::string& run_id) const;
+
+  const RunControllerDeps m_deps;
+  const RunControllerOptions m_options;
+  RunListener& m_listener;
+  Runs m_runs;
+  std::map<std::string, OwnedWorker> m_owned;
+  std::set<std::string> m_busy;  // Runs that Tick() looks at.
+  // Bound tasks with some workers owned here and some elsewhere, and since
+  // when.
+  std::map<std::string, base::MonoTime> m_split;
+  std::set<std::string> m_gone;  // Workers off the VM list.
+  std::map<std::string, base::MonoTime> m_absent_since;
+  base::MonoTime m_swept_at;
+  base::Counter& m_starts;
+  base::Counter& m_adoptions;
+};
+
+}  // namespace azurespur::control
+
+#endif  // CONTROL_RUN_CONTROLLER_H_
