--- a/packages/filters/src/request_service.cc
+++ b/packages/filters/src/request_service.cc
@@ -165,6 +165,11 @@
     return;
   }
   const auto lists = m_deps.lists.Current();
+  if (lists->plans_version == 0 || lists->allowances_version == 0) {
+    reply->Send(MakeRefusal(
+        Unavailable("no_lists", "this VM has not read the lists yet"), id));
+    return;
+  }
   const control::Plan* plan = control::FindPlan(*lists, request.plan);
   if (plan == nullptr) {
     reply->Send(MakeRefusal(UnknownPlan("plan \"" + request.plan +
--- a/packages/filters/tests/fakes.h
+++ b/packages/filters/tests/fakes.h
@@ -28,6 +28,8 @@
 class FakeLists : public control::ListsView {
  public:
   FakeLists() : m_lists(std::make_shared<control::ListsSnapshot>()) {
+    m_lists->plans_version = 1;
+    m_lists->allowances_version = 1;
     control::Allowance allowance;
     allowance.id = "standard";
     allowance.requests_per_s = 1e6;
@@ -41,6 +43,7 @@
   std::shared_ptr<const control::ListsSnapshot> Current() const override {
     return m_lists;
   }
+  void ForgetAll() { *m_lists = {}; }
   control::Allowance& standard() { return m_lists->allowances[0]; }
 
  private:
--- a/packages/filters/tests/request_service_test.cc
+++ b/packages/filters/tests/request_service_test.cc
@@ -125,6 +125,15 @@
         900);
 }
 
+TEST_CASE("without lists a request is refused for now, not for good") {
+  Site site(&Echo);
+  site.lists.ForgetAll();
+  const auto response = Wait(Start(site.AddVm("e1"), Post()));
+  CHECK(response.status == 503);
+  CHECK(ErrorOf(response) == "no_lists");
+  CHECK(FateOf(response) == "not-run");
+}
+
 TEST_CASE("a cut answer is retried only for idempotent requests") {
   std::atomic<int> seen{0};
   Site site([&](FakeExecutors::Call call) {
