--- a/testing/history/include/history/executor_event.h
+++ b/testing/history/include/history/executor_event.h
@@ -11,8 +11,9 @@
 struct ExecutorEvent {
   int64_t time_ms = 0;
   std::string executor;
-  std::string event;  // receive, excess, refuse, begin or end.
-  std::string key;    // From the request's body; names the caller's request.
+  std::string event;    // receive, excess, refuse, begin or end.
+  std::string sending;  // Id that the caller gave this sending.
+  std::string key;      // From the request's body; names the caller's request.
 };
 
 }  // namespace azurespur::history
--- a/testing/history/include/history/rules.h
+++ b/testing/history/include/history/rules.h
@@ -35,7 +35,8 @@
 // "own-answer": the answer of a request names it and echoes its whole body.
 std::vector<Violation> CheckOwnAnswer(const History& history);
 
-// "not-run": what was refused as not run never began to work.
+// "not-run": a sending that was refused as not run never began to work, nor
+// did a request of which every sending was refused so.
 std::vector<Violation> CheckNotRun(const History& history);
 
 // "lists-forward": the versions on a VM never go back, and a version has one
--- a/testing/history/src/history_reader.cc
+++ b/testing/history/src/history_reader.cc
@@ -50,6 +50,7 @@
   history.executor_events.push_back({.time_ms = Number(line, "time_ms"),
                                      .executor = Text(line, "executor"),
                                      .event = Text(line, "event"),
+                                     .sending = Text(line, "request"),
                                      .key = Text(line, "key")});
 }
 
@@ -72,6 +73,7 @@
   } else if (event == "request-answer") {
     history.request_answers.push_back(
         {.time_ms = time_ms,
+         .sending = Text(line, "sending"),
          .key = Text(line, "key"),
          .fate = Text(line, "fate"),
          .non_idempotent = Get<bool>(line, "non_idempotent"),
--- a/testing/scenarios/include/scenario/callers.h
+++ b/testing/scenarios/include/scenario/callers.h
@@ -69,6 +69,7 @@
   CallerJournal& m_journal;
   const uint64_t m_seed;
   std::atomic<uint64_t> m_next_key{1};
+  std::atomic<uint64_t> m_next_sending{1};
 };
 
 }  // namespace azurespur::scenario
--- a/testing/scenarios/src/callers.cc
+++ b/testing/scenarios/src/callers.cc
@@ -53,6 +53,8 @@
                       const RequestOptions& options,
                       Done done) {
   const std::string key = options.key.empty() ? NewKey() : options.key;
+  const std::string sending =
+      key + "#" + std::to_string(m_next_sending.fetch_add(1));
   nlohmann::json body = {{"key", key}};
   if (options.service_ms) {
     body["service_ms"] = *options.service_ms;
@@ -65,6 +67,7 @@
   call.headers = {
       {"Azurespur-Plan", options.plan},
       {"Azurespur-Key", key},
+      {"Azurespur-Request-Id", sending},
       {"Azurespur-Non-Idempotent", options.non_idempotent ? "1" : "0"}};
   if (options.deadline_ms) {
     call.headers.push_back(
@@ -72,7 +75,8 @@
   }
   const base::MonoTime begin = base::SystemClock().Now();
   Send(entry, std::move(call),
-       [this, key, begin, sent = body.dump(), once = options.non_idempotent,
+       [this, key, sending, begin, sent = body.dump(),
+        once = options.non_idempotent,
         done = std::move(done)](http::HttpResult result) {
          nlohmann::json answer = {{"status", 0}, {"key", key}};
          std::string text;
@@ -90,6 +94,7 @@
          }
          answer["ms"] = base::MillisBetween(begin, base::SystemClock().Now());
          m_journal.Add({{"event", "request-answer"},
+                        {"sending", sending},
                         {"key", key},
                         {"fate", answer["fate"]},
                         {"status", answer["status"]},
