--- a/testing/scenarios/files/bad_work.lua
+++ b/testing/scenarios/files/bad_work.lua
@@ -1,5 +1,6 @@
 -- Tasks that can never fit fail at once with the reason, workers that fail
 -- everything don't hold up the rest, and cancelled tasks end.
+-- Seeds: 1
 
 local lists = require("lists")
 
--- a/testing/scenarios/files/capacity.lua
+++ b/testing/scenarios/files/capacity.lua
@@ -1,5 +1,6 @@
 -- No VM is given more processors, memory or accelerators than it has, with far
 -- more work than fits, an owner killed, and workers that report late.
+-- Seeds: 1 2
 
 local lists = require("lists")
 
--- a/testing/scenarios/files/cross_answers.lua
+++ b/testing/scenarios/files/cross_answers.lua
@@ -1,4 +1,5 @@
 -- Answers that come late, crossed or cut never reach a caller as his own.
+-- Seeds: 1
 
 local lists = require("lists")
 
--- a/testing/scenarios/files/cut_off.lua
+++ b/testing/scenarios/files/cut_off.lua
@@ -1,5 +1,6 @@
 -- A failure domain that is cut off from the others and from the platform goes on
 -- serving what it can; nothing runs twice or is lost when the cut heals.
+-- Seeds: 1 2
 
 local lists = require("lists")
 
--- a/testing/scenarios/files/graceful_stop.lua
+++ b/testing/scenarios/files/graceful_stop.lua
@@ -1,4 +1,5 @@
 -- A planned stop cuts off no request in flight.
+-- Seeds: 1
 
 local lists = require("lists")
 
--- a/testing/scenarios/files/leaving.lua
+++ b/testing/scenarios/files/leaving.lua
@@ -1,5 +1,6 @@
 -- A leaving upstream gets no new work after a few seconds, and what it has goes
 -- on to its end.
+-- Seeds: 1
 
 local lists = require("lists")
 
--- a/testing/scenarios/files/lists_forward.lua
+++ b/testing/scenarios/files/lists_forward.lua
@@ -1,5 +1,6 @@
 -- An accepted list is in force everywhere within seconds and never reverts:
 -- edits by two operators at once, restarts, a log outage, late effects.
+-- Seeds: 1
 
 local lists = require("lists")
 
--- a/testing/scenarios/files/log_outage.lua
+++ b/testing/scenarios/files/log_outage.lua
@@ -1,4 +1,5 @@
 -- The log is down, slow, over its rate and loses answers; then it is back.
+-- Seeds: 1 2
 
 local lists = require("lists")
 
--- a/testing/scenarios/files/one_place.lua
+++ b/testing/scenarios/files/one_place.lua
@@ -1,5 +1,6 @@
 -- A task never runs in two places, while owners are killed and paused beyond
 -- their leases, workers restart and answers of workers are lost.
+-- Seeds: 1 2
 
 local lists = require("lists")
 
--- a/testing/scenarios/files/request_path.lua
+++ b/testing/scenarios/files/request_path.lua
@@ -1,4 +1,5 @@
 -- Every caller receives the whole answer to its own request.
+-- Seeds: 1
 
 local lists = require("lists")
 
--- a/testing/scenarios/files/tasks_run.lua
+++ b/testing/scenarios/files/tasks_run.lua
@@ -1,4 +1,5 @@
 -- An accepted task runs, on one worker at a time, and its fate is told.
+-- Seeds: 1
 
 local lists = require("lists")
 
--- a/tools/summarize_tests.py
+++ b/tools/summarize_tests.py
@@ -48,6 +48,16 @@
     return passed, failures
 
 
+def read_scenario(result_path):
+    """Returns (passed names, failures as {name: text}) of one scenario run."""
+    name = f"scenario: {result_path.stem}"
+    if int(result_path.read_text(encoding="utf-8")) == 0:
+        return [name], {}
+    log = result_path.with_suffix(".log").read_text(encoding="utf-8")
+    lines = [line for line in log.splitlines() if "held:" not in line]
+    return [], {name: "\n".join(lines[:LOG_TAIL_LINES])}
+
+
 def main():
     results = pathlib.Path(sys.argv[1])
     known_red = read_known_red(pathlib.Path(sys.argv[2]))
@@ -58,6 +68,11 @@
         passed += program_passed
         failures.update(program_failures)
 
+    for result_path in sorted(results.glob("*.scenario")):
+        scenario_passed, scenario_failures = read_scenario(result_path)
+        passed += scenario_passed
+        failures.update(scenario_failures)
+
     unlisted = 0
     for name, text in failures.items():
         listed = name in known_red
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Builds and runs all tests: tools/test.sh [PRESET]
+# Builds and runs all tests, then each scenario with the seeds that its file
+# names: tools/test.sh [PRESET]
 # The last line is "N passed, N failed", counting test cases. Fails if a test
 # fails that KNOWN-RED.txt does not list.
 set -euo pipefail
@@ -20,4 +21,15 @@
   echo "$status" >"$results/$name.status"
 done
 
+for file in testing/scenarios/files/*.lua; do
+  for seed in $(sed -n 's/^-- Seeds: //p' "$file"); do
+    name="$(basename "$file") --seed $seed"
+    echo "running $name"
+    status=0
+    timeout 300 "build/$preset/bin/scenario" "$file" --seed "$seed" \
+      >"$results/$name.log" 2>&1 || status=$?
+    echo "$status" >"$results/$name.scenario"
+  done
+done
+
 exec python3 tools/summarize_tests.py "$results" KNOWN-RED.txt
