Keep short work moving: response ratio, reserves and ranked groups

Ranking all groups of a plan again after each blocked one took time squared in the number of groups; each plan now has a heap for the pass.

placement_test: 31 cases passed.

--- a/bench/placement/placement_bench.cc
+++ b/bench/placement/placement_bench.cc
@@ -5,6 +5,7 @@
 
 #include "cells.h"
 #include "packing.h"
+#include "queueing.h"
 
 namespace {
 
@@ -15,6 +16,7 @@
 int main(int argc, char** argv) {
   const uint64_t seed =
       argc > 1 ? std::strtoull(argv[1], nullptr, 10) : kDefaultSeed;
+  azurespur::bench::MeasureQueueing(seed);
   azurespur::bench::MeasurePacking(azurespur::bench::kSmallCell, seed);
   azurespur::bench::MeasurePacking(azurespur::bench::kLargeCell, seed);
   return 0;
--- a/packages/placement/include/placement/pending_queue.h
+++ b/packages/placement/include/placement/pending_queue.h
@@ -88,12 +88,15 @@
     uint64_t sequence = 0;
   };
 
-  static bool GoesBefore(const Candidate& a, const Candidate& b);
+  static bool GoesAfter(const Candidate& a, const Candidate& b);
   Plan& GetPlan(std::string_view plan);
   bool WithinLimits(const Plan& plan, const TaskDemand& demand) const;
   double PlanShare(const Plan& plan) const;
   Candidate BestOf(Plan& plan) const;
   Candidate Rank(Group& group) const;
+  void RankAll(Plan& plan) const;
+  static void PushRanked(Plan& plan, const Candidate& candidate);
+  static void PopRanked(Plan& plan);
 
   std::map<std::string, std::unique_ptr<Plan>, std::less<>> m_plans;
   StringMap<std::unique_ptr<Task>> m_tasks;
--- a/packages/placement/include/placement/scheduler.h
+++ b/packages/placement/include/placement/scheduler.h
@@ -28,7 +28,7 @@
   // Share that long batch work and gangs leave to shorter work besides.
   double short_work_reserve = 0.05;
   // Batch work that is expected to run longer is long.
-  int64_t long_run_ms = 600'000;
+  int64_t long_run_ms = 60'000;
   // A single task that waited this long for room gets a reservation in time as
   // gangs do.
   int64_t reserve_after_ms = 60'000;
@@ -134,6 +134,9 @@
   struct Attempt {
     TaskDemand demand;  // With the size to reserve.
     PlaceOptions options;
+    bool is_long = false;
+    double reserved_share = 0;
+    bool has_reservation = false;
   };
 
   // An eviction that was proposed and has not led to a start yet.
@@ -144,11 +147,11 @@
 
   Attempt Prepare(const TaskDemand& demand, int64_t now_ms) const;
   Decision Decide(Attempt& attempt, const TaskDemand& declared) const;
-  double ReservedShare(const TaskDemand& demand, int64_t run_ms) const;
-  std::optional<std::string> WhyNever(const TaskDemand& demand,
-                                      double reserved_share,
+  double ReservedShare(const Attempt& attempt) const;
+  std::optional<std::string> WhyNever(const Attempt& attempt,
+                                      const TaskDemand& declared,
                                       const Decision& decision) const;
-  bool Leaves(const TaskDemand& demand, double reserved_share) const;
+  bool LeavesReserve(const Attempt& attempt) const;
   bool IsHopeless(const Attempt& attempt) const;
   void TryReserved(int64_t now_ms, PassResult& result);
   bool KeepsReservation(int64_t now_ms) const;
--- a/packages/placement/include/placement/timed_reservation.h
+++ b/packages/placement/include/placement/timed_reservation.h
@@ -19,6 +19,8 @@
   std::string task;
   int64_t planned_ms = 0;
   int64_t start_ms = 0;
+  // All members together.
+  Resources size;
   std::vector<WorkerHold> holds;
 };
 
--- a/packages/placement/src/pending_queue.cc
+++ b/packages/placement/src/pending_queue.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <cmath>
 #include <limits>
 #include <tuple>
 
@@ -21,8 +22,12 @@
 // at the same time.
 constexpr double kRankingWaitMillis = 1000;
 
-// Keeps the response ratio below one step of priority.
-constexpr double kLargestResponseRatio = 1000.0;
+// A response ratio of this power of two weighs as much as one step of priority,
+// and a larger one no more.
+constexpr double kPriorityStepRatioLog = 4.0;
+
+// Longer work ranks as if it ran this long, or it would fall behind for days.
+constexpr double kLongestRankedRunMillis = 10.0 * 60 * 1000;
 
 Resources SaturatedAdd(const Resources& a, const Resources& b) {
   const auto add = [](int64_t x, int64_t y) {
@@ -74,9 +79,13 @@
   Resources used;
   Resources used_urgent;
   std::map<GroupKey, Group> groups;
-  // The best candidate, while `ranked_pass` is the current pass.
-  Candidate best;
+  // A heap of the groups that are not blocked, while `ranked_pass` is the
+  // current pass.
+  std::vector<Candidate> ranked;
   uint64_t ranked_pass = 0;
+  // The first of `ranked` as it competes with those of other plans.
+  Candidate best;
+  bool best_is_known = false;
 };
 
 struct PendingQueue::Task {
@@ -114,7 +123,7 @@
   if (urgent) {
     found.used_urgent = Add(found.used_urgent, change);
   }
-  found.ranked_pass = 0;
+  found.best_is_known = false;
 }
 
 Resources PendingQueue::UsedBy(std::string_view plan) const {
@@ -156,11 +165,21 @@
   }
   const Task& task = *found->second;
   Plan& plan = *task.plan;
-  task.group->second.tasks.erase(task.order);
-  if (task.group->second.tasks.empty()) {
+  Group& group = task.group->second;
+  // Mostly it is the first of all that is removed, because it starts.
+  const bool is_first = plan.ranked_pass == m_pass && !plan.ranked.empty() &&
+                        plan.ranked.front().group == &group;
+  if (is_first) {
+    PopRanked(plan);
+  } else {
+    plan.ranked_pass = 0;
+  }
+  group.tasks.erase(task.order);
+  if (group.tasks.empty()) {
     plan.groups.erase(task.group);
+  } else if (is_first) {
+    PushRanked(plan, Rank(group));
   }
-  plan.ranked_pass = 0;
   m_tasks.erase(found);
   return true;
 }
@@ -189,14 +208,17 @@
       continue;
     }
     if (plan->ranked_pass != m_pass) {
+      RankAll(*plan);
+    }
+    if (!plan->best_is_known) {
       plan->best = BestOf(*plan);
-      plan->ranked_pass = m_pass;
+      plan->best_is_known = true;
     }
     const Candidate& candidate = plan->best;
     if (candidate.group == nullptr) {
       continue;
     }
-    if (best.group == nullptr || GoesBefore(candidate, best)) {
+    if (best.group == nullptr || GoesAfter(best, candidate)) {
       best = candidate;
     }
   }
@@ -222,12 +244,19 @@
   if (found == m_tasks.end()) {
     return;
   }
-  found->second->group->second.blocked_pass = m_pass;
-  found->second->plan->ranked_pass = 0;
+  Plan& plan = *found->second->plan;
+  Group& group = found->second->group->second;
+  group.blocked_pass = m_pass;
+  if (plan.ranked_pass == m_pass && !plan.ranked.empty() &&
+      plan.ranked.front().group == &group) {
+    PopRanked(plan);
+  } else {
+    plan.ranked_pass = 0;
+  }
 }
 
-bool PendingQueue::GoesBefore(const Candidate& a, const Candidate& b) {
-  return std::tuple(!a.urgent, a.rank, a.sequence) <
+bool PendingQueue::GoesAfter(const Candidate& a, const Candidate& b) {
+  return std::tuple(!a.urgent, a.rank, a.sequence) >
          std::tuple(!b.urgent, b.rank, b.sequence);
 }
 
@@ -256,26 +285,47 @@
   return kNoQuotaShare + DominantShare(plan.used, m_capacity);
 }
 
-PendingQueue::Candidate PendingQueue::BestOf(Plan& plan) const {
-  Candidate best;
+void PendingQueue::RankAll(Plan& plan) const {
+  plan.ranked.clear();
   for (auto& [key, group] : plan.groups) {
-    const TaskDemand& demand = group.tasks.begin()->second->demand;
-    if (group.blocked_pass == m_pass || !WithinLimits(plan, demand)) {
+    if (group.blocked_pass != m_pass) {
+      plan.ranked.push_back(Rank(group));
+    }
+  }
+  std::make_heap(plan.ranked.begin(), plan.ranked.end(), GoesAfter);
+  plan.ranked_pass = m_pass;
+  plan.best_is_known = false;
+}
+
+void PendingQueue::PushRanked(Plan& plan, const Candidate& candidate) {
+  plan.ranked.push_back(candidate);
+  std::push_heap(plan.ranked.begin(), plan.ranked.end(), GoesAfter);
+  plan.best_is_known = false;
+}
+
+void PendingQueue::PopRanked(Plan& plan) {
+  std::pop_heap(plan.ranked.begin(), plan.ranked.end(), GoesAfter);
+  plan.ranked.pop_back();
+  plan.best_is_known = false;
+}
+
+// Groups beyond the plan's limits are out of this pass.
+PendingQueue::Candidate PendingQueue::BestOf(Plan& plan) const {
+  while (!plan.ranked.empty()) {
+    Candidate best = plan.ranked.front();
+    const TaskDemand& demand = best.group->tasks.begin()->second->demand;
+    if (!WithinLimits(plan, demand)) {
+      PopRanked(plan);
       continue;
     }
-    const Candidate candidate = Rank(group);
-    if (best.group == nullptr || GoesBefore(candidate, best)) {
-      best = candidate;
+    if (!best.urgent) {
+      // Between plans the share counts, not the order within the plan.
+      const auto waited = static_cast<double>(m_now_ms - demand.submitted_ms);
+      best.rank = PlanShare(plan) - waited / kShareCreditMillis;
     }
-  }
-  if (best.group == nullptr || best.urgent) {
     return best;
   }
-  // Between plans the share counts, not the order within the plan.
-  const TaskDemand& demand = best.group->tasks.begin()->second->demand;
-  const auto waited = static_cast<double>(m_now_ms - demand.submitted_ms);
-  best.rank = PlanShare(plan) - waited / kShareCreditMillis;
-  return best;
+  return {};
 }
 
 PendingQueue::Candidate PendingQueue::Rank(Group& group) const {
@@ -286,12 +336,13 @@
   }
   const auto waited =
       static_cast<double>(std::max<int64_t>(m_now_ms - demand.submitted_ms, 0));
-  const auto run = static_cast<double>(group.run_ms);
-  const double ratio = std::min((waited + kRankingWaitMillis + run) / run,
-                                kLargestResponseRatio);
+  const double run =
+      std::min(static_cast<double>(group.run_ms), kLongestRankedRunMillis);
+  const double ratio = (waited + kRankingWaitMillis + run) / run;
+  const double steps = std::min(std::log2(ratio) / kPriorityStepRatioLog, 1.0);
   const double priority =
       static_cast<double>(demand.priority) + waited / kPriorityCreditMillis;
-  return {&group, false, -(priority + ratio / kLargestResponseRatio), sequence};
+  return {&group, false, -(priority + steps), sequence};
 }
 
 }  // namespace azurespur::placement
--- a/packages/placement/src/scheduler.cc
+++ b/packages/placement/src/scheduler.cc
@@ -100,6 +100,7 @@
   }
   Attempt attempt = Prepare(*demand, now_ms);
   attempt.options.ignore_holds = true;
+  attempt.has_reservation = true;
   if (!KeepsReservation(now_ms)) {
     ClearReservation();
   }
@@ -107,8 +108,7 @@
 }
 
 bool Scheduler::KeepsReservation(int64_t now_ms) const {
-  return now_ms < m_reservation->start_ms &&
-         now_ms - m_reservation->planned_ms < m_options.replan_interval_ms;
+  return now_ms - m_reservation->planned_ms < m_options.replan_interval_ms;
 }
 
 void Scheduler::ClearReservation() {
@@ -120,18 +120,14 @@
                        Attempt attempt,
                        int64_t now_ms,
                        PassResult& result) {
-  const int64_t run_ms =
-      ExpectedRunTime(m_statistics.Find(KeyOf(demand)), demand.expected_run_ms);
-  const double reserved = ReservedShare(demand, run_ms);
-  const bool hopeless =
-      !Leaves(attempt.demand, reserved) || IsHopeless(attempt);
+  const bool hopeless = !LeavesReserve(attempt) || IsHopeless(attempt);
   Decision decision =
       hopeless ? Decision(m_cell.Explain(demand)) : Decide(attempt, demand);
   if (auto* placement = std::get_if<Placement>(&decision)) {
     Start(demand, std::move(attempt), std::move(*placement), now_ms, result);
     return;
   }
-  std::optional<std::string> never = WhyNever(demand, reserved, decision);
+  std::optional<std::string> never = WhyNever(attempt, demand, decision);
   if (never) {
     result.failures.push_back({demand.id, std::move(*never)});
     m_queue.Remove(demand.id);
@@ -150,6 +146,9 @@
   attempt.demand = demand;
   attempt.demand.size = SizeToReserve(estimate, demand.size);
   attempt.options.ignore_holds = demand.urgent;
+  const int64_t run_ms = ExpectedRunTime(estimate, demand.expected_run_ms);
+  attempt.is_long = IsLong(demand, run_ms, m_options.long_run_ms);
+  attempt.reserved_share = ReservedShare(attempt);
   const std::optional<int64_t> bound = RunTimeBound(estimate);
   if (bound && demand.task_class != TaskClass::kService) {
     attempt.options.ends_by_ms = now_ms + *bound;
@@ -170,20 +169,19 @@
   return m_cell.Place(attempt.demand, attempt.options);
 }
 
-// The share of the cell that must stay free beside `demand`.
-double Scheduler::ReservedShare(const TaskDemand& demand,
-                                int64_t run_ms) const {
+// The share of the cell that must stay free beside the demand.
+double Scheduler::ReservedShare(const Attempt& attempt) const {
+  const TaskDemand& demand = attempt.demand;
   if (demand.task_class == TaskClass::kService || demand.urgent) {
     return 0;
   }
-  if (IsLong(demand, run_ms, m_options.long_run_ms)) {
-    return m_options.service_reserve + m_options.short_work_reserve;
-  }
-  return m_options.service_reserve;
+  return attempt.is_long
+             ? m_options.service_reserve + m_options.short_work_reserve
+             : m_options.service_reserve;
 }
 
-std::optional<std::string> Scheduler::WhyNever(const TaskDemand& demand,
-                                               double reserved_share,
+std::optional<std::string> Scheduler::WhyNever(const Attempt& attempt,
+                                               const TaskDemand& declared,
                                                const Decision& decision) const {
   if (!m_all_workers_known) {
     return std::nullopt;
@@ -193,18 +191,28 @@
     return refusal.reason;
   }
   const Resources& capacity = m_cell.KnownCapacity();
-  if (LeavesShare(TotalSize(demand), capacity, capacity, reserved_share)) {
+  const Resources total = TotalSize(declared);
+  if (LeavesShare(total, capacity, capacity, attempt.reserved_share)) {
     return std::nullopt;
   }
-  return "task \"" + demand.id + "\" needs " + ToString(TotalSize(demand)) +
+  return "task \"" + declared.id + "\" needs " + ToString(total) +
          " of a cell of " + ToString(capacity) +
          ", which does not leave the reserve for other work";
 }
 
-bool Scheduler::Leaves(const TaskDemand& demand, double reserved_share) const {
-  return reserved_share <= 0 ||
-         LeavesShare(TotalSize(demand), m_cell.TotalRoom(),
-                     m_cell.TotalCapacity(), reserved_share);
+// What the task with the reservation is to use is not there for other long
+// work. Short work keeps to the holds on single workers only.
+bool Scheduler::LeavesReserve(const Attempt& attempt) const {
+  if (attempt.reserved_share <= 0) {
+    return true;
+  }
+  Resources room = m_cell.TotalRoom();
+  if (m_reservation && !attempt.has_reservation && attempt.is_long &&
+      attempt.options.ends_by_ms > m_reservation->start_ms) {
+    room = Subtract(room, m_reservation->size);
+  }
+  return LeavesShare(TotalSize(attempt.demand), room, m_cell.TotalCapacity(),
+                     attempt.reserved_share);
 }
 
 bool Scheduler::IsHopeless(const Attempt& attempt) const {
--- a/packages/placement/src/timed_reservation.cc
+++ b/packages/placement/src/timed_reservation.cc
@@ -141,7 +141,7 @@
     start_ms = next.end_ms;
     timeline.Release(next.row, next.size);
   }
-  return TimedReservation{demand.id, now_ms, start_ms,
+  return TimedReservation{demand.id, now_ms, start_ms, TotalSize(demand),
                           timeline.MakeHolds(start_ms)};
 }
 
