--- a/bench/placement/placement_bench.cc
+++ b/bench/placement/placement_bench.cc
@@ -6,6 +6,7 @@
 #include "cells.h"
 #include "packing.h"
 #include "queueing.h"
+#include "rates.h"
 
 namespace {
 
@@ -16,6 +17,7 @@
 int main(int argc, char** argv) {
   const uint64_t seed =
       argc > 1 ? std::strtoull(argv[1], nullptr, 10) : kDefaultSeed;
+  azurespur::bench::MeasureRates(seed);
   azurespur::bench::MeasureQueueing(seed);
   azurespur::bench::MeasurePacking(azurespur::bench::kSmallCell, seed);
   azurespur::bench::MeasurePacking(azurespur::bench::kLargeCell, seed);
