--- a/packages/control/include/control/worker_fleet.h
+++ b/packages/control/include/control/worker_fleet.h
@@ -121,6 +121,7 @@
     base::MonoTime report_sent;
     base::MonoTime report_received;
     bool any_report = false;
+    int64_t marker_left_ms = 0;  // Longest lease of a marker in the report.
     base::MonoTime tasks_renew_sent;
     std::unordered_set<std::string> tasks;
   };
@@ -140,6 +141,7 @@
   void RenewTasks(Worker& worker, std::vector<std::string> ids, bool owner);
   void StopMarker(Worker& worker, const std::string& marker);
   void Lose(Worker& worker);
+  bool OwnerIsSilent(const Worker& worker) const;
   base::Millis PollInterval(const Worker& worker) const;
   Worker* Find(std::string_view id);
   const Worker* Find(std::string_view id) const;
--- a/packages/control/src/worker_fleet.cc
+++ b/packages/control/src/worker_fleet.cc
@@ -110,6 +110,13 @@
   PollReport(worker);
 }
 
+// True if the owner, by the newest report, has missed a renewal.
+bool WorkerFleet::OwnerIsSilent(const Worker& worker) const {
+  const OwnershipOptions& rules = m_options.ownership;
+  const base::Millis renewed = rules.lease - rules.renew_interval * 3 / 2;
+  return worker.any_report && worker.marker_left_ms < renewed.count();
+}
+
 base::Millis WorkerFleet::PollInterval(const Worker& worker) const {
   switch (worker.ownership.phase) {
     case OwnershipPhase::kStarting:
@@ -120,6 +127,9 @@
     case OwnershipPhase::kIdle:
       break;
   }
+  if (worker.seek_rank == 0 && OwnerIsSilent(worker)) {
+    return m_options.seek_report_interval;
+  }
   // Another VM owns it, or will. A suspected owner raises this VM's rank.
   const bool standby = worker.seek_rank > 0 && !worker.ownership.seen_free;
   return standby ? m_options.report_interval * kStandbyPollFactor
@@ -169,9 +179,12 @@
 void WorkerFleet::AdvanceOwnership(Worker& worker,
                                    const platform::WorkerReport& report) {
   std::vector<std::string_view> markers;
+  worker.marker_left_ms = 0;
   for (const platform::WorkerTask& task : report.tasks) {
     if (RunsNow(task) && IsOwnershipMarker(task.id)) {
       markers.push_back(task.id);
+      worker.marker_left_ms =
+          std::max(worker.marker_left_ms, task.lease_left_ms);
     }
   }
   const OwnershipStep step = OnOwnershipReport(
--- a/packages/control/tests/fake_cell.cc
+++ b/packages/control/tests/fake_cell.cc
@@ -1,5 +1,6 @@
 #include "fake_cell.h"
 
+#include <chrono>
 #include <utility>
 
 namespace azurespur::control {
@@ -60,9 +61,13 @@
   if (!alive || m_cell.time.NowMillis() < paused_until_ms) {
     return;
   }
+  const auto start = std::chrono::steady_clock::now();
   FlushAppends();
   ReadLog();
   service->RunOnce();
+  busy_seconds +=
+      std::chrono::duration<double>(std::chrono::steady_clock::now() - start)
+          .count();
 }
 
 template <typename T>
@@ -86,18 +91,17 @@
       late ? kCallTimeoutMillis + m_cell.Pick(0, 3000) : m_cell.Pick(0, 3);
   const int64_t back_ms = m_cell.Pick(0, 3);
   if (!cut) {
-    m_cell.time.After(there_ms, [this, worker_id, verb, answer, back_ms, late,
-                                 lost] {
-      for (const auto& worker : m_cell.workers) {
-        if (worker->id() == worker_id &&
-            !m_cell.removed_workers.contains(worker_id)) {
+    m_cell.time.After(
+        there_ms, [this, worker_id, verb, answer, back_ms, late, lost] {
+          FakeWorker* worker = m_cell.FindWorker(worker_id);
+          if (worker == nullptr) {
+            return;
+          }
           base::Outcome<T> result = verb(*worker);
           if (!late && !lost && !cut_from_workers) {
             m_cell.time.After(back_ms, [answer, result] { answer(result); });
           }
-        }
-      }
-    });
+        });
   }
   if (cut || late || lost) {
     m_cell.time.After(kCallTimeoutMillis,
@@ -285,6 +289,9 @@
 }
 
 std::shared_ptr<const platform::VmListPage> FakeVm::Current() const {
+  if (m_list && m_list->version == m_cell.list_version) {
+    return m_list;
+  }
   auto page = std::make_shared<platform::VmListPage>();
   page->version = m_cell.list_version;
   int index = 0;
@@ -294,7 +301,7 @@
     vm.kind = platform::VmKind::kWorker;
     vm.address = worker->id();
     vm.domain = "a";
-    vm.rack = "r" + std::to_string(index++ / 2);
+    vm.rack = "r" + std::to_string(index++ / m_cell.options.workers_per_rack);
     vm.cpu_millis = m_cell.options.worker_cpu_millis;
     vm.leaving = m_cell.leaving_workers.contains(vm.id);
     vm.memory_mb = m_cell.options.worker_memory_mb;
@@ -302,6 +309,7 @@
       page->vms.push_back(std::move(vm));
     }
   }
+  m_list = page;
   return page;
 }
 
@@ -310,6 +318,7 @@
   for (int i = 0; i < options.workers; ++i) {
     workers.push_back(std::make_unique<FakeWorker>(
         time, "w" + std::to_string(i), options.report_lag_ms));
+    workers_by_id[workers.back()->id()] = workers.back().get();
   }
   for (int i = 0; i < options.entry_vms; ++i) {
     vms.push_back(
@@ -350,6 +359,14 @@
   });
 }
 
+// Null if the worker does not run.
+FakeWorker* FakeCell::FindWorker(const std::string& id) {
+  const auto found = workers_by_id.find(id);
+  const bool runs =
+      found != workers_by_id.end() && !removed_workers.contains(id);
+  return runs ? found->second : nullptr;
+}
+
 FakeVm* FakeCell::FirstAlive() {
   for (const auto& vm : vms) {
     if (vm->alive && vm->paused_until_ms <= time.NowMillis()) {
--- a/packages/control/tests/fake_cell.h
+++ b/packages/control/tests/fake_cell.h
@@ -30,6 +30,7 @@
   int workers = 4;
   int64_t worker_cpu_millis = 4000;
   int64_t worker_memory_mb = 3000;
+  int workers_per_rack = 2;
   int64_t report_lag_ms = 100;
   double lost_answers = 0;  // Share of calls whose answer is lost.
   double late_calls = 0;    // Share of calls that land after their timeout.
@@ -118,6 +119,7 @@
   bool cut_from_workers = false;
   bool cut_from_log = false;
   std::map<wire::Topic, Answerer> answerers;
+  double busy_seconds = 0;  // Spent in Step(), by this machine's clock.
   std::unique_ptr<base::Metrics> metrics;
   std::unique_ptr<TaskLedger> ledger;
   std::unique_ptr<TaskService> service;
@@ -139,6 +141,7 @@
 
   FakeCell& m_cell;
   uint64_t m_sequence = 0;
+  mutable std::shared_ptr<const platform::VmListPage> m_list;
   size_t m_read = 0;
   int64_t m_flushed_ms = 0;
   std::map<std::string, PendingAppend> m_pending;
@@ -163,6 +166,7 @@
     return std::uniform_int_distribution<int64_t>(low, high)(random);
   }
 
+  FakeWorker* FindWorker(const std::string& id);
   FakeVm* FirstAlive();
   // The VM that owns the most workers; null if none owns any.
   FakeVm* Owner();
@@ -172,6 +176,7 @@
   FakeTime time;
   std::mt19937_64 random;
   std::vector<std::unique_ptr<FakeWorker>> workers;
+  std::map<std::string, FakeWorker*> workers_by_id;
   std::vector<std::unique_ptr<FakeVm>> vms;
   std::set<std::string> removed_workers;  // Dead.
   std::set<std::string> listed_removals;  // Dead, and off the VM list.
