--- a/packages/control/include/control/placement_controller.h
+++ b/packages/control/include/control/placement_controller.h
@@ -105,6 +105,7 @@
   void SyncAllowances(const ListsSnapshot& lists);
   void ClaimForeignTasks();
   void GiveBackOldTasks();
+  void DropLostBindings();
   void YieldToGangs();
   bool WaitedFor(const placement::TaskDemand& demand, base::Millis wait) const;
   void Claim(const TaskState& task);
@@ -127,6 +128,7 @@
   struct Binding {
     placement::Placement placement;
     placement::Resources size;
+    base::MonoTime given_up_at;  // When its answer must have been lost.
   };
 
   const PlacementControllerDeps m_deps;
--- a/packages/control/include/control/task_run.h
+++ b/packages/control/include/control/task_run.h
@@ -66,6 +66,7 @@
   bool started_recorded = false;
   bool held = false;  // Recorded as may-have-run.
   bool append_pending = false;
+  base::MonoTime append_sent;
   base::MonoTime retry_at;  // No record earlier.
   std::vector<MemberRun> members;
 };
--- a/packages/control/src/placement_controller.cc
+++ b/packages/control/src/placement_controller.cc
@@ -292,7 +292,8 @@
     return;
   }
   m_binds.Add(1);
-  m_bindings[id] = {start.placement, start.size};
+  m_bindings[id] = {start.placement, start.size,
+                    m_deps.clock.Now() + m_options.append_deadline * 2};
   for (const std::string& worker : start.placement.workers) {
     if (m_probes.erase(worker) > 0) {
       m_stale_workers.insert(worker);
--- a/packages/control/src/placement_review.cc
+++ b/packages/control/src/placement_review.cc
@@ -33,10 +33,24 @@
   ClaimForeignTasks();
   GiveBackOldTasks();
   YieldToGangs();
+  DropLostBindings();
   m_pending_gauge.Set(static_cast<int64_t>(m_scheduler.queue().size()));
   m_quarantined_gauge.Set(static_cast<int64_t>(m_health.QuarantinedCount()));
 }
 
+// The answer to a record is lost if the mailbox was full.
+void PlacementController::DropLostBindings() {
+  std::vector<std::string> lost;
+  for (const auto& [id, binding] : m_bindings) {
+    if (m_deps.clock.Now() >= binding.given_up_at) {
+      lost.push_back(id);
+    }
+  }
+  for (const std::string& id : lost) {
+    OnBound(id);
+  }
+}
+
 // A plan's allowance holds for the whole cell; other domains' use is known from
 // the stream.
 void PlacementController::SyncAllowances(const ListsSnapshot& lists) {
