--- a/packages/placement/include/placement/cell.h
+++ b/packages/placement/include/placement/cell.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "placement/decision.h"
+#include "placement/fit_score.h"
 #include "placement/resources.h"
 #include "placement/string_hash.h"
 #include "placement/task_demand.h"
@@ -41,6 +42,7 @@
 struct WorkerView {
   std::string_view id;
   std::string_view rack;
+  uint32_t rack_index = 0;  // Below Cell::RackCount().
   WorkerCondition condition = WorkerCondition::kLive;
   Resources capacity;
   // Negative in a resource that is overloaded.
@@ -76,6 +78,16 @@
   // cell.
   Refusal Explain(const TaskDemand& demand) const;
 
+  // The number of changes so far that gave a worker more room.
+  uint64_t GrowthCount() const { return m_growth_count; }
+
+  // False if nothing that grew since `growth_count` has room for `size`; a
+  // demand refused then would be refused now.
+  bool MayHaveRoomSince(uint64_t growth_count, const Resources& size) const;
+
+  // Counts as a growth of every worker.
+  void ForgetGrowth();
+
   // Counts `size` as used on each worker of `placement`. Returns false, and
   // changes nothing, if one is unknown, takes no work or has no room. A worker
   // that is probing is quarantined again by its one task.
@@ -91,6 +103,7 @@
   void SetHolds(std::span<const WorkerHold> holds);
 
   std::optional<WorkerState> FindWorker(std::string_view id) const;
+  size_t RackCount() const { return m_racks.size(); }
   size_t WorkerCount() const { return m_index.size(); }
 
   // Sums over live workers. Overloaded workers count as full.
@@ -121,10 +134,11 @@
   }
 
  private:
-  // What a decision reads of every worker: one cache line.
+  // What a decision reads of every worker.
   struct Slot {
     Resources room;
     Resources capacity;
+    ShareScale scale;  // Of `capacity`.
     uint64_t sequence : 48 = 0;
     uint64_t condition : 8 = 0;
     bool present = false;
@@ -156,6 +170,8 @@
   void SetRoom(uint32_t position, const Resources& room);
   void CountTotals(const Slot& slot, int64_t sign);
   void RefreshBlock(uint32_t position);
+  void NoteGrowth(uint32_t position);
+
   bool TakesWork(const Slot& slot, const TaskDemand& demand) const;
   Resources UsableRoom(uint32_t position, const PlaceOptions& options) const;
   static bool FitsWorse(const Candidate& a, const Candidate& b);
@@ -175,6 +191,11 @@
   Resources m_total_capacity;
   Resources m_total_room;
   uint64_t m_next_sequence = 0;
+  // The slots of the latest growths, a ring.
+  std::vector<uint32_t> m_growths;
+  uint64_t m_growth_count = 0;
+  // Earlier growths are not known any more.
+  uint64_t m_oldest_growth = 0;
 };
 
 }  // namespace azurespur::placement
--- a/packages/placement/include/placement/pending_queue.h
+++ b/packages/placement/include/placement/pending_queue.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -19,6 +20,13 @@
 
 namespace azurespur::placement {
 
+// When and why a demand was refused.
+struct RememberedRefusal {
+  uint64_t growth_count = 0;  // Cell::GrowthCount().
+  int64_t time_ms = 0;
+  bool for_reserve = false;  // Not for want of room.
+};
+
 // Order of choice:
 //  1. urgent work within its plan's urgent limit, oldest first;
 //  2. the plan with the smallest dominant share of its quota (dominant resource
@@ -69,8 +77,13 @@
   // The waiting task after `demand` of those that ask for the same, or null.
   const TaskDemand* NextLike(const TaskDemand& demand) const;
 
-  // Passes over `demand`, and all that ask for the same, in this pass.
+  // Passes over `demand`, and all that ask for the same, in this pass. A
+  // refusal is remembered until the first of them starts.
   void Block(const TaskDemand& demand);
+  void Block(const TaskDemand& demand, const RememberedRefusal& refusal);
+
+  // The refusal remembered for `demand` and those that ask for the same.
+  std::optional<RememberedRefusal> FindRefusal(const TaskDemand& demand) const;
 
   size_t size() const { return m_tasks.size(); }
 
@@ -99,6 +112,8 @@
   static void PopRanked(Plan& plan);
 
   std::map<std::string, std::unique_ptr<Plan>, std::less<>> m_plans;
+  // The same, close together.
+  std::vector<Plan*> m_plan_list;
   StringMap<std::unique_ptr<Task>> m_tasks;
   uint64_t m_next_sequence = 0;
   uint64_t m_pass = 0;
--- a/packages/placement/include/placement/resources.h
+++ b/packages/placement/include/placement/resources.h
@@ -17,7 +17,11 @@
 };
 
 // True if `demand` is at most `room` in every resource.
-bool Fits(const Resources& demand, const Resources& room);
+inline bool Fits(const Resources& demand, const Resources& room) {
+  return demand.cpu_millis <= room.cpu_millis &&
+         demand.memory_mb <= room.memory_mb &&
+         demand.accelerators <= room.accelerators;
+}
 
 Resources Add(const Resources& a, const Resources& b);
 
--- a/packages/placement/include/placement/scheduler.h
+++ b/packages/placement/include/placement/scheduler.h
@@ -34,6 +34,8 @@
   int64_t reserve_after_ms = 60'000;
   // A reservation is worked out anew this often.
   int64_t replan_interval_ms = 1'000;
+  // A task for which no time could be worked out is passed over this long.
+  int64_t unplannable_interval_ms = 30'000;
   // A preemption is not proposed again for the same task before this.
   int64_t preemption_interval_ms = 5'000;
   size_t most_preemptions_per_pass = 32;
@@ -90,7 +92,7 @@
 
   // Whether the cell holds every worker that there is, owned or not. Until then
   // no task is failed for want of a worker that is large enough.
-  void SetAllWorkersKnown(bool known) { m_all_workers_known = known; }
+  void SetAllWorkersKnown(bool known);
 
   // Returns false if the id waits or runs already. A demand above its plan's
   // limit is failed by the next pass.
@@ -137,6 +139,8 @@
     bool is_long = false;
     double reserved_share = 0;
     bool has_reservation = false;
+    // Refused for want of room, not for a reserve.
+    bool lacks_room = false;
   };
 
   // An eviction that was proposed and has not led to a start yet.
@@ -154,7 +158,12 @@
   bool LeavesReserve(const Attempt& attempt) const;
   bool IsHopeless(const Attempt& attempt) const;
   void TryReserved(int64_t now_ms, PassResult& result);
+  // The refusal of `demand` if it is recent enough to rely on.
+  std::optional<RememberedRefusal> FreshRefusal(const TaskDemand& demand,
+                                                int64_t now_ms) const;
+  bool IsStillRefused(const TaskDemand& demand, int64_t now_ms) const;
   bool KeepsReservation(int64_t now_ms) const;
+  bool MayReserve(const TaskDemand& demand, int64_t now_ms) const;
   void ClearReservation();
   void TryOne(const TaskDemand& demand,
               Attempt attempt,
@@ -185,6 +194,9 @@
   RunningTasks m_running;
   JobStatistics m_statistics;
   std::optional<TimedReservation> m_reservation;
+  // Working out a time looks at all running work, so it is done seldom.
+  int64_t m_next_plan_ms = 0;
+  StringMap<int64_t> m_unplannable_until_ms;
   bool m_all_workers_known = false;
   std::vector<Refused> m_refused;
   std::vector<FailDecision> m_early_failures;
--- a/packages/placement/src/cell.cc
+++ b/packages/placement/src/cell.cc
@@ -3,13 +3,13 @@
 #include <algorithm>
 #include <utility>
 
-#include "placement/fit_score.h"
 #include "refusal_reason.h"
 
 namespace azurespur::placement {
 namespace {
 
 constexpr uint32_t kSlotsPerBlock = 16;
+constexpr uint64_t kGrowthsKept = 1024;
 
 Resources ClampToZero(const Resources& room) {
   return Max(room, Resources{});
@@ -25,9 +25,11 @@
   slot.rack = InternRack(worker.rack);
   slot.condition = static_cast<uint64_t>(worker.condition);
   slot.capacity = worker.capacity;
+  slot.scale = MakeShareScale(worker.capacity);
   slot.room = Subtract(worker.capacity, worker.used);
   CountTotals(slot, 1);
   RefreshBlock(position);
+  NoteGrowth(position);
 }
 
 void Cell::RemoveWorker(std::string_view id) {
@@ -66,7 +68,7 @@
           !Fits(demand.size, UsableRoom(i, options))) {
         continue;
       }
-      const double score = FitScore(demand.size, slot.room, slot.capacity);
+      const double score = FitScore(demand.size, slot.room, slot.scale);
       if (!best || score < best_score ||
           (score == best_score && slot.sequence < m_slots[*best].sequence)) {
         best = i;
@@ -96,7 +98,7 @@
     const int64_t members =
         CountFitting(demand.size, UsableRoom(i, options), MemberCount(demand));
     if (members > 0) {
-      candidates.push_back({FitScore(demand.size, slot.room, slot.capacity),
+      candidates.push_back({FitScore(demand.size, slot.room, slot.scale),
                             slot.sequence, i, members});
     }
   }
@@ -177,10 +179,12 @@
   const std::optional<uint32_t> position = Find(worker);
   if (position) {
     SetRoom(*position, Add(m_slots[*position].room, size));
+    NoteGrowth(*position);
   }
 }
 
 void Cell::SetHolds(std::span<const WorkerHold> holds) {
+  ForgetGrowth();
   for (Slot& slot : m_slots) {
     slot.held = false;
   }
@@ -209,8 +213,8 @@
 WorkerView Cell::ViewOf(uint32_t position) const {
   const Slot& slot = m_slots[position];
   return {m_ids[position], m_racks[slot.rack],
-          static_cast<WorkerCondition>(slot.condition), slot.capacity,
-          slot.room};
+          slot.rack,       static_cast<WorkerCondition>(slot.condition),
+          slot.capacity,   slot.room};
 }
 
 std::optional<uint32_t> Cell::Find(std::string_view id) const {
@@ -281,6 +285,35 @@
   m_blocks[block].largest_room = largest;
 }
 
+void Cell::NoteGrowth(uint32_t position) {
+  if (m_growths.empty()) {
+    m_growths.resize(kGrowthsKept);
+  }
+  m_growths[m_growth_count % kGrowthsKept] = position;
+  ++m_growth_count;
+  if (m_growth_count - m_oldest_growth > kGrowthsKept) {
+    m_oldest_growth = m_growth_count - kGrowthsKept;
+  }
+}
+
+void Cell::ForgetGrowth() {
+  ++m_growth_count;
+  m_oldest_growth = m_growth_count;
+}
+
+bool Cell::MayHaveRoomSince(uint64_t growth_count,
+                            const Resources& size) const {
+  if (growth_count < m_oldest_growth) {
+    return true;
+  }
+  for (uint64_t i = growth_count; i < m_growth_count; ++i) {
+    if (Fits(size, m_slots[m_growths[i % kGrowthsKept]].room)) {
+      return true;
+    }
+  }
+  return false;
+}
+
 bool Cell::TakesWork(const Slot& slot, const TaskDemand& demand) const {
   if (!slot.present) {
     return false;
--- a/packages/placement/src/pending_queue.cc
+++ b/packages/placement/src/pending_queue.cc
@@ -72,6 +72,7 @@
   std::map<Order, const Task*> tasks;
   int64_t run_ms = 1;
   uint64_t blocked_pass = 0;
+  std::optional<RememberedRefusal> refusal;
 };
 
 struct PendingQueue::Plan {
@@ -178,6 +179,7 @@
   if (group.tasks.empty()) {
     plan.groups.erase(task.group);
   } else if (is_first) {
+    group.refusal.reset();
     PushRanked(plan, Rank(group));
   }
   m_tasks.erase(found);
@@ -203,7 +205,7 @@
 
 const TaskDemand* PendingQueue::Next() {
   Candidate best;
-  for (auto& [name, plan] : m_plans) {
+  for (Plan* plan : m_plan_list) {
     if (plan->groups.empty()) {
       continue;
     }
@@ -255,6 +257,22 @@
   }
 }
 
+void PendingQueue::Block(const TaskDemand& demand,
+                         const RememberedRefusal& refusal) {
+  Block(demand);
+  const auto found = m_tasks.find(demand.id);
+  if (found != m_tasks.end()) {
+    found->second->group->second.refusal = refusal;
+  }
+}
+
+std::optional<RememberedRefusal> PendingQueue::FindRefusal(
+    const TaskDemand& demand) const {
+  const auto found = m_tasks.find(demand.id);
+  return found == m_tasks.end() ? std::nullopt
+                                : found->second->group->second.refusal;
+}
+
 bool PendingQueue::GoesAfter(const Candidate& a, const Candidate& b) {
   return std::tuple(!a.urgent, a.rank, a.sequence) >
          std::tuple(!b.urgent, b.rank, b.sequence);
@@ -265,7 +283,9 @@
   if (found != m_plans.end()) {
     return *found->second;
   }
-  return *m_plans.emplace(plan, std::make_unique<Plan>()).first->second;
+  Plan& added = *m_plans.emplace(plan, std::make_unique<Plan>()).first->second;
+  m_plan_list.push_back(&added);
+  return added;
 }
 
 bool PendingQueue::WithinLimits(const Plan& plan,
--- a/packages/placement/src/refusal_reason.cc
+++ b/packages/placement/src/refusal_reason.cc
@@ -4,7 +4,7 @@
 #include <array>
 #include <string>
 #include <string_view>
-#include <unordered_map>
+#include <vector>
 
 namespace azurespur::placement {
 namespace {
@@ -60,10 +60,10 @@
 int64_t CountInEmptyCell(const Cell& cell, const TaskDemand& demand) {
   const int64_t wanted = MemberCount(demand);
   const int64_t per_rack = demand.rack_spread > 0 ? demand.rack_spread : wanted;
-  std::unordered_map<std::string_view, int64_t> members_by_rack;
+  std::vector<int64_t> members_by_rack(cell.RackCount());
   int64_t members = 0;
   cell.ForEachWorker([&](const WorkerView& worker) {
-    int64_t& in_rack = members_by_rack[worker.rack];
+    int64_t& in_rack = members_by_rack[worker.rack_index];
     const int64_t fitting = CountFitting(demand.size, worker.capacity, wanted);
     const int64_t added = std::min(fitting, per_rack - in_rack);
     in_rack += added;
--- a/packages/placement/src/resources.cc
+++ b/packages/placement/src/resources.cc
@@ -24,12 +24,6 @@
 
 }  // namespace
 
-bool Fits(const Resources& demand, const Resources& room) {
-  return demand.cpu_millis <= room.cpu_millis &&
-         demand.memory_mb <= room.memory_mb &&
-         demand.accelerators <= room.accelerators;
-}
-
 Resources Add(const Resources& a, const Resources& b) {
   return {a.cpu_millis + b.cpu_millis, a.memory_mb + b.memory_mb,
           a.accelerators + b.accelerators};
--- a/packages/placement/src/scheduler.cc
+++ b/packages/placement/src/scheduler.cc
@@ -50,6 +50,12 @@
 Scheduler::Scheduler(const SchedulerOptions& options)
     : m_options(options), m_statistics(options.most_jobs_remembered) {}
 
+void Scheduler::SetAllWorkersKnown(bool known) {
+  m_all_workers_known = known;
+  // What waits may have to fail now.
+  m_cell.ForgetGrowth();
+}
+
 bool Scheduler::Submit(TaskDemand demand) {
   if (m_running.Find(demand.id) != nullptr ||
       m_queue.Find(demand.id) != nullptr) {
@@ -81,11 +87,34 @@
     if (demand == nullptr) {
       break;
     }
+    if (IsStillRefused(*demand, now_ms)) {
+      m_queue.Block(*demand);
+      continue;
+    }
     TryOne(*demand, Prepare(*demand, now_ms), now_ms, result);
   }
   return result;
 }
 
+// Most of what waits in a full cell was refused before, and nothing that it
+// could use has become free since.
+bool Scheduler::IsStillRefused(const TaskDemand& demand, int64_t now_ms) const {
+  const std::optional<RememberedRefusal> refusal = FreshRefusal(demand, now_ms);
+  return refusal && !refusal->for_reserve &&
+         !m_cell.MayHaveRoomSince(refusal->growth_count, demand.size);
+}
+
+std::optional<RememberedRefusal> Scheduler::FreshRefusal(
+    const TaskDemand& demand,
+    int64_t now_ms) const {
+  const std::optional<RememberedRefusal> refusal = m_queue.FindRefusal(demand);
+  if (!refusal || demand.urgent ||
+      now_ms - refusal->time_ms >= m_options.replan_interval_ms) {
+    return std::nullopt;
+  }
+  return refusal;
+}
+
 // The task with the reservation goes first and sees the whole cell. Its
 // reservation is renewed from time to time, since running work ends as it
 // likes.
@@ -120,7 +149,13 @@
                        Attempt attempt,
                        int64_t now_ms,
                        PassResult& result) {
-  const bool hopeless = !LeavesReserve(attempt) || IsHopeless(attempt);
+  const bool leaves_reserve = LeavesReserve(attempt);
+  if (!leaves_reserve && FreshRefusal(demand, now_ms)) {
+    m_queue.Block(demand);
+    return;
+  }
+  const bool hopeless = !leaves_reserve || IsHopeless(attempt);
+  attempt.lacks_room = leaves_reserve;
   Decision decision =
       hopeless ? Decision(m_cell.Explain(demand)) : Decide(attempt, demand);
   if (auto* placement = std::get_if<Placement>(&decision)) {
@@ -230,12 +265,10 @@
                        PassResult& result) {
   if (demand.urgent) {
     ProposePreemptions(demand, now_ms, result);
-  } else if (!m_reservation &&
-             (MemberCount(demand) > 1 ||
-              now_ms - demand.submitted_ms >= m_options.reserve_after_ms)) {
+  } else if (MayReserve(demand, now_ms)) {
     MakeReservation(attempt, now_ms);
   }
-  m_queue.Block(demand);
+  m_queue.Block(demand, {m_cell.GrowthCount(), now_ms, !attempt.lacks_room});
 }
 
 // Proposes for all that ask for the same, since they are blocked together.
@@ -292,11 +325,28 @@
   m_proposals.erase(found);
 }
 
+bool Scheduler::MayReserve(const TaskDemand& demand, int64_t now_ms) const {
+  const bool wants = MemberCount(demand) > 1 ||
+                     now_ms - demand.submitted_ms >= m_options.reserve_after_ms;
+  if (m_reservation || now_ms < m_next_plan_ms || !wants) {
+    return false;
+  }
+  const auto unplannable = m_unplannable_until_ms.find(demand.id);
+  return unplannable == m_unplannable_until_ms.end() ||
+         unplannable->second <= now_ms;
+}
+
 void Scheduler::MakeReservation(const Attempt& attempt, int64_t now_ms) {
+  std::erase_if(m_unplannable_until_ms,
+                [now_ms](const auto& entry) { return entry.second <= now_ms; });
   m_reservation = PlanReservation(m_cell, m_running, attempt.demand, now_ms);
   if (m_reservation) {
     m_cell.SetHolds(m_reservation->holds);
+    return;
   }
+  m_next_plan_ms = now_ms + m_options.replan_interval_ms;
+  m_unplannable_until_ms[attempt.demand.id] =
+      now_ms + m_options.unplannable_interval_ms;
 }
 
 void Scheduler::Start(const TaskDemand& demand,
--- a/packages/placement/src/timed_reservation.cc
+++ b/packages/placement/src/timed_reservation.cc
@@ -1,7 +1,6 @@
 #include "placement/timed_reservation.h"
 
 #include <algorithm>
-#include <unordered_map>
 #include <utility>
 
 #include "placement/fit_score.h"
@@ -32,17 +31,14 @@
       : m_demand(demand),
         m_wanted(MemberCount(demand)),
         m_per_rack(demand.rack_spread > 0 ? demand.rack_spread : m_wanted) {
-    std::unordered_map<std::string_view, size_t> racks;
+    m_rack_members.resize(cell.RackCount());
     cell.ForEachWorker([&](const WorkerView& worker) {
       if (worker.condition != WorkerCondition::kLive ||
           !Fits(demand.size, worker.capacity)) {
         return;
       }
-      const size_t rack =
-          racks.emplace(worker.rack, racks.size()).first->second;
-      m_rows.push_back({worker, rack, 0});
+      m_rows.push_back({worker, worker.rack_index, 0});
     });
-    m_rack_members.resize(racks.size());
     for (Row& row : m_rows) {
       Recount(row);
     }
@@ -80,7 +76,8 @@
 
  private:
   double Score(const Row& row) const {
-    return FitScore(m_demand.size, row.worker.room, row.worker.capacity);
+    return FitScore(m_demand.size, row.worker.room,
+                    MakeShareScale(row.worker.capacity));
   }
 
   void Recount(Row& row) {
