--- a/bench/placement/rates.cc
+++ b/bench/placement/rates.cc
@@ -21,12 +21,19 @@
 using placement::Scheduler;
 using placement::TaskDemand;
 
-constexpr int64_t kRunningTasks = 190'000;
+// The whole cell in one owner, and one of twelve failure domains.
+struct RateCase {
+  CellShape shape;
+  int64_t running_tasks = 0;
+  int64_t starts_per_second = 0;
+};
+
+constexpr RateCase kWholeCell = {kLargeCell, 190'000, 2000};
+constexpr RateCase kOneDomain = {{"560 workers", 560, 167, 8}, 15'800, 170};
+
 constexpr int64_t kPasses = 1'000;
 constexpr int64_t kPassMillis = 10;
-// 2,000 starts a second.
-constexpr int64_t kStartsPerPass = 20;
-constexpr double kTargetStartsPerSecond = 2000;
+constexpr int64_t kMillisPerSecond = 1000;
 constexpr double kTargetDecisionMicros = 1000;
 constexpr PassLimits kNoLimits = {1'000'000, 1'000'000};
 
@@ -34,7 +41,7 @@
   return static_cast<double>(mallinfo2().uordblks);
 }
 
-// A task of which the large cell holds 190,000.
+// A task of which the cells hold as many as they are to run.
 TaskDemand MakeTask(Random& random, int64_t number, int64_t now_ms) {
   TaskDemand demand = MakeDemand(random, kLargeCell, number);
   demand.size.cpu_millis = std::min<int64_t>(demand.size.cpu_millis, 3000);
@@ -59,11 +66,11 @@
   }
 }
 
-// Starts work until the cell runs 190,000 tasks or takes no more.
-void Load(LoadedCell& cell, Random& random) {
-  while (static_cast<int64_t>(cell.running.size()) < kRunningTasks) {
+// Starts work until the cell runs `tasks` or takes no more.
+void Load(LoadedCell& cell, Random& random, int64_t tasks) {
+  while (static_cast<int64_t>(cell.running.size()) < tasks) {
     const size_t before = cell.running.size();
-    for (int i = 0; i < 5000; ++i) {
+    for (int64_t i = 0; i < tasks / 40; ++i) {
       Submit(cell, random, 0);
     }
     NoteStarts(cell, cell.scheduler.Pass(0, kNoLimits));
@@ -98,14 +105,18 @@
               Quantile(micros, 0.5));
 }
 
-void MeasurePasses(LoadedCell& cell, Random& random) {
+void MeasurePasses(LoadedCell& cell,
+                   Random& random,
+                   int64_t starts_per_second) {
   std::vector<double> pass_micros;
   std::vector<double> start_micros;
   double total_micros = 0;
   int64_t starts = 0;
+  int64_t submitted = 0;
   for (int64_t pass = 1; pass <= kPasses; ++pass) {
     const int64_t now_ms = pass * kPassMillis;
-    for (int64_t i = 0; i < kStartsPerPass; ++i) {
+    const int64_t due = starts_per_second * now_ms / kMillisPerSecond;
+    for (; submitted < due; ++submitted) {
       EndRandom(cell, random);
       Submit(cell, random, now_ms);
     }
@@ -123,32 +134,36 @@
   }
   const double rate = static_cast<double>(starts) / total_micros * 1e6;
   const double p99 = Quantile(start_micros, 0.99);
-  std::printf("passes of up to %lld new tasks: p50 %.0f p99 %.0f us\n",
-              static_cast<long long>(kStartsPerPass),
-              Quantile(pass_micros, 0.5), Quantile(pass_micros, 0.99));
+  std::printf(
+      "a pass every %lld ms: p50 %.0f p99 %.0f us, %.2f%% of a core\n",
+      static_cast<long long>(kPassMillis), Quantile(pass_micros, 0.5),
+      Quantile(pass_micros, 0.99),
+      100 * total_micros / 1000 / static_cast<double>(kPasses * kPassMillis));
   std::printf("starts decided: %.0f a second; us a start: p50 %.1f p99 %.1f\n",
               rate, Quantile(start_micros, 0.5), p99);
-  PrintTarget("2000 starts a second", rate >= kTargetStartsPerSecond);
+  PrintTarget(std::to_string(starts_per_second) + " starts a second",
+              rate >= static_cast<double>(starts_per_second));
   PrintTarget("p99 decision of a start at most 1 ms",
               p99 <= kTargetDecisionMicros);
 }
 
-}  // namespace
-
-void MeasureRates(uint64_t seed) {
-  std::printf("== rates, 6700 workers, seed %llu\n",
+void MeasureRate(const RateCase& rate_case, uint64_t seed) {
+  const CellShape& shape = rate_case.shape;
+  std::printf("== rates, %.*s, %lld starts a second, seed %llu\n",
+              static_cast<int>(shape.name.size()), shape.name.data(),
+              static_cast<long long>(rate_case.starts_per_second),
               static_cast<unsigned long long>(seed));
   Random random(seed);
   LoadedCell cell;
   const double empty_bytes = HeapBytes();
-  for (const placement::WorkerState& worker : MakeWorkers(kLargeCell)) {
+  for (const placement::WorkerState& worker : MakeWorkers(shape)) {
     cell.scheduler.cell().UpdateWorker(worker);
   }
   const double worker_bytes = HeapBytes();
   std::printf("memory a worker: %.0f bytes\n",
-              (worker_bytes - empty_bytes) / kLargeCell.workers);
+              (worker_bytes - empty_bytes) / shape.workers);
   cell.scheduler.SetAllWorkersKnown(true);
-  Load(cell, random);
+  Load(cell, random, rate_case.running_tasks);
   const auto waiting = static_cast<double>(cell.scheduler.queue().size());
   std::printf("running tasks %zu, waiting %.0f\n", cell.running.size(),
               waiting);
@@ -157,9 +172,15 @@
       "waiting ones)\n",
       (HeapBytes() - worker_bytes) / static_cast<double>(cell.running.size()),
       waiting);
-  std::fflush(stdout);
-  MeasurePasses(cell, random);
+  MeasurePasses(cell, random, rate_case.starts_per_second);
   MeasureReservation(cell);
 }
 
+}  // namespace
+
+void MeasureRates(uint64_t seed) {
+  MeasureRate(kOneDomain, seed);
+  MeasureRate(kWholeCell, seed);
+}
+
 }  // namespace azurespur::bench
