--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -27,18 +27,11 @@
   fi
 }
 
-# call DOMAIN METHOD PATH [BODY [HEADER...]]: the body of the answer
-call() {
-  local url="http://${entry[$1]}$3" method="$2" body="${4:-}" header
-  local options=(-s -m 30 -X "$method")
-  shift $(($# < 4 ? $# : 4))
-  for header in "$@"; do
-    options+=(-H "$header")
-  done
-  if [ -n "$body" ]; then
-    options+=(--data-binary "$body")
-  fi
-  curl "${options[@]}" "$url"
+# cli DOMAIN ARGUMENT...: the command line, asking the VM of one domain
+cli() {
+  local domain="$1"
+  shift
+  $bin/azurespur --server "${entry[$domain]}" "$@"
 }
 
 start_platform() {
@@ -80,46 +73,44 @@
   curl -sf -m 5 "http://${entry[$1]}/readyz" >/dev/null
 }
 
-publish() {
-  call a POST "/v1/lists/$1" \
-    "{\"base_version\":0,\"author\":\"demo\",\"content\":{\"$1\":$2}}"
-}
-
 publish_lists() {
-  publish allowances '[{"id":"table","request_class":"preview",
-      "requests_per_s":500,"burst":100,"max_waiting":500,"deadline_ms":5000},
-    {"id":"night","cpu_millis":1000000,"memory_mb":1000000,"max_tasks":1000}]'
-  echo
-  publish plans '[{"id":"kapwa-preview","customer":"kapwa","allowance":"table"},
-    {"id":"kapwa-nightly","customer":"kapwa","allowance":"night"}]'
-  echo
+  cat >"$logs/allowances.json" <<'JSON'
+{"allowances": [
+  {"id": "table", "request_class": "preview", "requests_per_s": 500,
+   "burst": 100, "max_waiting": 500, "deadline_ms": 5000},
+  {"id": "night", "cpu_millis": 1000000, "memory_mb": 1000000,
+   "max_tasks": 1000}]}
+JSON
+  cat >"$logs/plans.json" <<'JSON'
+{"plans": [
+  {"id": "kapwa-preview", "customer": "kapwa", "allowance": "table"},
+  {"id": "kapwa-nightly", "customer": "kapwa", "allowance": "night"}]}
+JSON
+  cli a lists publish allowances "$logs/allowances.json" --base 0 \
+    --author demo --confirm-ms 5000 &&
+    cli a lists publish plans "$logs/plans.json" --base 0 --author demo \
+      --confirm-ms 5000
 }
 
 lists_in_force() {
-  local domain
-  for domain in "${domains[@]}"; do
-    [ "$(call "$domain" GET /dump | jq .lists.plans_version)" = 1 ] || return 1
-    [ "$(call "$domain" GET /dump | jq .lists.allowances_version)" = 1 ] ||
-      return 1
-  done
+  cli b lists confirm
 }
 
 preview_ran() {
-  call a POST /v1/requests '{"key":"preview-1","fares":[120,80,95]}' \
-    'Azurespur-Plan: kapwa-preview' >"$logs/preview"
-  jq -e '.echo.key == "preview-1"' "$logs/preview" >/dev/null 2>&1
+  cli a request --plan kapwa-preview --data \
+    '{"key":"preview-1","fares":[120,80,95]}' >"$logs/preview" 2>&1
 }
 
 # submit DOMAIN KEY RUN-MS
 submit() {
-  call "$1" POST /v1/tasks "{\"key\":\"$2\",\"plan\":\"kapwa-nightly\",
-    \"name\":\"reconciliation\",\"cpu_millis\":4000,\"memory_mb\":2000,
-    \"non_idempotent\":true,\"payload\":\"run_ms=$3\"}"
+  cli "$1" submit --key "$2" --plan kapwa-nightly --name reconciliation \
+    --cpu-millis 4000 --memory-mb 2000 --non-idempotent --payload "run_ms=$3"
 }
 
 # has_fate DOMAIN KEY FATE
 has_fate() {
-  [ "$(call "$1" GET "/v1/tasks/k.kapwa-nightly.$2" | jq -r .fate)" = "$3" ]
+  [ "$(cli "$1" --output json fate "k.kapwa-nightly.$2" 2>/dev/null |
+    jq -r .fate)" = "$3" ]
 }
 
 all_finished() {
@@ -139,14 +130,41 @@
       kill_process e-a-1
       echo "  killed e-a-1"
     fi
-    if [ "$(submit "$domain" "$key" 1000 | jq -r '.fate // "none"')" = \
-      accepted ]; then
+    if submit "$domain" "$key" 1000 >/dev/null 2>&1; then
       echo "$key" >>"$logs/accepted"
     fi
   done
   echo "  $(wc -l <"$logs/accepted") of 60 submissions were accepted"
 }
 
+# says_in_a_line EXIT-CODE TEXT COMMAND...: one line on standard error with TEXT
+says_in_a_line() {
+  local wanted="$1" text="$2" code=0
+  shift 2
+  "$@" >/dev/null 2>"$logs/mistake" || code=$?
+  sed 's/^/    /' "$logs/mistake"
+  [ "$code" -eq "$wanted" ] && [ "$(wc -l <"$logs/mistake")" -eq 1 ] &&
+    grep -qF -- "$text" "$logs/mistake"
+}
+
+bad_flag() {
+  $bin/azurespurd --vm-id e-d-1 --domain d --listen 127.0.0.1:x \
+    --peer-listen 127.0.0.1:0 --log-url "$log_url" \
+    --vm-list-url "$vm_list_url"
+}
+
+port_in_use() {
+  $bin/azurespurd --vm-id e-d-1 --domain d --listen "${entry[b]}" \
+    --peer-listen 127.0.0.1:0 --log-url "$log_url" \
+    --vm-list-url "$vm_list_url"
+}
+
+malformed_list() {
+  echo '{"plans": [{"id": "p", "allowance": "table", "custmer": "kapwa"}]}' \
+    >"$logs/bad.json"
+  cli a lists check plans "$logs/bad.json"
+}
+
 history_holds() {
   $bin/check_history --unfinished "$logs"/*.jsonl
 }
@@ -168,7 +186,7 @@
 done
 
 echo "publishing the lists"
-publish_lists
+expect "both lists are accepted" publish_lists
 expect "both lists are in force on all VMs" eventually 5 lists_in_force
 
 echo "a split preview"
@@ -177,10 +195,10 @@
 echo
 
 echo "a nightly reconciliation"
-submit a nightly-1 500
+expect "the reconciliation is accepted" submit a nightly-1 500
 expect "the reconciliation finished" \
   eventually 20 has_fate c nightly-1 finished
-call c GET /v1/tasks/k.kapwa-nightly.nightly-1
+cli c fate k.kapwa-nightly.nightly-1
 
 echo "load on all VMs, one of which is killed"
 submit_under_load
@@ -188,6 +206,15 @@
 expect "e-a-1 is ready again" eventually 20 is_ready a
 expect "no accepted task is lost" eventually 60 all_finished
 
+echo "status"
+$bin/azurespur --server "${entry[a]}" --server "${entry[b]}" \
+  --server "${entry[c]}" status
+
+echo "mistakes"
+expect "a bad flag is named" says_in_a_line 2 --listen bad_flag
+expect "a port in use is named" says_in_a_line 1 "${entry[b]}" port_in_use
+expect "a malformed list is named" says_in_a_line 2 custmer malformed_list
+
 echo "stopping"
 for domain in "${domains[@]}"; do
   expect "e-$domain-1 stops gracefully" stops_gracefully "e-$domain-1"
