--- a/tools/demo.sh
+++ b/tools/demo.sh
@@ -160,8 +160,9 @@
 }
 
 malformed_list() {
-  echo '{"plans": [{"id": "p", "allowance": "table", "custmer": "kapwa"}]}' \
-    >"$logs/bad.json"
+  cat >"$logs/bad.json" <<'JSON'
+{"plans": [{"id": "p", "customer": "c", "allowance": "table", "weight": 2}]}
+JSON
   cli a lists check plans "$logs/bad.json"
 }
 
@@ -213,7 +214,7 @@
 echo "mistakes"
 expect "a bad flag is named" says_in_a_line 2 --listen bad_flag
 expect "a port in use is named" says_in_a_line 1 "${entry[b]}" port_in_use
-expect "a malformed list is named" says_in_a_line 2 custmer malformed_list
+expect "a malformed list is named" says_in_a_line 2 weight malformed_list
 
 echo "stopping"
 for domain in "${domains[@]}"; do
