--- a/packages/cli/src/commands.h
+++ b/packages/cli/src/commands.h
@@ -4,6 +4,8 @@
 #ifndef CLI_COMMANDS_H_
 #define CLI_COMMANDS_H_
 
+#include <CLI/CLI.hpp>
+
 #include "context.h"
 
 namespace azurespur::cli {
--- a/packages/cli/src/context.h
+++ b/packages/cli/src/context.h
@@ -11,10 +11,6 @@
 #include "cli/exit_code.h"
 #include "cli/run.h"
 
-namespace CLI {
-class App;
-}
-
 namespace azurespur::cli {
 
 class ApiClient;
--- a/packages/cli/src/list_arguments.cc
+++ b/packages/cli/src/list_arguments.cc
@@ -1,7 +1,5 @@
 #include "list_arguments.h"
 
-#include <CLI/CLI.hpp>
-
 namespace azurespur::cli {
 
 void AddListName(CLI::App& command, std::string& list) {
--- a/packages/cli/src/list_arguments.h
+++ b/packages/cli/src/list_arguments.h
@@ -3,12 +3,9 @@
 #ifndef CLI_LIST_ARGUMENTS_H_
 #define CLI_LIST_ARGUMENTS_H_
 
+#include <CLI/CLI.hpp>
 #include <string>
 
-namespace CLI {
-class App;
-}
-
 namespace azurespur::cli {
 
 // Adds the required argument NAME: "plans" or "allowances".
