--- a/packages/cli/src/server_address.cc
+++ b/packages/cli/src/server_address.cc
@@ -8,7 +8,7 @@
 namespace azurespur::cli {
 
 std::string CheckServerAddress(const std::string& address) {
-  const std::string wrong = "\"" + address + "\" is no IPv4:PORT";
+  std::string wrong = "\"" + address + "\" is no IPv4:PORT";
   const size_t colon = address.rfind(':');
   if (colon == std::string::npos) {
     return wrong;
--- a/packages/cli/src/task_follower.cc
+++ b/packages/cli/src/task_follower.cc
@@ -32,9 +32,9 @@
 }  // namespace
 
 bool IsFinalFate(const std::string& fate) {
-  static const std::set<std::string> kFinal = {"finished", "failed",
-                                               "cancelled"};
-  return kFinal.count(fate) != 0;
+  static const std::set<std::string> final_fates = {"finished", "failed",
+                                                    "cancelled"};
+  return final_fates.count(fate) != 0;
 }
 
 ExitCode ExitCodeOfFate(const std::string& fate) {
--- a/packages/cli/tests/events_test.cc
+++ b/packages/cli/tests/events_test.cc
@@ -34,7 +34,7 @@
 }
 
 std::set<std::string> IdsInSources(const fs::path& root) {
-  static const std::regex kId("\"(AZ[0-9]{4})\"");
+  static const std::regex id_pattern("\"(AZ[0-9]{4})\"");
   std::set<std::string> ids;
   for (const auto& entry :
        fs::recursive_directory_iterator(root / "packages")) {
@@ -42,7 +42,7 @@
     const bool is_source = path.find("/src/") != std::string::npos ||
                            path.find("/programs/") != std::string::npos;
     if (entry.is_regular_file() && is_source) {
-      for (std::string& id : FindAll(ReadFile(entry.path()), kId)) {
+      for (std::string& id : FindAll(ReadFile(entry.path()), id_pattern)) {
         ids.insert(std::move(id));
       }
     }
@@ -54,9 +54,9 @@
 
 TEST_CASE("docs/EVENTS.md lists exactly the event ids of the sources") {
   const fs::path root = AZURESPUR_SOURCE_DIR;
-  static const std::regex kRow("\n\\| (AZ[0-9]{4}) \\|");
+  static const std::regex row_pattern("\n\\| (AZ[0-9]{4}) \\|");
   const std::vector<std::string> rows =
-      FindAll(ReadFile(root / "docs" / "EVENTS.md"), kRow);
+      FindAll(ReadFile(root / "docs" / "EVENTS.md"), row_pattern);
   const std::set<std::string> documented(rows.begin(), rows.end());
   const std::set<std::string> used = IdsInSources(root);
   CHECK(documented.size() == rows.size());
--- a/packages/control/src/list_diff.cc
+++ b/packages/control/src/list_diff.cc
@@ -28,15 +28,15 @@
 }
 
 RowChange CompareRows(const std::string& id, const json* from, const json* to) {
-  static const json kNoRow = json::object();
+  static const json no_row = json::object();
   RowChange change;
   change.id = id;
   if (from == nullptr) {
     change.kind = RowChangeKind::kAdded;
-    from = &kNoRow;
+    from = &no_row;
   } else if (to == nullptr) {
     change.kind = RowChangeKind::kRemoved;
-    to = &kNoRow;
+    to = &no_row;
   }
   std::set<std::string> fields;
   for (const json* row : {from, to}) {
--- a/packages/control/src/list_history.cc
+++ b/packages/control/src/list_history.cc
@@ -21,8 +21,8 @@
 }
 
 const ListVersion& ListHistory::Latest() const {
-  static const ListVersion kNone;
-  return m_versions.empty() ? kNone : m_versions.back();
+  static const ListVersion none;
+  return m_versions.empty() ? none : m_versions.back();
 }
 
 std::optional<ListVersion> ListHistory::Find(uint64_t version) const {
