Count a daemon without lists as not ready

A fresh VM whose records expired has no list until it is restated; it would refuse every caller while the balancer sends it work. A VM that missed records but has lists stays ready.

--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -97,6 +97,7 @@
              const std::shared_ptr<http::HttpReply>& reply);
   bool RouteOperators(const http::HttpRequest& request, http::HttpReply& reply);
   bool Ready() const;
+  bool HasLists() const;
   nlohmann::json Dump();
   void StopThreads();
 
@@ -332,6 +333,7 @@
                             {{"ready", ready},
                              {"draining", m_draining.load()},
                              {"streams_ready", m_streams.Ready()},
+                             {"has_lists", HasLists()},
                              {"vms", m_vms.Current()->vms.size()}}));
     return true;
   }
@@ -339,10 +341,16 @@
 }
 
 bool Daemon::Impl::Ready() const {
-  return !m_draining.load() && m_streams.Ready() &&
+  return !m_draining.load() && m_streams.Ready() && HasLists() &&
          !m_vms.Current()->vms.empty();
 }
 
+// A VM that missed records goes on with the lists that it has; one that has
+// none yet would refuse every caller.
+bool Daemon::Impl::HasLists() const {
+  return m_list_ledger.Complete() || m_list_ledger.Current()->plans_version > 0;
+}
+
 nlohmann::json Daemon::Impl::Dump() {
   nlohmann::json peers = nlohmann::json::array();
   for (const control::Peer& peer : m_peers->Peers()) {
@@ -369,7 +377,8 @@
             {"silent_ms", m_vms.SilentMillis()}}},
           {"peers", std::move(peers)},
           {"lists",
-           {{"plans_version", lists->plans_version},
+           {{"complete", m_list_ledger.Complete()},
+            {"plans_version", lists->plans_version},
             {"plans_digest", lists->plans_digest},
             {"allowances_version", lists->allowances_version},
             {"allowances_digest", lists->allowances_digest}}},
