--- a/bench/requests/bench_requests_http.cc
+++ b/bench/requests/bench_requests_http.cc
@@ -232,6 +232,14 @@
   std::unique_ptr<http::HttpClient> m_client;
 };
 
+// Processor time of an entry VM without requests, in cores.
+double IdleCores(const std::set<std::string>& threads) {
+  constexpr std::chrono::seconds kIdle{3};
+  const double before = CpuSeconds(threads);
+  std::this_thread::sleep_for(kIdle);
+  return (CpuSeconds(threads) - before) / static_cast<double>(kIdle.count());
+}
+
 void Verdict(const char* target, bool met, double figure, double limit) {
   std::printf("%-48s %s (%.3f, target %.3f)\n", target, met ? "met" : "missed",
               figure, limit);
@@ -299,6 +307,7 @@
     }
   }
   std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  std::printf("idle: %.4f cores\n", bench::IdleCores(threads));
   const double direct = bench::MedianMillis(
       "http://" + executors.Address(0) + "/run", options.latency_calls);
   const double through =
--- a/packages/filters/src/dispatcher.h
+++ b/packages/filters/src/dispatcher.h
@@ -12,6 +12,7 @@
 #include <optional>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "base/clock.h"
 #include "control/slot_controller.h"
@@ -63,6 +64,7 @@
   void Admit(uint64_t handle, base::MonoTime now);
   void Periodic(base::MonoTime now);
   void UpdateExecutors();
+  void ReportChanges(base::MonoTime now);
   void TakeOnceDecisions(base::MonoTime now);
   void OnDecision(OnceDecision decision, base::MonoTime now);
   void OnAttemptDone(AttemptDone done, base::MonoTime now);
@@ -86,6 +88,9 @@
   uint64_t m_next_handle = 1;
   base::MonoTime m_next_periodic{};
   std::shared_ptr<const platform::VmListPage> m_vms;
+  std::vector<bool> m_reported_ejected;  // By executor.
+  bool m_reported_slots = false;
+  bool m_reported_no_slots = false;
   base::Counter& m_ran;
   base::Distribution& m_preview_wait;
   base::Distribution& m_other_wait;
