--- a/packages/control/src/slot_loans.cc
+++ b/packages/control/src/slot_loans.cc
@@ -126,6 +126,10 @@
 
 // Seeks loans when idle slots are few, and gives them back when they are many.
 void SlotShare::PlanLoans(base::MonoTime now) {
+  if (m_retired) {
+    m_short = false;
+    return;
+  }
   for (size_t i = 0; i < m_executors.size(); ++i) {
     Executor& executor = m_executors[i];
     const SlotMask usable = Usable(i, now) | executor.busy;
@@ -246,6 +250,7 @@
     message.members[id] = other.listed ? m_list_version : other.heard_version;
   }
   message.wants_reply = true;
+  message.retired = m_retired;
   message.reply_to = member.seen_seq;
   message.reply_incarnation = member.incarnation;
   message.asks = Asks(member);
--- a/packages/filters/src/dispatcher.cc
+++ b/packages/filters/src/dispatcher.cc
@@ -408,6 +408,7 @@
     const Fate fate = sent.contains(handle) ? Fate::kMayHaveRun : Fate::kNotRun;
     Refuse(handle, Failed(fate, "this VM stopped"), now);
   }
+  m_slots.Retire(now);
 }
 
 nlohmann::json Dispatcher::Describe() const {
