--- a/packages/control/src/slot_controller.cc
+++ b/packages/control/src/slot_controller.cc
@@ -42,6 +42,12 @@
   }
 }
 
+void SlotController::Retire(base::MonoTime now) {
+  if (m_share.Retire(now)) {
+    Tick(now);
+  }
+}
+
 void SlotController::TakeMessages(base::MonoTime now) {
   while (const auto in = m_inbox->Pop()) {
     const auto message = wire::Decode<SlotMessage>(in->payload);
