--- a/packages/control/include/control/placement_controller.h
+++ b/packages/control/include/control/placement_controller.h
@@ -5,7 +5,7 @@
 
 #include <cstdint>
 #include <map>
-#include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 #include <string_view>
@@ -59,6 +59,7 @@
   // Between two moves off one overloaded worker.
   base::Millis relief_interval{5000};
   size_t most_claims_per_review = 256;
+  size_t most_reasons_noted = 1000;
   placement::SchedulerOptions scheduler;
   placement::HealthLimits health;
 };
@@ -98,10 +99,13 @@
   void Tick();
 
   size_t PendingCount() const { return m_scheduler.queue().size(); }
+  // Why a task waited at the last review; empty if it is not known. Any thread.
+  std::string WaitReason(const std::string& id) const;
   size_t QuarantinedCount() const { return m_health.QuarantinedCount(); }
 
  private:
   void Review();
+  void NoteWaitReasons();
   void SyncAllowances(const ListsSnapshot& lists);
   void ClaimForeignTasks();
   void GiveBackOldTasks();
@@ -141,7 +145,8 @@
   std::unordered_set<std::string> m_probes;
   std::map<placement::JobKey, base::MonoTime> m_failed_jobs;
   std::map<std::string, base::MonoTime> m_relieved_at;
-  std::shared_ptr<const ListsSnapshot> m_lists;
+  mutable std::mutex m_reasons_mutex;
+  std::map<std::string, std::string> m_reasons;
   uint64_t m_list_version = 0;
   bool m_changed = true;
   base::MonoTime m_passed_at;
--- a/packages/control/src/placement_review.cc
+++ b/packages/control/src/placement_review.cc
@@ -34,6 +34,7 @@
   GiveBackOldTasks();
   YieldToGangs();
   DropLostBindings();
+  NoteWaitReasons();
   m_pending_gauge.Set(static_cast<int64_t>(m_scheduler.queue().size()));
   m_quarantined_gauge.Set(static_cast<int64_t>(m_health.QuarantinedCount()));
 }
@@ -51,6 +52,30 @@
   }
 }
 
+void PlacementController::NoteWaitReasons() {
+  std::map<std::string, std::string> reasons;
+  for (const std::string& id : m_deps.ledger.Unbound(m_deps.identity.domain)) {
+    const placement::TaskDemand* demand = m_scheduler.queue().Find(id);
+    if (demand == nullptr) {
+      continue;
+    }
+    reasons[id] = m_scheduler.queue().IsEligible(id)
+                      ? m_scheduler.cell().Explain(*demand).reason
+                      : "plan \"" + demand->plan + "\" is at its allowance";
+    if (reasons.size() >= m_options.most_reasons_noted) {
+      break;
+    }
+  }
+  std::lock_guard lock(m_reasons_mutex);
+  m_reasons = std::move(reasons);
+}
+
+std::string PlacementController::WaitReason(const std::string& id) const {
+  std::lock_guard lock(m_reasons_mutex);
+  const auto found = m_reasons.find(id);
+  return found == m_reasons.end() ? std::string() : found->second;
+}
+
 // A plan's allowance holds for the whole cell; other domains' use is known from
 // the stream.
 void PlacementController::SyncAllowances(const ListsSnapshot& lists) {
--- a/packages/control/src/task_service.cc
+++ b/packages/control/src/task_service.cc
@@ -186,7 +186,14 @@
 
 TaskFate TaskService::Fate(std::string_view id) const {
   const auto task = m_deps.ledger.Find(id);
-  return task ? ToFate(*task) : UnknownFate(id);
+  if (!task) {
+    return UnknownFate(id);
+  }
+  TaskFate fate = ToFate(*task);
+  if (task->phase == TaskPhase::kAccepted && fate.reason.empty()) {
+    fate.reason = m_placement.WaitReason(fate.id);
+  }
+  return fate;
 }
 
 void TaskService::FindFate(const std::string& id, FateDone done) {
--- a/packages/control/tests/task_service_test.cc
+++ b/packages/control/tests/task_service_test.cc
@@ -187,6 +187,21 @@
   CHECK(after.workers.front() != before.workers.front());
 }
 
+TEST_CASE("the fate of a waiting task says what it waits for") {
+  FakeCell cell({});
+  cell.Run(kSettledMillis);
+  for (int i = 0; i < 5; ++i) {
+    cell.Submit(*cell.vms[0], BatchSpec("t" + std::to_string(i), 3600, 60000));
+  }
+  cell.Run(3000);
+  int explained = 0;
+  for (int i = 0; i < 5; ++i) {
+    const TaskFate fate = cell.vms[0]->service->Fate("t" + std::to_string(i));
+    explained += fate.fate == "accepted" && !fate.reason.empty();
+  }
+  CHECK(explained == 1);
+}
+
 TEST_CASE("a task submitted twice under one id runs once") {
   FakeCell cell({});
   cell.Run(kSettledMillis);
