--- a/packages/control/include/control/placement_controller.h
+++ b/packages/control/include/control/placement_controller.h
@@ -58,12 +58,6 @@
   base::Millis failed_job_memory{60000};
   // Between two moves off one overloaded worker.
   base::Millis relief_interval{5000};
-  // A worker that fails this many members in a row, of whatever job, rests for
-  // a while; so do at most as many workers as may be in quarantine.
-  int failures_to_rest = 3;
-  base::Millis rest{10000};
-  // A task whose members fail to start this often is failed.
-  int failures_to_fail_task = 20;
   size_t most_claims_per_review = 256;
   size_t most_reasons_noted = 1000;
   placement::SchedulerOptions scheduler;
@@ -112,8 +106,6 @@
  private:
   void Review();
   void NoteWaitReasons();
-  void RestIfFailing(const std::string& worker);
-  bool IsResting(const std::string& worker) const;
   void SyncAllowances(const ListsSnapshot& lists);
   void ClaimForeignTasks();
   void GiveBackOldTasks();
@@ -151,9 +143,6 @@
   std::unordered_map<std::string, Binding> m_bindings;  // Record under way.
   std::set<std::string> m_stale_workers;
   std::unordered_set<std::string> m_probes;
-  std::map<std::string, int> m_failures_in_row;  // By worker.
-  std::map<std::string, base::MonoTime> m_resting;
-  std::unordered_map<std::string, int> m_task_failures;
   std::map<placement::JobKey, base::MonoTime> m_failed_jobs;
   std::map<std::string, base::MonoTime> m_relieved_at;
   mutable std::mutex m_reasons_mutex;
--- a/packages/control/src/placement_controller.cc
+++ b/packages/control/src/placement_controller.cc
@@ -68,8 +68,6 @@
                     {"job", run.name},
                     {"reason", *verdict.fail_job_reason}});
   }
-  ++m_task_failures[run.id];
-  RestIfFailing(member.worker);
   m_stale_workers.insert(member.worker);
   m_stale_workers.insert(verdict.released.begin(), verdict.released.end());
 }
@@ -78,7 +76,6 @@
                                            const MemberRun& member) {
   const placement::JobKey job{run.plan, run.name};
   m_health.RecordSuccess(member.worker, job);
-  m_failures_in_row.erase(member.worker);
   if (member.running_since != base::MonoTime{}) {
     m_scheduler.ObserveRun(
         job, base::MillisBetween(member.running_since, m_deps.clock.Now()),
@@ -99,31 +96,9 @@
     FailUnbound(id, "its job fails on every worker that starts it");
     return;
   }
-  const auto failures = m_task_failures.find(id);
-  if (failures != m_task_failures.end() &&
-      failures->second >= m_options.failures_to_fail_task) {
-    FailUnbound(id, "failed to start " + std::to_string(failures->second) +
-                        " times, at last: " + task.reason);
-    return;
-  }
   SubmitToScheduler(task);
 }
 
-// Quarantine takes failures of several jobs. Until then, one that fits best
-// would draw the same tasks again and again.
-void PlacementController::RestIfFailing(const std::string& worker) {
-  const int failures = ++m_failures_in_row[worker];
-  const size_t most = std::max<size_t>(1, m_health.Budget());
-  if (failures < m_options.failures_to_rest || m_resting.size() >= most) {
-    return;
-  }
-  m_resting[worker] = m_deps.clock.Now() + m_options.rest;
-}
-
-bool PlacementController::IsResting(const std::string& worker) const {
-  return m_resting.contains(worker);
-}
-
 void PlacementController::SubmitToScheduler(const TaskState& task) {
   if (m_bindings.contains(task.spec.id)) {
     return;  // OnBound() decides.
@@ -134,10 +109,6 @@
 
 void PlacementController::OnTaskGone(const std::string& id) {
   m_scheduler.queue().Remove(id);
-  const auto task = m_deps.ledger.Find(id);
-  if (!task || HasEnded(*task)) {
-    m_task_failures.erase(id);
-  }
 }
 
 void PlacementController::UpdateCell(const std::string& worker) {
@@ -152,8 +123,7 @@
   if (vm->leaving) {
     state.condition = placement::WorkerCondition::kLeaving;
     MoveOff(worker, "worker " + worker + " is leaving");
-  } else if (IsResting(worker) ||
-             (m_health.IsQuarantined(worker) && !m_probes.contains(worker))) {
+  } else if (m_health.IsQuarantined(worker) && !m_probes.contains(worker)) {
     state.condition = placement::WorkerCondition::kQuarantined;
   }
   state.capacity = {vm->cpu_millis, vm->memory_mb, vm->accelerators};
--- a/packages/control/src/placement_review.cc
+++ b/packages/control/src/placement_review.cc
@@ -30,13 +30,6 @@
   std::erase_if(m_failed_jobs, [this](const auto& item) {
     return item.second <= m_deps.clock.Now();
   });
-  std::erase_if(m_resting, [this](const auto& item) {
-    const bool over = item.second <= m_deps.clock.Now();
-    if (over) {
-      m_stale_workers.insert(item.first);
-    }
-    return over;
-  });
   ClaimForeignTasks();
   GiveBackOldTasks();
   YieldToGangs();
