Send a task that failed on a worker elsewhere, and wait longer after each failure

One job is no reason for a quarantine, so nothing broke the circle, and each try wrote records to the log. Ruled out: quarantine after one job's failures (a bad job could then take the cell out of use); failing the task (three other workers were fit). Proposals of tasks now reach the lists' board.

--- a/packages/control/include/control/placement_controller.h
+++ b/packages/control/include/control/placement_controller.h
@@ -34,6 +34,7 @@
 class PeerBus;
 class ProposalBoard;
 class RunController;
+class StartFailures;
 class TaskLedger;
 class VmDirectory;
 class WorkerFleet;
@@ -82,6 +83,9 @@
  public:
   PlacementController(const PlacementControllerDeps& deps,
                       const PlacementControllerOptions& options);
+  PlacementController(const PlacementController&) = delete;
+  PlacementController& operator=(const PlacementController&) = delete;
+  ~PlacementController() override;
 
   // Called once, before any other call.
   void SetRuns(RunController& runs) { m_runs = &runs; }
@@ -121,6 +125,7 @@
   void MoveOff(const std::string& worker, const std::string& reason);
   void RelieveOverload(const std::string& worker);
   void SubmitToScheduler(const TaskState& task);
+  void RetryFailed();
   bool Append(wire::EntryKind kind, std::string payload);
   int64_t NowMillis() const;
 
@@ -134,6 +139,7 @@
   RunController* m_runs = nullptr;
   placement::Scheduler m_scheduler;
   placement::WorkerHealth m_health;
+  std::unique_ptr<StartFailures> m_start_failures;
   std::unordered_map<std::string, Binding> m_bindings;  // Record under way.
   std::set<std::string> m_stale_workers;
   std::unordered_set<std::string> m_probes;
--- a/packages/control/src/placement_controller.cc
+++ b/packages/control/src/placement_controller.cc
@@ -16,6 +16,7 @@
 #include "control/task_records.h"
 #include "control/vm_directory.h"
 #include "control/worker_fleet.h"
+#include "start_failures.h"
 #include "wire/codec.h"
 
 namespace azurespur::control {
@@ -27,12 +28,15 @@
       m_options(options),
       m_scheduler(options.scheduler),
       m_health(options.health),
+      m_start_failures(std::make_unique<StartFailures>()),
       m_binds(deps.metrics.GetCounter("azurespur_task_binds_total")),
       m_pending_gauge(deps.metrics.GetCounter("azurespur_tasks_pending")),
       m_quarantined_gauge(
           deps.metrics.GetCounter("azurespur_workers_quarantined")),
       m_pass_us(deps.metrics.GetDistribution("azurespur_placement_pass_us")) {}
 
+PlacementController::~PlacementController() = default;
+
 int64_t PlacementController::NowMillis() const {
   return base::MillisBetween(base::MonoTime{}, m_deps.clock.Now());
 }
@@ -55,6 +59,7 @@
 void PlacementController::OnMemberFailed(const TaskRun& run,
                                          const MemberRun& member) {
   const placement::JobKey job{run.plan, run.name};
+  m_start_failures->Record(run.id, member.worker, m_deps.clock.Now());
   const placement::HealthVerdict verdict =
       m_health.RecordFailure(member.worker, job, NowMillis());
   if (verdict.quarantine_worker) {
@@ -88,7 +93,10 @@
   const bool pending = task.phase == TaskPhase::kAccepted &&
                        task.domain == m_deps.identity.domain;
   if (!pending) {
-    OnTaskGone(id);
+    m_scheduler.queue().Remove(id);
+    if (task.phase >= TaskPhase::kMayHaveRun) {
+      m_start_failures->Forget(id);
+    }
     return;
   }
   const auto failed = m_failed_jobs.find({task.spec.plan, task.spec.name});
@@ -103,12 +111,27 @@
   if (m_bindings.contains(task.spec.id)) {
     return;  // OnBound() decides.
   }
-  m_scheduler.Submit(ToDemand(task, NowMillis()));
+  const std::string& id = task.spec.id;
+  if (m_start_failures->MustWait(id, m_deps.clock.Now())) {
+    return;  // Tick() submits it when its wait is over.
+  }
+  placement::TaskDemand demand = ToDemand(task, NowMillis());
+  demand.avoided_workers = m_start_failures->WorkersThatFailed(id);
+  m_scheduler.Submit(demand);
   m_changed = true;
 }
 
 void PlacementController::OnTaskGone(const std::string& id) {
   m_scheduler.queue().Remove(id);
+  m_start_failures->Forget(id);
+}
+
+void PlacementController::RetryFailed() {
+  for (const std::string& id : m_start_failures->TakeDue(m_deps.clock.Now())) {
+    if (const auto task = m_deps.ledger.Find(id)) {
+      OnTaskChanged(*task);
+    }
+  }
 }
 
 void PlacementController::UpdateCell(const std::string& worker) {
@@ -215,6 +238,7 @@
 
 void PlacementController::Tick() {
   const base::MonoTime now = m_deps.clock.Now();
+  RetryFailed();
   if (m_list_version != m_deps.fleet.ListVersion()) {
     m_list_version = m_deps.fleet.ListVersion();
     for (std::string& worker : m_deps.fleet.OwnedWorkers()) {
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -17,6 +17,7 @@
 #include "control/list_service.h"
 #include "control/log_channel.h"
 #include "control/peer_service.h"
+#include "control/proposal_board.h"
 #include "control/task_api.h"
 #include "control/task_ledger.h"
 #include "control/task_service.h"
@@ -135,6 +136,7 @@
   control::ListService m_list_service;
   control::ListReporter m_list_reporter;
   control::ListApi m_list_api;
+  control::ProposalBoard m_proposals;
   filters::RequestService m_requests;
   control::TaskService m_tasks;
   control::TaskApi m_task_api;
@@ -178,6 +180,7 @@
                       m_list_ledger,
                       m_clock),
       m_list_api(m_list_service, m_list_ledger, m_list_reporter),
+      m_proposals(m_lists_channel, m_list_ledger, m_clock),
       m_requests(RequestDeps()),
       m_tasks(TaskDeps()),
       m_task_api(m_tasks, m_list_ledger) {
@@ -240,7 +243,8 @@
           m_clock,
           m_metrics,
           {m_settings.vm_id, m_settings.domain, m_incarnation},
-          options};
+          options,
+          &m_proposals};
 }
 
 base::Outcome<base::Unit> Daemon::Impl::Start() {
--- a/packages/placement/include/placement/cell.h
+++ b/packages/placement/include/placement/cell.h
@@ -172,7 +172,7 @@
   void RefreshBlock(uint32_t position);
   void NoteGrowth(uint32_t position);
 
-  bool TakesWork(const Slot& slot, const TaskDemand& demand) const;
+  bool TakesWork(uint32_t position, const TaskDemand& demand) const;
   Resources UsableRoom(uint32_t position, const PlaceOptions& options) const;
   static bool FitsWorse(const Candidate& a, const Candidate& b);
   // A heap of the workers that hold a member, the best fit on top.
--- a/packages/placement/include/placement/task_demand.h
+++ b/packages/placement/include/placement/task_demand.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include "placement/resources.h"
 
@@ -41,6 +42,8 @@
   int64_t submitted_ms = 0;
   // 0 is none.
   int64_t deadline_ms = 0;
+  // Workers that failed it lately: taken only where no other has room.
+  std::vector<std::string> avoided_workers;
 };
 
 // Members that `demand` starts: its gang size, at least 1.
--- a/packages/placement/src/cell.cc
+++ b/packages/placement/src/cell.cc
@@ -64,7 +64,7 @@
         std::min(first + kSlotsPerBlock, static_cast<uint32_t>(m_slots.size()));
     for (uint32_t i = first; i < end; ++i) {
       const Slot& slot = m_slots[i];
-      if (!Fits(demand.size, slot.room) || !TakesWork(slot, demand) ||
+      if (!Fits(demand.size, slot.room) || !TakesWork(i, demand) ||
           !Fits(demand.size, UsableRoom(i, options))) {
         continue;
       }
@@ -92,7 +92,7 @@
   std::vector<Candidate> candidates;
   for (uint32_t i = 0; i < m_slots.size(); ++i) {
     const Slot& slot = m_slots[i];
-    if (!Fits(demand.size, slot.room) || !TakesWork(slot, demand)) {
+    if (!Fits(demand.size, slot.room) || !TakesWork(i, demand)) {
       continue;
     }
     const int64_t members =
@@ -314,8 +314,11 @@
   return false;
 }
 
-bool Cell::TakesWork(const Slot& slot, const TaskDemand& demand) const {
-  if (!slot.present) {
+bool Cell::TakesWork(uint32_t position, const TaskDemand& demand) const {
+  const Slot& slot = m_slots[position];
+  const auto& avoided = demand.avoided_workers;
+  if (!slot.present || std::find(avoided.begin(), avoided.end(),
+                                 m_ids[position]) != avoided.end()) {
     return false;
   }
   switch (static_cast<WorkerCondition>(slot.condition)) {
--- a/packages/placement/src/scheduler.cc
+++ b/packages/placement/src/scheduler.cc
@@ -195,6 +195,11 @@
 // was seen is no reason to fail the task.
 Decision Scheduler::Decide(Attempt& attempt, const TaskDemand& declared) const {
   Decision decision = m_cell.Place(attempt.demand, attempt.options);
+  if (std::holds_alternative<Refusal>(decision) &&
+      !attempt.demand.avoided_workers.empty()) {
+    attempt.demand.avoided_workers.clear();
+    decision = m_cell.Place(attempt.demand, attempt.options);
+  }
   const auto* refusal = std::get_if<Refusal>(&decision);
   if (refusal == nullptr || refusal->kind != RefusalKind::kNever ||
       attempt.demand.size == declared.size) {
