--- a/testing/scenarios/files/cross_answers.lua
+++ b/testing/scenarios/files/cross_answers.lua
@@ -5,7 +5,9 @@
 
 cell{ entries = 1, workers = 1, executors = 3, daemon = lists.daemon }
 lists.publish_all("e-a-1")
-fault("x-a-01", { cross_answers = true })
+for i = 1, 3 do
+  fault("x-a-0" .. i, { cross_answers = true })
+end
 fault("x-b-01", { cut_answer_share = 0.5 })
 fault("x-c-01", { delay_ms = 300 })
 local result = wait_load(load{ count = 300, rate = 100,
--- a/testing/scenarios/files/lists_forward.lua
+++ b/testing/scenarios/files/lists_forward.lua
@@ -19,13 +19,19 @@
   return rows
 end
 
-local first = publish("e-a-1", "allowances", edited(10), 1)
-local second = publish("e-b-1", "allowances", edited(20), 1)
+local both = publish_together{
+  { entry = "e-a-1", list = "allowances", rows = edited(10), base_version = 1 },
+  { entry = "e-b-1", list = "allowances", rows = edited(20), base_version = 1 },
+}
+local accepted, refused = both[1], both[2]
+if accepted.status ~= 200 then
+  accepted, refused = refused, accepted
+end
 expect("one of two edits of version 1 is accepted", function()
-  return first.status == 200 and second.status == 409
+  return accepted.status == 200 and refused.status == 409
 end, 0)
 expect("the other operator is told the difference", function()
-  return second.diff ~= nil and #second.diff > 0
+  return refused.diff ~= nil and #refused.diff > 0
 end, 0)
 lists.expect_in_force("allowances", 2, 2)
 
--- a/testing/scenarios/src/verbs.cc
+++ b/testing/scenarios/src/verbs.cc
@@ -138,6 +138,28 @@
                                 base_version);
 }
 
+// Each edit is {entry=, list=, rows=, base_version=}; all are sent at once.
+VerbResult PublishTogether(World& world, const Arguments& arguments) {
+  const Json edits = arguments.empty() ? Json() : arguments[0];
+  if (!edits.is_array()) {
+    return Invalid("publish_together needs an array of edits");
+  }
+  std::vector<std::future<Json>> answers;
+  for (const Json& edit : edits) {
+    answers.push_back(std::async(std::launch::async, [&world, edit] {
+      return world.callers->Publish(edit.value("entry", ""),
+                                    edit.value("list", ""),
+                                    edit.value("rows", Json::array()),
+                                    edit.value("base_version", uint64_t{0}));
+    }));
+  }
+  Json results = Json::array();
+  for (auto& answer : answers) {
+    results.push_back(answer.get());
+  }
+  return results;
+}
+
 RequestOptions ReadRequestOptions(const Json& table) {
   RequestOptions options;
   options.plan = table.value("plan", "");
@@ -258,32 +280,21 @@
 }  // namespace
 
 const std::vector<Verb>& Verbs() {
-  static const std::vector<Verb> kVerbs = {{"cell", &StartCell},
-                                           {"start", &StartEntry},
-                                           {"kill", &Kill},
-                                           {"pause", &Pause},
-                                           {"resume", &Resume},
-                                           {"stop", &Stop},
-                                           {"remove", &Remove},
-                                           {"leave", &Leave},
-                                           {"cut", &Cut},
-                                           {"heal", &Heal},
-                                           {"fault", &Fault},
-                                           {"restart_worker", &RestartWorker},
-                                           {"publish", &Publish},
-                                           {"request", &Request},
-                                           {"submit", &Submit},
-                                           {"load", &StartLoad},
-                                           {"wait_load", &WaitLoad},
-                                           {"fate", &Fate},
-                                           {"get", &Get},
-                                           {"post", &Post},
-                                           {"random", &Random},
-                                           {"pass_ms", &PassTime},
-                                           {"now_ms", &NowMillis},
-                                           {"entries", &Entries},
-                                           {"rules", &SetRules},
-                                           {"say", &Say}};
+  static const std::vector<Verb> kVerbs = {
+      {"cell", &StartCell},   {"start", &StartEntry},
+      {"kill", &Kill},        {"pause", &Pause},
+      {"resume", &Resume},    {"stop", &Stop},
+      {"remove", &Remove},    {"leave", &Leave},
+      {"cut", &Cut},          {"heal", &Heal},
+      {"fault", &Fault},      {"restart_worker", &RestartWorker},
+      {"publish", &Publish},  {"publish_together", &PublishTogether},
+      {"request", &Request},  {"submit", &Submit},
+      {"load", &StartLoad},   {"wait_load", &WaitLoad},
+      {"fate", &Fate},        {"get", &Get},
+      {"post", &Post},        {"random", &Random},
+      {"pass_ms", &PassTime}, {"now_ms", &NowMillis},
+      {"entries", &Entries},  {"rules", &SetRules},
+      {"say", &Say}};
   return kVerbs;
 }
 
