--- a/packages/control/include/control/slot_controller.h
+++ b/packages/control/include/control/slot_controller.h
@@ -49,6 +49,9 @@
   // Takes messages and list changes, and sends what is due.
   void Tick(base::MonoTime now);
 
+  // Tells the peers that this VM uses no slots any more, if that is so.
+  void Retire(base::MonoTime now);
+
  private:
   void TakeMessages(base::MonoTime now);
   void TakeVmList(base::MonoTime now);
--- a/packages/placement/src/scheduler.cc
+++ b/packages/placement/src/scheduler.cc
@@ -50,6 +50,12 @@
 Scheduler::Scheduler(const SchedulerOptions& options)
     : m_options(options), m_statistics(options.most_jobs_remembered) {}
 
+void Scheduler::SetAllWorkersKnown(bool known) {
+  m_all_workers_known = known;
+  // What waits may have to fail now.
+  m_cell.ForgetGrowth();
+}
+
 bool Scheduler::Submit(TaskDemand demand) {
   if (m_running.Find(demand.id) != nullptr ||
       m_queue.Find(demand.id) != nullptr) {
@@ -81,11 +87,34 @@
     if (demand == nullptr) {
       break;
     }
+    if (IsStillRefused(*demand, now_ms)) {
+      m_queue.Block(*demand);
+      continue;
+    }
     TryOne(*demand, Prepare(*demand, now_ms), now_ms, result);
   }
   return result;
 }
 
+// Most of what waits in a full cell was refused before, and nothing that it
+// could use has become free since.
+bool Scheduler::IsStillRefused(const TaskDemand& demand, int64_t now_ms) const {
+  const std::optional<RememberedRefusal> refusal = FreshRefusal(demand, now_ms);
+  return refusal && !refusal->for_reserve &&
+         !m_cell.MayHaveRoomSince(refusal->growth_count, demand.size);
+}
+
+std::optional<RememberedRefusal> Scheduler::FreshRefusal(
+    const TaskDemand& demand,
+    int64_t now_ms) const {
+  const std::optional<RememberedRefusal> refusal = m_queue.FindRefusal(demand);
+  if (!refusal || demand.urgent ||
+      now_ms - refusal->time_ms >= m_options.replan_interval_ms) {
+    return std::nullopt;
+  }
+  return refusal;
+}
+
 // The task with the reservation goes first and sees the whole cell. Its
 // reservation is renewed from time to time, since running work ends as it
 // likes.
@@ -100,6 +129,7 @@
   }
   Attempt attempt = Prepare(*demand, now_ms);
   attempt.options.ignore_holds = true;
+  attempt.has_reservation = true;
   if (!KeepsReservation(now_ms)) {
     ClearReservation();
   }
@@ -107,8 +137,7 @@
 }
 
 bool Scheduler::KeepsReservation(int64_t now_ms) const {
-  return now_ms < m_reservation->start_ms &&
-         now_ms - m_reservation->planned_ms < m_options.replan_interval_ms;
+  return now_ms - m_reservation->planned_ms < m_options.replan_interval_ms;
 }
 
 void Scheduler::ClearReservation() {
@@ -120,18 +149,20 @@
                        Attempt attempt,
                        int64_t now_ms,
                        PassResult& result) {
-  const int64_t run_ms =
-      ExpectedRunTime(m_statistics.Find(KeyOf(demand)), demand.expected_run_ms);
-  const double reserved = ReservedShare(demand, run_ms);
-  const bool hopeless =
-      !Leaves(attempt.demand, reserved) || IsHopeless(attempt);
+  const bool leaves_reserve = LeavesReserve(attempt);
+  if (!leaves_reserve && FreshRefusal(demand, now_ms)) {
+    m_queue.Block(demand);
+    return;
+  }
+  const bool hopeless = !leaves_reserve || IsHopeless(attempt);
+  attempt.lacks_room = leaves_reserve;
   Decision decision =
       hopeless ? Decision(m_cell.Explain(demand)) : Decide(attempt, demand);
   if (auto* placement = std::get_if<Placement>(&decision)) {
     Start(demand, std::move(attempt), std::move(*placement), now_ms, result);
     return;
   }
-  std::optional<std::string> never = WhyNever(demand, reserved, decision);
+  std::optional<std::string> never = WhyNever(attempt, demand, decision);
   if (never) {
     result.failures.push_back({demand.id, std::move(*never)});
     m_queue.Remove(demand.id);
@@ -150,6 +181,9 @@
   attempt.demand = demand;
   attempt.demand.size = SizeToReserve(estimate, demand.size);
   attempt.options.ignore_holds = demand.urgent;
+  const int64_t run_ms = ExpectedRunTime(estimate, demand.expected_run_ms);
+  attempt.is_long = IsLong(demand, run_ms, m_options.long_run_ms);
+  attempt.reserved_share = ReservedShare(attempt);
   const std::optional<int64_t> bound = RunTimeBound(estimate);
   if (bound && demand.task_class != TaskClass::kService) {
     attempt.options.ends_by_ms = now_ms + *bound;
@@ -170,20 +204,19 @@
   return m_cell.Place(attempt.demand, attempt.options);
 }
 
-// The share of the cell that must stay free beside `demand`.
-double Scheduler::ReservedShare(const TaskDemand& demand,
-                                int64_t run_ms) const {
+// The share of the cell that must stay free beside the demand.
+double Scheduler::ReservedShare(const Attempt& attempt) const {
+  const TaskDemand& demand = attempt.demand;
   if (demand.task_class == TaskClass::kService || demand.urgent) {
     return 0;
   }
-  if (IsLong(demand, run_ms, m_options.long_run_ms)) {
-    return m_options.service_reserve + m_options.short_work_reserve;
-  }
-  return m_options.service_reserve;
+  return attempt.is_long
+             ? m_options.service_reserve + m_options.short_work_reserve
+             : m_options.service_reserve;
 }
 
-std::optional<std::string> Scheduler::WhyNever(const TaskDemand& demand,
-                                               double reserved_share,
+std::optional<std::string> Scheduler::WhyNever(const Attempt& attempt,
+                                               const TaskDemand& declared,
                                                const Decision& decision) const {
   if (!m_all_workers_known) {
     return std::nullopt;
@@ -193,18 +226,28 @@
     return refusal.reason;
   }
   const Resources& capacity = m_cell.KnownCapacity();
-  if (LeavesShare(TotalSize(demand), capacity, capacity, reserved_share)) {
+  const Resources total = TotalSize(declared);
+  if (LeavesShare(total, capacity, capacity, attempt.reserved_share)) {
     return std::nullopt;
   }
-  return "task \"" + demand.id + "\" needs " + ToString(TotalSize(demand)) +
+  return "task \"" + declared.id + "\" needs " + ToString(total) +
          " of a cell of " + ToString(capacity) +
          ", which does not leave the reserve for other work";
 }
 
-bool Scheduler::Leaves(const TaskDemand& demand, double reserved_share) const {
-  return reserved_share <= 0 ||
-         LeavesShare(TotalSize(demand), m_cell.TotalRoom(),
-                     m_cell.TotalCapacity(), reserved_share);
+// What the task with the reservation is to use is not there for other long
+// work. Short work keeps to the holds on single workers only.
+bool Scheduler::LeavesReserve(const Attempt& attempt) const {
+  if (attempt.reserved_share <= 0) {
+    return true;
+  }
+  Resources room = m_cell.TotalRoom();
+  if (m_reservation && !attempt.has_reservation && attempt.is_long &&
+      attempt.options.ends_by_ms > m_reservation->start_ms) {
+    room = Subtract(room, m_reservation->size);
+  }
+  return LeavesShare(TotalSize(attempt.demand), room, m_cell.TotalCapacity(),
+                     attempt.reserved_share);
 }
 
 bool Scheduler::IsHopeless(const Attempt& attempt) const {
@@ -222,12 +265,10 @@
                        PassResult& result) {
   if (demand.urgent) {
     ProposePreemptions(demand, now_ms, result);
-  } else if (!m_reservation &&
-             (MemberCount(demand) > 1 ||
-              now_ms - demand.submitted_ms >= m_options.reserve_after_ms)) {
+  } else if (MayReserve(demand, now_ms)) {
     MakeReservation(attempt, now_ms);
   }
-  m_queue.Block(demand);
+  m_queue.Block(demand, {m_cell.GrowthCount(), now_ms, !attempt.lacks_room});
 }
 
 // Proposes for all that ask for the same, since they are blocked together.
@@ -284,11 +325,28 @@
   m_proposals.erase(found);
 }
 
+bool Scheduler::MayReserve(const TaskDemand& demand, int64_t now_ms) const {
+  const bool wants = MemberCount(demand) > 1 ||
+                     now_ms - demand.submitted_ms >= m_options.reserve_after_ms;
+  if (m_reservation || now_ms < m_next_plan_ms || !wants) {
+    return false;
+  }
+  const auto unplannable = m_unplannable_until_ms.find(demand.id);
+  return unplannable == m_unplannable_until_ms.end() ||
+         unplannable->second <= now_ms;
+}
+
 void Scheduler::MakeReservation(const Attempt& attempt, int64_t now_ms) {
+  std::erase_if(m_unplannable_until_ms,
+                [now_ms](const auto& entry) { return entry.second <= now_ms; });
   m_reservation = PlanReservation(m_cell, m_running, attempt.demand, now_ms);
   if (m_reservation) {
     m_cell.SetHolds(m_reservation->holds);
+    return;
   }
+  m_next_plan_ms = now_ms + m_options.replan_interval_ms;
+  m_unplannable_until_ms[attempt.demand.id] =
+      now_ms + m_options.unplannable_interval_ms;
 }
 
 void Scheduler::Start(const TaskDemand& demand,
