Respect preemptible plans, lowered limits and missing urgent limits

Found by reading how packages/control uses the library: it lowers a plan's limit by what other domains use, so a limit alone must not fail a task for good; it gives plans that are not urgent an urgent limit of nothing, under which urgent tasks waited for ever; allowances say whether a plan's work may be preempted. It also says in every pass whether all workers are known, and updates workers that did not change, which made the scheduler forget its refusals each time.

--- a/packages/placement/include/placement/pending_queue.h
+++ b/packages/placement/include/placement/pending_queue.h
@@ -64,6 +64,10 @@
 
   const TaskDemand* Find(std::string_view id) const;
 
+  // True if `demand` asks to be urgent and its plan's urgent limit could ever
+  // admit it. Else it is treated like other work.
+  bool IsUrgent(const TaskDemand& demand) const;
+
   // True if the task waits and its plan's limits admit it.
   bool IsEligible(std::string_view id) const;
 
@@ -106,7 +110,7 @@
   bool WithinLimits(const Plan& plan, const TaskDemand& demand) const;
   double PlanShare(const Plan& plan) const;
   Candidate BestOf(Plan& plan) const;
-  Candidate Rank(Group& group) const;
+  Candidate Rank(const Plan& plan, Group& group) const;
   void RankAll(Plan& plan) const;
   static void PushRanked(Plan& plan, const Candidate& candidate);
   static void PopRanked(Plan& plan);
--- a/packages/placement/include/placement/plan_allowance.h
+++ b/packages/placement/include/placement/plan_allowance.h
@@ -28,6 +28,8 @@
   Resources limit = kUnlimited;
   // Most urgent work that runs at once.
   Resources urgent_limit = kUnlimited;
+  // Its batch work may be evicted for urgent work of other plans.
+  bool preemptible = true;
   ActionMode mode = ActionMode::kAutomatic;
 };
 
--- a/packages/placement/include/placement/preemption.h
+++ b/packages/placement/include/placement/preemption.h
@@ -29,6 +29,7 @@
 
 // How a plan stands towards evictions.
 struct VictimPlan {
+  bool preemptible = true;
   bool over_quota = false;
   bool needs_approval = false;
 };
@@ -40,7 +41,7 @@
 
 // Cost of evicting `task`: the work lost, weighed by how easily it is redone.
 // Lower is evicted first. Empty if the task must not be evicted: services,
-// urgent work and work that has to run where it is.
+// urgent work and work of plans that are not preemptible.
 std::optional<double> EvictionCost(const RunningTask& task,
                                    const VictimPlan& plan,
                                    int64_t now_ms);
--- a/packages/placement/include/placement/scheduler.h
+++ b/packages/placement/include/placement/scheduler.h
@@ -94,8 +94,8 @@
   // no task is failed for want of a worker that is large enough.
   void SetAllWorkersKnown(bool known);
 
-  // Returns false if the id waits or runs already. A demand above its plan's
-  // limit is failed by the next pass.
+  // Returns false if the id waits or runs already. A demand above both the
+  // limit and the quota of its plan is failed by the next pass.
   bool Submit(TaskDemand demand);
 
   // Decides starts and reserves them. The caller must carry each start out, or
--- a/packages/placement/src/cell.cc
+++ b/packages/placement/src/cell.cc
@@ -21,6 +21,8 @@
   const std::optional<uint32_t> known = Find(worker.id);
   const uint32_t position = known ? *known : AddSlot(worker.id);
   Slot& slot = m_slots[position];
+  const Resources old_room = slot.room;
+  const uint64_t old_condition = slot.condition;
   CountTotals(slot, -1);
   slot.rack = InternRack(worker.rack);
   slot.condition = static_cast<uint64_t>(worker.condition);
@@ -29,7 +31,9 @@
   slot.room = Subtract(worker.capacity, worker.used);
   CountTotals(slot, 1);
   RefreshBlock(position);
-  NoteGrowth(position);
+  if (!known || slot.condition != old_condition || !Fits(slot.room, old_room)) {
+    NoteGrowth(position);
+  }
 }
 
 void Cell::RemoveWorker(std::string_view id) {
--- a/packages/placement/src/pending_queue.cc
+++ b/packages/placement/src/pending_queue.cc
@@ -44,6 +44,10 @@
   return static_cast<int64_t>(std::bit_ceil(positive));
 }
 
+bool MayBeUrgent(const PlanAllowance& allowance, const TaskDemand& demand) {
+  return demand.urgent && Fits(TotalSize(demand), allowance.urgent_limit);
+}
+
 bool HasQuota(const Resources& quota) {
   return quota.cpu_millis > 0 || quota.memory_mb > 0 || quota.accelerators > 0;
 }
@@ -180,7 +184,7 @@
     plan.groups.erase(task.group);
   } else if (is_first) {
     group.refusal.reset();
-    PushRanked(plan, Rank(group));
+    PushRanked(plan, Rank(plan, group));
   }
   m_tasks.erase(found);
   return true;
@@ -191,6 +195,10 @@
   return found == m_tasks.end() ? nullptr : &found->second->demand;
 }
 
+bool PendingQueue::IsUrgent(const TaskDemand& demand) const {
+  return MayBeUrgent(AllowanceOf(demand.plan), demand);
+}
+
 bool PendingQueue::IsEligible(std::string_view id) const {
   const auto found = m_tasks.find(id);
   return found != m_tasks.end() &&
@@ -294,8 +302,9 @@
   if (!Fits(SaturatedAdd(plan.used, total), plan.allowance.limit)) {
     return false;
   }
-  return !demand.urgent || Fits(SaturatedAdd(plan.used_urgent, total),
-                                plan.allowance.urgent_limit);
+  return !MayBeUrgent(plan.allowance, demand) ||
+         Fits(SaturatedAdd(plan.used_urgent, total),
+              plan.allowance.urgent_limit);
 }
 
 double PendingQueue::PlanShare(const Plan& plan) const {
@@ -309,7 +318,7 @@
   plan.ranked.clear();
   for (auto& [key, group] : plan.groups) {
     if (group.blocked_pass != m_pass) {
-      plan.ranked.push_back(Rank(group));
+      plan.ranked.push_back(Rank(plan, group));
     }
   }
   std::make_heap(plan.ranked.begin(), plan.ranked.end(), GoesAfter);
@@ -348,10 +357,11 @@
   return {};
 }
 
-PendingQueue::Candidate PendingQueue::Rank(Group& group) const {
+PendingQueue::Candidate PendingQueue::Rank(const Plan& plan,
+                                           Group& group) const {
   const TaskDemand& demand = group.tasks.begin()->second->demand;
   const uint64_t sequence = group.tasks.begin()->first.second;
-  if (demand.urgent) {
+  if (MayBeUrgent(plan.allowance, demand)) {
     return {&group, true, static_cast<double>(demand.submitted_ms), sequence};
   }
   const auto waited =
--- a/packages/placement/src/preemption.cc
+++ b/packages/placement/src/preemption.cc
@@ -214,7 +214,8 @@
 std::optional<double> EvictionCost(const RunningTask& task,
                                    const VictimPlan& plan,
                                    int64_t now_ms) {
-  if (task.task_class == TaskClass::kService || task.urgent) {
+  if (task.task_class == TaskClass::kService || task.urgent ||
+      !plan.preemptible) {
     return std::nullopt;
   }
   const auto ran =
--- a/packages/placement/src/scheduler.cc
+++ b/packages/placement/src/scheduler.cc
@@ -51,9 +51,11 @@
     : m_options(options), m_statistics(options.most_jobs_remembered) {}
 
 void Scheduler::SetAllWorkersKnown(bool known) {
+  if (known && !m_all_workers_known) {
+    // What waits may have to fail now.
+    m_cell.ForgetGrowth();
+  }
   m_all_workers_known = known;
-  // What waits may have to fail now.
-  m_cell.ForgetGrowth();
 }
 
 bool Scheduler::Submit(TaskDemand demand) {
@@ -61,7 +63,9 @@
       m_queue.Find(demand.id) != nullptr) {
     return false;
   }
-  const Resources& limit = m_queue.AllowanceOf(demand.plan).limit;
+  // The limit may be lowered for a while, the quota is what the plan holds.
+  const PlanAllowance& allowance = m_queue.AllowanceOf(demand.plan);
+  const Resources limit = Max(allowance.limit, allowance.quota);
   if (!Fits(TotalSize(demand), limit)) {
     m_early_failures.push_back(
         {demand.id, "task \"" + demand.id + "\" needs " +
@@ -108,7 +112,7 @@
     const TaskDemand& demand,
     int64_t now_ms) const {
   const std::optional<RememberedRefusal> refusal = m_queue.FindRefusal(demand);
-  if (!refusal || demand.urgent ||
+  if (!refusal || m_queue.IsUrgent(demand) ||
       now_ms - refusal->time_ms >= m_options.replan_interval_ms) {
     return std::nullopt;
   }
@@ -180,7 +184,8 @@
   Attempt attempt;
   attempt.demand = demand;
   attempt.demand.size = SizeToReserve(estimate, demand.size);
-  attempt.options.ignore_holds = demand.urgent;
+  attempt.demand.urgent = m_queue.IsUrgent(demand);
+  attempt.options.ignore_holds = attempt.demand.urgent;
   const int64_t run_ms = ExpectedRunTime(estimate, demand.expected_run_ms);
   attempt.is_long = IsLong(demand, run_ms, m_options.long_run_ms);
   attempt.reserved_share = ReservedShare(attempt);
@@ -263,7 +268,7 @@
                        const Attempt& attempt,
                        int64_t now_ms,
                        PassResult& result) {
-  if (demand.urgent) {
+  if (attempt.demand.urgent) {
     ProposePreemptions(demand, now_ms, result);
   } else if (MayReserve(demand, now_ms)) {
     MakeReservation(attempt, now_ms);
@@ -359,7 +364,8 @@
   m_cell.Reserve(placement, size, ends_by_ms);
   const int64_t bound_ms = ends_by_ms == kUnknownEnd ? 0 : ends_by_ms - now_ms;
   m_running.Add(MakeRunning(attempt.demand, placement, bound_ms, now_ms));
-  m_queue.CountUsed(demand.plan, TotalSize(attempt.demand), demand.urgent, 1);
+  m_queue.CountUsed(demand.plan, TotalSize(attempt.demand),
+                    attempt.demand.urgent, 1);
   ForgetProposal(demand.id);
   if (m_reservation && m_reservation->task == demand.id) {
     ClearReservation();
@@ -371,7 +377,7 @@
 
 VictimPlan Scheduler::StandingOf(std::string_view plan) const {
   const PlanAllowance& allowance = m_queue.AllowanceOf(plan);
-  return {!Fits(m_queue.UsedBy(plan), allowance.quota),
+  return {allowance.preemptible, !Fits(m_queue.UsedBy(plan), allowance.quota),
           allowance.mode == ActionMode::kApprove};
 }
 
--- a/packages/placement/tests/cell_property_test.cc
+++ b/packages/placement/tests/cell_property_test.cc
@@ -276,7 +276,7 @@
     RunningTasks running = RandomRunning(random, cell);
     const TaskDemand demand = RandomDemand(random, 4);
     const auto lookup = [](std::string_view plan) {
-      return VictimPlan{plan == "p1", plan == "p2"};
+      return VictimPlan{plan != "p0", plan == "p1", plan == "p2"};
     };
     const auto busy = [](std::string_view) { return false; };
     const auto plan = PlanPreemption(cell, running, demand, lookup, busy, 50);
@@ -285,6 +285,7 @@
     }
     for (const std::string& victim : plan->victims) {
       const RunningTask* task = running.Find(victim);
+      RC_ASSERT(task->plan != "p0");
       for (const std::string& worker : task->workers) {
         cell.Release(worker, task->size);
       }
--- a/packages/placement/tests/scheduler_test.cc
+++ b/packages/placement/tests/scheduler_test.cc
@@ -249,6 +249,19 @@
   CHECK(result.preemptions[0].victims != result.preemptions[1].victims);
 }
 
+TEST_CASE("work that was refused starts when room comes from a report") {
+  Scheduler scheduler = MakeScheduler(1, {1000, 4096, 0});
+  WorkerState worker = *scheduler.cell().FindWorker("w0");
+  worker.used = {500, 0, 0};
+  scheduler.cell().UpdateWorker(worker);
+  scheduler.Submit(MakeTask("t", "a", 1000));
+  CHECK(scheduler.Pass(0, kNoLimits).starts.empty());
+  CHECK(scheduler.Pass(1, kNoLimits).starts.empty());
+  worker.used = {};
+  scheduler.cell().UpdateWorker(worker);
+  CHECK(scheduler.Pass(2, kNoLimits).starts.size() == 1);
+}
+
 TEST_CASE("urgent work stays within the urgent limit of its plan") {
   Scheduler scheduler = MakeScheduler(1, {4000, 4096, 0});
   scheduler.queue().SetAllowance(
@@ -261,6 +274,20 @@
   CHECK(scheduler.Pass(0, kNoLimits).starts.size() == 1);
 }
 
+TEST_CASE("work of a plan without an urgent limit waits like other work") {
+  Scheduler scheduler = MakeScheduler(1, {1000, 4096, 0});
+  scheduler.queue().SetAllowance(
+      "a", {.quota = {}, .limit = kUnlimited, .urgent_limit = {0, 0, 0}});
+  TaskDemand urgent = MakeTask("u", "a", 1000);
+  urgent.urgent = true;
+  scheduler.Submit(MakeTask("first", "b", 1000));
+  scheduler.Pass(0, kNoLimits);
+  scheduler.Submit(urgent);
+  CHECK(scheduler.Pass(1, kNoLimits).preemptions.empty());
+  scheduler.EndTask("first");
+  CHECK(StartedIds(scheduler.Pass(2, kNoLimits)) == Ids{"u"});
+}
+
 TEST_CASE("a size seen in earlier runs is reserved in place of a smaller one") {
   Scheduler scheduler = MakeScheduler(1, {4000, 8192, 0});
   for (int i = 0; i < 10; ++i) {
