--- a/packages/control/src/vm_poller.cc
+++ b/packages/control/src/vm_poller.cc
@@ -40,12 +40,10 @@
 void VmPoller::Run() {
   bool reachable = true;
   while (!m_stopping.load()) {
-    base::Outcome<platform::VmListPage> page = m_list.Fetch();
+    auto page = m_list.Fetch();
     if (base::Ok(page)) {
-      auto current = std::make_shared<const platform::VmListPage>(
-          base::Value(std::move(page)));
       std::lock_guard<std::mutex> lock(m_mutex);
-      m_current = std::move(current);
+      m_current = base::Value(std::move(page));
       m_last_answer = m_clock.Now();
       reachable = true;
     } else if (reachable) {
--- a/packages/platform/include/platform/vm_list.h
+++ b/packages/platform/include/platform/vm_list.h
@@ -42,8 +42,9 @@
  public:
   virtual ~VmList() = default;
 
-  // Blocks until answered or timed out.
-  virtual base::Outcome<VmListPage> Fetch() = 0;
+  // Blocks until answered or timed out. The same page again as long as the
+  // list has not changed. For one thread.
+  virtual base::Outcome<std::shared_ptr<const VmListPage>> Fetch() = 0;
 };
 
 // `url` is the service's base; the list is read from `url`/vms.
--- a/packages/platform/src/http_vm_list.cc
+++ b/packages/platform/src/http_vm_list.cc
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr int kStatusOk = 200;
+constexpr int kStatusNotModified = 304;
 
 std::optional<VmKind> ParseKind(std::string_view text) {
   if (text == "entry") {
@@ -54,19 +55,31 @@
   HttpVmList(http::HttpClient& client, std::string url)
       : m_client(client), m_url(std::move(url) + "/vms") {}
 
-  base::Outcome<VmListPage> Fetch() override {
+  base::Outcome<std::shared_ptr<const VmListPage>> Fetch() override {
     http::HttpCall call;
     call.url = m_url;
+    if (m_page != nullptr && !m_entity_tag.empty()) {
+      call.headers.push_back({"If-None-Match", m_entity_tag});
+    }
     const http::HttpResult result = m_client.Fetch(std::move(call));
     if (!base::Ok(result)) {
       return base::GetError(result);
     }
     const http::HttpResponse& response = base::Value(result);
+    if (response.status == kStatusNotModified && m_page != nullptr) {
+      return m_page;
+    }
     if (response.status != kStatusOk) {
       return base::Error{base::ErrorCode::kUnavailable,
                          m_url + ": status " + std::to_string(response.status)};
     }
-    return Parse(response.body);
+    base::Outcome<VmListPage> parsed = Parse(response.body);
+    if (!base::Ok(parsed)) {
+      return base::GetError(parsed);
+    }
+    m_page = std::make_shared<const VmListPage>(base::Value(std::move(parsed)));
+    m_entity_tag = std::string(http::FindField(response.headers, "ETag"));
+    return m_page;
   }
 
  private:
@@ -93,6 +106,8 @@
 
   http::HttpClient& m_client;
   const std::string m_url;
+  std::string m_entity_tag;
+  std::shared_ptr<const VmListPage> m_page;  // That `m_entity_tag` belongs to.
 };
 
 }  // namespace
--- a/testing/standins/include/standins/vm_list_service.h
+++ b/testing/standins/include/standins/vm_list_service.h
@@ -33,7 +33,9 @@
   void Handle(http::HttpRequest request, std::shared_ptr<Reply> reply);
 
  private:
-  void HandleRead(const std::string& view, std::shared_ptr<Reply> reply);
+  void HandleRead(const http::HttpRequest& request,
+                  const std::string& view,
+                  std::shared_ptr<Reply> reply);
   http::HttpResponse HandleChange(const http::HttpRequest& request,
                                   const std::vector<std::string>& path);
   http::HttpResponse HandleVm(const http::HttpRequest& request,
--- a/testing/standins/src/vm_list_service.cc
+++ b/testing/standins/src/vm_list_service.cc
@@ -8,6 +8,21 @@
 
 namespace azurespur::standins {
 
+namespace {
+
+// Answers 304 without a body if the caller knows this `body`.
+http::HttpResponse TaggedResponse(const std::string& body,
+                                  const std::string& known_tag) {
+  const std::string tag =
+      "\"" + std::to_string(std::hash<std::string>{}(body)) + "\"";
+  http::HttpResponse response = JsonResponse(tag == known_tag ? "" : body);
+  response.status = tag == known_tag ? 304 : 200;
+  response.headers.push_back({"ETag", tag});
+  return response;
+}
+
+}  // namespace
+
 VmListService::VmListService(int64_t lag_ms, Timer& timer)
     : m_lag(lag_ms), m_timer(timer) {}
 
@@ -15,30 +30,32 @@
                            std::shared_ptr<Reply> reply) {
   const std::vector<std::string> path = PathSegments(request.path);
   if (request.method == "GET" && path.size() == 1 && path[0] == "vms") {
-    HandleRead("", std::move(reply));
+    HandleRead(request, "", std::move(reply));
   } else if (request.method == "GET" && path.size() == 3 &&
              path[0] == "views" && path[2] == "vms") {
-    HandleRead(path[1], std::move(reply));
+    HandleRead(request, path[1], std::move(reply));
   } else {
     reply->Send(HandleChange(request, path));
   }
 }
 
-void VmListService::HandleRead(const std::string& view,
+void VmListService::HandleRead(const http::HttpRequest& request,
+                               const std::string& view,
                                std::shared_ptr<Reply> reply) {
   VmListFaults faults;
   {
     std::lock_guard<std::mutex> lock(m_mutex);
     faults = m_faults;
   }
+  const std::string known(http::FindField(request.headers, "If-None-Match"));
   m_timer.After(base::Millis(faults.delay_ms),
-                [this, view, faults, reply = std::move(reply)] {
+                [this, view, known, faults, reply = std::move(reply)] {
                   if (faults.outage) {
                     reply->Send(ErrorResponse(503, "outage"));
                     return;
                   }
                   std::lock_guard<std::mutex> lock(m_mutex);
-                  reply->Send(JsonResponse(m_list.Render(view)));
+                  reply->Send(TaggedResponse(m_list.Render(view), known));
                 });
 }
 
