--- a/packages/placement/src/cell.cc
+++ b/packages/placement/src/cell.cc
@@ -21,6 +21,8 @@
   const std::optional<uint32_t> known = Find(worker.id);
   const uint32_t position = known ? *known : AddSlot(worker.id);
   Slot& slot = m_slots[position];
+  const Resources old_room = slot.room;
+  const uint64_t old_condition = slot.condition;
   CountTotals(slot, -1);
   slot.rack = InternRack(worker.rack);
   slot.condition = static_cast<uint64_t>(worker.condition);
@@ -29,7 +31,9 @@
   slot.room = Subtract(worker.capacity, worker.used);
   CountTotals(slot, 1);
   RefreshBlock(position);
-  NoteGrowth(position);
+  if (!known || slot.condition != old_condition || !Fits(slot.room, old_room)) {
+    NoteGrowth(position);
+  }
 }
 
 void Cell::RemoveWorker(std::string_view id) {
@@ -64,7 +68,7 @@
         std::min(first + kSlotsPerBlock, static_cast<uint32_t>(m_slots.size()));
     for (uint32_t i = first; i < end; ++i) {
       const Slot& slot = m_slots[i];
-      if (!Fits(demand.size, slot.room) || !TakesWork(slot, demand) ||
+      if (!Fits(demand.size, slot.room) || !TakesWork(i, demand) ||
           !Fits(demand.size, UsableRoom(i, options))) {
         continue;
       }
@@ -92,7 +96,7 @@
   std::vector<Candidate> candidates;
   for (uint32_t i = 0; i < m_slots.size(); ++i) {
     const Slot& slot = m_slots[i];
-    if (!Fits(demand.size, slot.room) || !TakesWork(slot, demand)) {
+    if (!Fits(demand.size, slot.room) || !TakesWork(i, demand)) {
       continue;
     }
     const int64_t members =
@@ -314,8 +318,11 @@
   return false;
 }
 
-bool Cell::TakesWork(const Slot& slot, const TaskDemand& demand) const {
-  if (!slot.present) {
+bool Cell::TakesWork(uint32_t position, const TaskDemand& demand) const {
+  const Slot& slot = m_slots[position];
+  const auto& avoided = demand.avoided_workers;
+  if (!slot.present || std::find(avoided.begin(), avoided.end(),
+                                 m_ids[position]) != avoided.end()) {
     return false;
   }
   switch (static_cast<WorkerCondition>(slot.condition)) {
