--- a/bench/requests/bench_requests_http.cc
+++ b/bench/requests/bench_requests_http.cc
@@ -249,6 +249,7 @@
                  const std::set<std::string>& threads,
                  const Options& options) {
   std::vector<std::unique_ptr<Caller>> callers;
+  callers.reserve(static_cast<size_t>(options.callers));
   for (int i = 0; i < options.callers; ++i) {
     callers.push_back(
         std::make_unique<Caller>(url, options.concurrency / options.callers));
--- a/bench/requests/product.cc
+++ b/bench/requests/product.cc
@@ -38,6 +38,7 @@
         m_outcomes(requests.size()),
         m_executors(m_events, options.executors, options.slots) {
     std::vector<std::string> ids;
+    ids.reserve(static_cast<size_t>(options.vms));
     for (int vm = 0; vm < options.vms; ++vm) {
       ids.push_back(VmName(vm));
     }
@@ -75,6 +76,7 @@
     node->core = std::make_unique<filters::DispatchCore>(
         filters::DispatchOptions{}, *node->share);
     std::vector<filters::ExecutorInfo> executors;
+    executors.reserve(static_cast<size_t>(m_options.executors));
     for (int i = 0; i < m_options.executors; ++i) {
       executors.push_back(
           {"executor-" + std::to_string(i), "", m_options.slots, false});
--- a/bench/requests/simulation.cc
+++ b/bench/requests/simulation.cc
@@ -1,6 +1,7 @@
 #include "requests/simulation.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace azurespur::bench {
@@ -14,8 +15,8 @@
   if (values.empty()) {
     return 0;
   }
-  const auto index =
-      static_cast<size_t>(q * static_cast<double>(values.size() - 1) + 0.5);
+  const auto index = static_cast<size_t>(
+      std::lround(q * static_cast<double>(values.size() - 1)));
   const auto at = values.begin() + static_cast<std::ptrdiff_t>(index);
   std::nth_element(values.begin(), at, values.end());
   return *at;
--- a/packages/control/src/slot_share.cc
+++ b/packages/control/src/slot_share.cc
@@ -126,7 +126,8 @@
   }
   const Executor& own = m_executors[executor];
   SlotMask usable = AllSlots(own.slots) & ~own.busy;
-  for (const auto& [id, member] : m_members) {
+  for (const auto& entry : m_members) {
+    const SlotMember& member = entry.second;
     if (member.retired) {
       continue;
     }
--- a/packages/control/tests/slot_share_property_test.cc
+++ b/packages/control/tests/slot_share_property_test.cc
@@ -129,6 +129,7 @@
     node.paused_until_us = 0;
     node.started_us = m_now_us;
     std::vector<ExecutorSlots> executors;
+    executors.reserve(kExecutors);
     for (int i = 0; i < kExecutors; ++i) {
       executors.push_back({"x" + std::to_string(i), kSlots});
     }
--- a/packages/filters/src/request_service.cc
+++ b/packages/filters/src/request_service.cc
@@ -186,11 +186,12 @@
     return;
   }
   m_in_flight.fetch_add(1);
+  const std::shared_ptr<http::HttpReply> kept = reply;
   Arrival arrival{std::move(request), std::move(reply), *allowance,
                   m_deps.clock.Now()};
   if (!m_mailbox->arrivals.Push(std::move(arrival))) {
     m_in_flight.fetch_sub(1);
-    arrival.reply->Send(
+    kept->Send(
         MakeRefusal(Unavailable("overloaded", "the arrival ring is full"), id));
   }
 }
--- a/packages/filters/src/run_times.cc
+++ b/packages/filters/src/run_times.cc
@@ -1,6 +1,7 @@
 #include "run_times.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace azurespur::filters {
 
@@ -31,7 +32,7 @@
     const auto end = m_first.begin() + static_cast<std::ptrdiff_t>(m_count);
     std::sort(m_first.begin(), end);
     m_value = m_first[static_cast<size_t>(
-        m_quantile * static_cast<double>(m_count - 1) + 0.5)];
+        std::lround(m_quantile * static_cast<double>(m_count - 1)))];
     return;
   }
   if (value > m_value) {
--- a/packages/filters/src/wait_queue.cc
+++ b/packages/filters/src/wait_queue.cc
@@ -75,7 +75,8 @@
 }
 
 void WaitQueue::Push(WorkItem item) {
-  Class(item.request_class).Push(std::move(item));
+  FairQueue& queue = Class(item.request_class);
+  queue.Push(std::move(item));
 }
 
 FairQueue& WaitQueue::Class(control::RequestClass request_class) {
--- a/packages/filters/tests/request_service_test.cc
+++ b/packages/filters/tests/request_service_test.cc
@@ -212,6 +212,7 @@
   CHECK(FateOf(sent) == "may-have-run");
   // All 16 slots are taken: the next requests wait and are never sent.
   std::vector<std::future<http::HttpResponse>> futures;
+  futures.reserve(40);
   for (int i = 0; i < 40; ++i) {
     futures.push_back(Start(service, Post(soon)));
   }
@@ -266,6 +267,7 @@
   RequestService& first = site.AddVm("e1");
   RequestService& second = site.AddVm("e2");
   std::vector<std::future<http::HttpResponse>> futures;
+  futures.reserve(40);
   for (int i = 0; i < 20; ++i) {
     futures.push_back(Start(i % 2 == 0 ? first : second, PostOnce("pay")));
   }
--- a/packages/platform/tests/executor_client_test.cc
+++ b/packages/platform/tests/executor_client_test.cc
@@ -144,8 +144,8 @@
           "Transfer-Encoding: chunked\r\nX: close\r\n\r\n9\r\ncut",
       "HTTP/1.1 200 OK\r\n" + id + "Connection: close\r\n\r\ncut?",
       // Crossed, and unnamed.
-      "HTTP/1.1 200 OK\r\nAzurespur-Request-Id: r2\r\n"
-      "Content-Length: 5\r\n\r\nother",
+      std::string("HTTP/1.1 200 OK\r\nAzurespur-Request-Id: r2\r\n") +
+          "Content-Length: 5\r\n\r\nother",
       "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother",
       "HTTP/1.1 500 Error\r\n" + id + "Content-Length: 0\r\n\r\n",
       "HTTP/1.1 503 Busy\r\n" + id + "Content-Length: 0\r\n\r\n",
