--- a/packages/control/include/control/slot_share.h
+++ b/packages/control/include/control/slot_share.h
@@ -84,6 +84,11 @@
   // The request on the slot may still run, until `until` at the latest.
   void Abandon(SlotId id, base::MonoTime until);
 
+  // Gives up all slots for good, so that the others need not wait until this
+  // VM is off the list. Returns false, with no effect, while a request of this
+  // or an earlier incarnation may be on a slot.
+  bool Retire(base::MonoTime now);
+
   // Takes a peer's message; returns the reply, if one is due.
   std::optional<SlotMessage> OnMessage(std::string_view from,
                                        uint64_t incarnation,
@@ -139,6 +144,7 @@
   const uint64_t m_incarnation;
   const base::MonoTime m_quiet_end;
   bool m_listed = false;
+  bool m_retired = false;
   uint64_t m_list_version = 0;
   size_t m_waiting = 0;
   bool m_short = false;  // Fewer idle slots than wished for.
--- a/packages/control/src/slot_share.cc
+++ b/packages/control/src/slot_share.cc
@@ -121,12 +121,15 @@
 // A slot is usable against each member if it is on loan from the member, or if
 // this VM has precedence, the member knows that, and has no loan of it.
 SlotMask SlotShare::Usable(size_t executor, base::MonoTime now) const {
-  if (!m_listed || now < m_quiet_end) {
+  if (!m_listed || m_retired || now < m_quiet_end) {
     return 0;
   }
   const Executor& own = m_executors[executor];
   SlotMask usable = AllSlots(own.slots) & ~own.busy;
   for (const auto& [id, member] : m_members) {
+    if (member.retired) {
+      continue;
+    }
     const SlotPair& pair = member.pairs[executor];
     ForEachSlot(usable, [&](int slot) {
       const bool loan = (pair.precedes & Bit(slot)) != 0;
@@ -179,7 +182,7 @@
   base::MonoTime end = base::MonoTime::max();
   for (const auto& [name, member] : m_members) {
     const SlotPair& pair = member.pairs[id.executor];
-    if ((pair.precedes & Bit(id.slot)) != 0) {
+    if (!member.retired && (pair.precedes & Bit(id.slot)) != 0) {
       end = std::min(end, pair.granted_until[static_cast<size_t>(id.slot)]);
     }
   }
@@ -197,6 +200,23 @@
       until;
 }
 
+bool SlotShare::Retire(base::MonoTime now) {
+  const bool in_use =
+      std::any_of(m_executors.begin(), m_executors.end(),
+                  [](const Executor& own) { return own.busy != 0; });
+  if (in_use || now < m_quiet_end) {
+    return false;
+  }
+  m_retired = true;
+  for (Executor& executor : m_executors) {
+    executor.wanted = 0;
+  }
+  for (auto& [id, member] : m_members) {
+    member.change_seq = member.sent_seq + 1;
+  }
+  return true;
+}
+
 void SlotShare::FreeAbandoned(base::MonoTime now) {
   for (Executor& executor : m_executors) {
     ForEachSlot(executor.busy, [&](int slot) {
@@ -213,7 +233,8 @@
 bool SlotShare::IsOwn(size_t executor, int slot) const {
   return std::none_of(
       m_members.begin(), m_members.end(), [&](const auto& entry) {
-        return (entry.second.pairs[executor].precedes & Bit(slot)) != 0;
+        return !entry.second.retired &&
+               (entry.second.pairs[executor].precedes & Bit(slot)) != 0;
       });
 }
 
@@ -258,6 +279,7 @@
   // A late message may speak of an earlier life of this VM.
   member.knows_me = message.reply_incarnation == m_incarnation &&
                     message.members.contains(m_self);
+  member.retired = message.retired;
   TakeGrants(member, message);
   std::map<std::string, SlotMask> grants = AnswerAsks(member, message, now);
   if (!message.wants_reply || !m_listed) {
@@ -280,6 +302,7 @@
     member.incarnation = incarnation;
     member.seen_seq = 0;
     member.knows_me = false;
+    member.retired = false;
     for (SlotPair& pair : member.pairs) {
       pair.lent = 0;  // Loans of the earlier incarnation end by time only.
       pair.offered = 0;
--- a/packages/control/tests/slot_share_test.cc
+++ b/packages/control/tests/slot_share_test.cc
@@ -194,6 +194,26 @@
   CHECK(domain.Idle("a") > 0);
 }
 
+TEST_CASE("a VM that stops in order leaves its slots to the others at once") {
+  Domain domain({"a", "b", "c"});
+  // Requests of an earlier process may still run.
+  CHECK_FALSE(domain.nodes["a"]->Retire(domain.now));
+  domain.Run(Millis(700));
+  const auto slot = domain.nodes["a"]->Acquire(0, domain.now);
+  REQUIRE(slot.has_value());
+  CHECK_FALSE(domain.nodes["a"]->Retire(domain.now));
+  domain.nodes["a"]->Release(*slot);
+  CHECK(domain.nodes["a"]->Retire(domain.now));
+  CHECK(domain.Idle("a") == 0);
+  domain.Run(Millis(50));
+  domain.Kill("a");
+  CHECK(domain.Idle("b") + domain.Idle("c") == 2 * kSlots);
+  domain.Start("a", 2);
+  domain.Run(Millis(700));
+  CHECK(domain.Idle("a") > 0);
+  CHECK(domain.Idle("a") + domain.Idle("b") + domain.Idle("c") == 2 * kSlots);
+}
+
 TEST_CASE("a VM that is not on its own list uses no slot") {
   SlotShare share(Options(), "a", 1, MonoTime(Millis(1000)));
   const std::vector<ExecutorSlots> executors = {{"x1", kSlots}};
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -17,6 +17,7 @@
 #include "control/list_service.h"
 #include "control/log_channel.h"
 #include "control/peer_service.h"
+#include "control/proposal_board.h"
 #include "control/task_api.h"
 #include "control/task_ledger.h"
 #include "control/task_service.h"
@@ -97,6 +98,7 @@
              const std::shared_ptr<http::HttpReply>& reply);
   bool RouteOperators(const http::HttpRequest& request, http::HttpReply& reply);
   bool Ready() const;
+  bool HasLists() const;
   nlohmann::json Dump();
   void StopThreads();
 
@@ -134,6 +136,7 @@
   control::ListService m_list_service;
   control::ListReporter m_list_reporter;
   control::ListApi m_list_api;
+  control::ProposalBoard m_proposals;
   filters::RequestService m_requests;
   control::TaskService m_tasks;
   control::TaskApi m_task_api;
@@ -177,6 +180,7 @@
                       m_list_ledger,
                       m_clock),
       m_list_api(m_list_service, m_list_ledger, m_list_reporter),
+      m_proposals(m_lists_channel, m_list_ledger, m_clock),
       m_requests(RequestDeps()),
       m_tasks(TaskDeps()),
       m_task_api(m_tasks, m_list_ledger) {
@@ -239,7 +243,8 @@
           m_clock,
           m_metrics,
           {m_settings.vm_id, m_settings.domain, m_incarnation},
-          options};
+          options,
+          &m_proposals};
 }
 
 base::Outcome<base::Unit> Daemon::Impl::Start() {
@@ -332,6 +337,7 @@
                             {{"ready", ready},
                              {"draining", m_draining.load()},
                              {"streams_ready", m_streams.Ready()},
+                             {"has_lists", HasLists()},
                              {"vms", m_vms.Current()->vms.size()}}));
     return true;
   }
@@ -339,10 +345,16 @@
 }
 
 bool Daemon::Impl::Ready() const {
-  return !m_draining.load() && m_streams.Ready() &&
+  return !m_draining.load() && m_streams.Ready() && HasLists() &&
          !m_vms.Current()->vms.empty();
 }
 
+// A VM that missed records goes on with the lists that it has; one that has
+// none yet would refuse every caller.
+bool Daemon::Impl::HasLists() const {
+  return m_list_ledger.Complete() || m_list_ledger.Current()->plans_version > 0;
+}
+
 nlohmann::json Daemon::Impl::Dump() {
   nlohmann::json peers = nlohmann::json::array();
   for (const control::Peer& peer : m_peers->Peers()) {
@@ -369,7 +381,8 @@
             {"silent_ms", m_vms.SilentMillis()}}},
           {"peers", std::move(peers)},
           {"lists",
-           {{"plans_version", lists->plans_version},
+           {{"complete", m_list_ledger.Complete()},
+            {"plans_version", lists->plans_version},
             {"plans_digest", lists->plans_digest},
             {"allowances_version", lists->allowances_version},
             {"allowances_digest", lists->allowances_digest}}},
--- a/packages/filters/src/dispatcher.cc
+++ b/packages/filters/src/dispatcher.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "base/event_log.h"
 #include "base/metrics.h"
 #include "control/peer_bus.h"
 #include "control/vm_directory.h"
@@ -13,7 +14,8 @@
 namespace {
 
 constexpr base::Millis kPeriod{5};
-constexpr size_t kBatch = 256;  // Arrivals taken at a time.
+constexpr base::Millis kPatience{3000};  // Until a silent peer is reported.
+constexpr size_t kBatch = 256;           // Arrivals taken at a time.
 constexpr size_t kAnswerBytes = 64 << 20;
 constexpr double kMillisPerMicro = 0.001;
 
@@ -141,6 +143,43 @@
   m_slots.Tick(now);
   m_once.Tick(now);
   m_live_vms = LiveVms();
+  ReportChanges(now);
+}
+
+void Dispatcher::ReportChanges(base::MonoTime now) {
+  using base::Severity;
+  const auto& health = m_core.health().executors();
+  m_reported_ejected.resize(health.size());
+  for (size_t i = 0; i < health.size(); ++i) {
+    const bool ejected = health[i].state != ExecutorState::kHealthy;
+    if (ejected == m_reported_ejected[i]) {
+      continue;
+    }
+    m_reported_ejected[i] = ejected;
+    if (ejected) {
+      base::LogEvent(Severity::kWarning, "AZ3001", "executor ejected",
+                     {{"executor", m_core.IdOf(i)}});
+    } else {
+      base::LogEvent(Severity::kInfo, "AZ3002", "executor readmitted",
+                     {{"executor", m_core.IdOf(i)}});
+    }
+  }
+  const control::SlotShare& share = m_slots.share();
+  if (!m_reported_slots && now >= share.QuietEnd()) {
+    m_reported_slots = true;
+    base::LogEvent(Severity::kInfo, "AZ3003", "executor slots usable");
+  }
+  const auto unheard =
+      std::find_if(share.members().begin(), share.members().end(),
+                   [](const auto& entry) { return !entry.second.knows_me; });
+  const bool blocked =
+      now >= share.QuietEnd() + kPatience && unheard != share.members().end();
+  if (blocked && !m_reported_no_slots) {
+    base::LogEvent(Severity::kWarning, "AZ3004",
+                   "no executor slots until a peer is heard or off the VM list",
+                   {{"peer", unheard->first}});
+  }
+  m_reported_no_slots = blocked;
 }
 
 size_t Dispatcher::LiveVms() const {
@@ -369,6 +408,7 @@
     const Fate fate = sent.contains(handle) ? Fate::kMayHaveRun : Fate::kNotRun;
     Refuse(handle, Failed(fate, "this VM stopped"), now);
   }
+  m_slots.Retire(now);
 }
 
 nlohmann::json Dispatcher::Describe() const {
