--- a/packages/control/include/control/placement_controller.h
+++ b/packages/control/include/control/placement_controller.h
@@ -5,7 +5,7 @@
 
 #include <cstdint>
 #include <map>
-#include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 #include <string_view>
@@ -34,6 +34,7 @@
 class PeerBus;
 class ProposalBoard;
 class RunController;
+class StartFailures;
 class TaskLedger;
 class VmDirectory;
 class WorkerFleet;
@@ -59,6 +60,7 @@
   // Between two moves off one overloaded worker.
   base::Millis relief_interval{5000};
   size_t most_claims_per_review = 256;
+  size_t most_reasons_noted = 1000;
   placement::SchedulerOptions scheduler;
   placement::HealthLimits health;
 };
@@ -82,6 +84,9 @@
  public:
   PlacementController(const PlacementControllerDeps& deps,
                       const PlacementControllerOptions& options);
+  PlacementController(const PlacementController&) = delete;
+  PlacementController& operator=(const PlacementController&) = delete;
+  ~PlacementController() override;
 
   // Called once, before any other call.
   void SetRuns(RunController& runs) { m_runs = &runs; }
@@ -98,13 +103,17 @@
   void Tick();
 
   size_t PendingCount() const { return m_scheduler.queue().size(); }
+  // Why a task waited at the last review; empty if it is not known. Any thread.
+  std::string WaitReason(const std::string& id) const;
   size_t QuarantinedCount() const { return m_health.QuarantinedCount(); }
 
  private:
   void Review();
+  void NoteWaitReasons();
   void SyncAllowances(const ListsSnapshot& lists);
   void ClaimForeignTasks();
   void GiveBackOldTasks();
+  void DropLostBindings();
   void YieldToGangs();
   bool WaitedFor(const placement::TaskDemand& demand, base::Millis wait) const;
   void Claim(const TaskState& task);
@@ -121,12 +130,14 @@
   void MoveOff(const std::string& worker, const std::string& reason);
   void RelieveOverload(const std::string& worker);
   void SubmitToScheduler(const TaskState& task);
+  void RetryFailed();
   bool Append(wire::EntryKind kind, std::string payload);
   int64_t NowMillis() const;
 
   struct Binding {
     placement::Placement placement;
     placement::Resources size;
+    base::MonoTime given_up_at;  // When its answer must have been lost.
   };
 
   const PlacementControllerDeps m_deps;
@@ -134,12 +145,14 @@
   RunController* m_runs = nullptr;
   placement::Scheduler m_scheduler;
   placement::WorkerHealth m_health;
+  std::unique_ptr<StartFailures> m_start_failures;
   std::unordered_map<std::string, Binding> m_bindings;  // Record under way.
   std::set<std::string> m_stale_workers;
   std::unordered_set<std::string> m_probes;
   std::map<placement::JobKey, base::MonoTime> m_failed_jobs;
   std::map<std::string, base::MonoTime> m_relieved_at;
-  std::shared_ptr<const ListsSnapshot> m_lists;
+  mutable std::mutex m_reasons_mutex;
+  std::map<std::string, std::string> m_reasons;
   uint64_t m_list_version = 0;
   bool m_changed = true;
   base::MonoTime m_passed_at;
