--- a/bench/placement/cells.cc
+++ b/bench/placement/cells.cc
@@ -9,11 +9,10 @@
 
 using placement::TaskClass;
 using placement::TaskDemand;
-using placement::WorkerCondition;
 using placement::WorkerState;
 
 constexpr int kWorkersPerRack = 8;
-constexpr placement::Resources kWorkerSize = {64'000, 256 * 1024, 0};
+constexpr placement::Resources kWorkerSize = {64'000, 262'144, 0};
 constexpr int kPlans = 300;
 
 double Uniform(Random& random) {
@@ -57,12 +56,12 @@
   demand.size.memory_mb = std::clamp<int64_t>(
       static_cast<int64_t>(static_cast<double>(demand.size.cpu_millis) *
                            gb_per_core * 1.024),
-      128, 128 * 1024);
+      128, 131'072);
   if (Uniform(random) < 0.024) {
     demand.size.accelerators = std::min<int64_t>(Pick(random, {1, 1, 2, 4, 8}),
                                                  shape.accelerators_each);
     demand.size.cpu_millis = 4000 * demand.size.accelerators;
-    demand.size.memory_mb = 16 * 1024 * demand.size.accelerators;
+    demand.size.memory_mb = 16'384 * demand.size.accelerators;
   }
   const double kind = Uniform(random);
   if (kind < 0.2) {
--- a/bench/placement/packing.cc
+++ b/bench/placement/packing.cc
@@ -14,11 +14,11 @@
 
 // Work with an accelerator that is counted as stranding one where it does not
 // fit beside it.
-constexpr Resources kAcceleratorTask = {4000, 16 * 1024, 1};
+constexpr Resources kAcceleratorTask = {4000, 16'384, 1};
 
 // Three quarters of a worker, and the share of processors in use at which the
 // room for such tasks is counted.
-constexpr Resources kLargeTask = {48'000, 192 * 1024, 0};
+constexpr Resources kLargeTask = {48'000, 196'608, 0};
 constexpr double kLargeTaskLoad = 0.6;
 
 // Demands that are tried for each worker, so that the cell overflows.
--- a/bench/placement/queueing.cc
+++ b/bench/placement/queueing.cc
@@ -18,17 +18,16 @@
 namespace azurespur::bench {
 namespace {
 
-using placement::Resources;
 using placement::Scheduler;
 using placement::TaskClass;
 using placement::TaskDemand;
 
 constexpr int64_t kPassMillis = 50;
-constexpr int64_t kTraceMillis = 2 * 3600 * 1000;
+constexpr int64_t kTraceMillis = 7'200'000;
 constexpr int64_t kMeanGapMillis = 55;
 // Arrivals come three times as fast for a while.
-constexpr int64_t kCrestStartMillis = 60 * 60'000;
-constexpr int64_t kCrestEndMillis = 70 * 60'000;
+constexpr int64_t kCrestStartMillis = 3'600'000;
+constexpr int64_t kCrestEndMillis = 4'200'000;
 constexpr double kCrestFactor = 3;
 constexpr int64_t kMinutes = 60'000;
 
@@ -91,7 +90,7 @@
     demand.gang_size = Between(random, 1, 3) * 4;
     demand.rack_spread = 4;
     arrival.run_ms = Between(random, 5, 10) * kMinutes;
-    demand.size = {16'000, 64 * 1024, 0};
+    demand.size = {16'000, 65'536, 0};
   }
   if (Between(random, 0, 99) == 0) {
     arrival.run_ms *= 20;
--- a/bench/placement/rates.cc
+++ b/bench/placement/rates.cc
@@ -45,7 +45,7 @@
 TaskDemand MakeTask(Random& random, int64_t number, int64_t now_ms) {
   TaskDemand demand = MakeDemand(random, kLargeCell, number);
   demand.size.cpu_millis = std::min<int64_t>(demand.size.cpu_millis, 3000);
-  demand.size.memory_mb = std::min<int64_t>(demand.size.memory_mb, 16 * 1024);
+  demand.size.memory_mb = std::min<int64_t>(demand.size.memory_mb, 16'384);
   demand.submitted_ms = now_ms;
   return demand;
 }
@@ -86,7 +86,7 @@
       cell.scheduler.running().Find(cell.running.back());
   const placement::JobKey key = {task->plan, task->job};
   cell.scheduler.ObserveRun(
-      key, std::uniform_int_distribution<int64_t>(1, 600)(random) * 1000, {});
+      key, std::uniform_int_distribution<int64_t>(1000, 600'000)(random), {});
   cell.scheduler.EndTask(cell.running.back());
   cell.running.pop_back();
 }
@@ -94,7 +94,7 @@
 void MeasureReservation(const LoadedCell& cell) {
   TaskDemand gang;
   gang.gang_size = 64;
-  gang.size = {32'000, 64 * 1024, 0};
+  gang.size = {32'000, 65'536, 0};
   std::vector<double> micros;
   for (int i = 0; i < 20; ++i) {
     const WallTime start = std::chrono::steady_clock::now();
--- a/packages/placement/src/pending_queue.cc
+++ b/packages/placement/src/pending_queue.cc
@@ -66,7 +66,14 @@
   int64_t rack_spread;
   int64_t run_ms;
 
-  friend auto operator<=>(const GroupKey&, const GroupKey&) = default;
+  auto AsTuple() const {
+    return std::tie(job, task_class, urgent, priority, cpu_millis, memory_mb,
+                    accelerators, gang_size, rack_spread, run_ms);
+  }
+
+  friend bool operator<(const GroupKey& a, const GroupKey& b) {
+    return a.AsTuple() < b.AsTuple();
+  }
 };
 
 // Tasks of one plan that ask for the same, oldest first.
@@ -113,9 +120,9 @@
 }
 
 const PlanAllowance& PendingQueue::AllowanceOf(std::string_view plan) const {
-  static const PlanAllowance kDefault;
+  static const PlanAllowance default_allowance;
   const auto found = m_plans.find(plan);
-  return found == m_plans.end() ? kDefault : found->second->allowance;
+  return found == m_plans.end() ? default_allowance : found->second->allowance;
 }
 
 void PendingQueue::CountUsed(std::string_view plan,
