--- a/bench/tasks.cc
+++ b/bench/tasks.cc
@@ -112,6 +112,7 @@
   for (const bool pause : {false, true}) {
     for (const int64_t lag_ms : {100, 1000}) {
       std::vector<int64_t> times;
+      times.reserve(kRuns);
       for (int run = 0; run < kRuns; ++run) {
         times.push_back(Takeover(seed + run, pause, lag_ms));
       }
--- a/packages/control/tests/log_channel_test.cc
+++ b/packages/control/tests/log_channel_test.cc
@@ -76,8 +76,10 @@
 
 TEST_CASE("entries queued together share one append and are seen in order") {
   Fixture f;
+  constexpr int kEntries = 50;
   std::vector<std::future<base::Outcome<LogPosition>>> futures;
-  for (int i = 0; i < 50; ++i) {
+  futures.reserve(kEntries);
+  for (int i = 0; i < kEntries; ++i) {
     futures.push_back(f.Append("p" + std::to_string(i), kGenerous));
   }
   f.channel->Start(0);
--- a/testing/history/src/task_rules.cc
+++ b/testing/history/src/task_rules.cc
@@ -138,8 +138,8 @@
 }
 
 std::vector<Violation> CheckAcceptedEnds(const History& history) {
-  static const std::set<std::string> kEnds = {"finished", "failed", "cancelled",
-                                              "may-have-run"};
+  static const std::set<std::string> ends = {"finished", "failed", "cancelled",
+                                             "may-have-run"};
   std::vector<Violation> violations;
   std::map<std::string, std::string> fates;
   for (const TaskOutcome& outcome : history.task_outcomes) {
@@ -153,7 +153,7 @@
   }
   for (const std::string& task : AcceptedTasks(history)) {
     const std::string& fate = fates[task];
-    if (kEnds.count(fate) == 0) {
+    if (ends.count(fate) == 0) {
       violations.push_back(
           {"accepted-ends", "task " + task +
                                 " was accepted; its last fate is " +
--- a/testing/scenarios/src/cell.cc
+++ b/testing/scenarios/src/cell.cc
@@ -34,6 +34,17 @@
   return line.substr(value, line.find(' ', value) - value);
 }
 
+// Name of the relay's link from `domain` to a service of `to`.
+std::string LinkName(const std::string& domain,
+                     const std::string& to,
+                     std::string_view service) {
+  std::string link = domain;
+  link += '/';
+  link += to;
+  link += service;
+  return link;
+}
+
 }  // namespace
 
 Cell::Cell(const CellOptions& options) : m_options(options) {}
@@ -211,7 +222,7 @@
   Entry entry;
   entry.domain = domain;
   entry.process = std::make_unique<ChildProcess>();
-  const auto started =
+  auto started =
       entry.process->Start(command, m_options.folder + "/" + name + ".log");
   if (!base::Ok(started)) {
     return started;
@@ -223,7 +234,7 @@
   }
   entry.address = "127.0.0.1:" + LogField(*line, "port");
   entry.peer_address = "127.0.0.1:" + LogField(*line, "peer_port");
-  const auto announced = Announce(name, entry);
+  auto announced = Announce(name, entry);
   std::lock_guard<std::mutex> lock(m_mutex);
   m_entries[name] = std::move(entry);
   return announced;
@@ -236,8 +247,8 @@
     if (domain == entry.domain) {
       continue;
     }
-    auto http = PutLink(domain + "/" + name + "/http", entry.address);
-    auto peer = PutLink(domain + "/" + name + "/peer", entry.peer_address);
+    auto http = PutLink(LinkName(domain, name, "/http"), entry.address);
+    auto peer = PutLink(LinkName(domain, name, "/peer"), entry.peer_address);
     if (!base::Ok(http) || !base::Ok(peer)) {
       return base::GetError(base::Ok(http) ? peer : http);
     }
@@ -328,13 +339,13 @@
     }
     for (const std::string& service : platform) {
       if (to == service || to == "platform") {
-        links.push_back(domain + "/" + service);
+        links.push_back(LinkName(domain, service, ""));
       }
     }
     for (const auto& [name, entry] : m_entries) {
       if (entry.domain != domain && (entry.domain == to || to == "all")) {
-        links.push_back(domain + "/" + name + "/http");
-        links.push_back(domain + "/" + name + "/peer");
+        links.push_back(LinkName(domain, name, "/http"));
+        links.push_back(LinkName(domain, name, "/peer"));
       }
     }
   }
--- a/testing/scenarios/src/child_process.cc
+++ b/testing/scenarios/src/child_process.cc
@@ -34,6 +34,7 @@
   const auto size = std::filesystem::file_size(log, no_file);
   m_log_start = no_file ? 0 : static_cast<std::streamoff>(size);
   std::vector<char*> arguments;
+  arguments.reserve(command.size() + 1);
   for (const std::string& word : command) {
     arguments.push_back(const_cast<char*>(word.c_str()));
   }
--- a/testing/scenarios/src/verbs.cc
+++ b/testing/scenarios/src/verbs.cc
@@ -280,7 +280,7 @@
 }  // namespace
 
 const std::vector<Verb>& Verbs() {
-  static const std::vector<Verb> kVerbs = {
+  static const std::vector<Verb> verbs = {
       {"cell", &StartCell},   {"start", &StartEntry},
       {"kill", &Kill},        {"pause", &Pause},
       {"resume", &Resume},    {"stop", &Stop},
@@ -295,7 +295,7 @@
       {"pass_ms", &PassTime}, {"now_ms", &NowMillis},
       {"entries", &Entries},  {"rules", &SetRules},
       {"say", &Say}};
-  return kVerbs;
+  return verbs;
 }
 
 }  // namespace azurespur::scenario
--- a/testing/standins/src/vm_list.cc
+++ b/testing/standins/src/vm_list.cc
@@ -42,7 +42,7 @@
       .Read("accelerators", vm.accelerators)
       .Read("slots", vm.slots)
       .Read("connections", vm.connections);
-  if (const auto error = reader.Finish()) {
+  if (auto error = reader.Finish()) {
     return error;
   }
   if (!vm.id.empty() && vm.id != id) {
--- a/testing/standins/src/worker_fleet.cc
+++ b/testing/standins/src/worker_fleet.cc
@@ -29,7 +29,7 @@
 base::Outcome<base::Unit> WorkerFleet::Start() {
   VmRegistrar registrar(m_options.vm_list_url);
   for (unsigned index = 0; index < m_options.count; ++index) {
-    const base::Outcome<base::Unit> started = StartOne(index);
+    base::Outcome<base::Unit> started = StartOne(index);
     if (!base::Ok(started)) {
       return started;
     }
@@ -38,7 +38,7 @@
   for (const auto& [id, host] : m_hosts) {
     const std::string rack =
         "r" + std::to_string(index++ / m_options.racks_of + 1);
-    const base::Outcome<base::Unit> registered = registrar.Register(
+    base::Outcome<base::Unit> registered = registrar.Register(
         {{"id", id},
          {"kind", "worker"},
          {"address", "127.0.0.1:" + std::to_string(host.port)},
