--- a/packages/control/include/control/placement_controller.h
+++ b/packages/control/include/control/placement_controller.h
@@ -154,6 +154,7 @@
   mutable std::mutex m_reasons_mutex;
   std::map<std::string, std::string> m_reasons;
   uint64_t m_list_version = 0;
+  uint64_t m_allowances_version = 0;
   bool m_changed = true;
   base::MonoTime m_passed_at;
   base::MonoTime m_reviewed_at;
--- a/packages/control/src/placement_controller.cc
+++ b/packages/control/src/placement_controller.cc
@@ -253,7 +253,9 @@
     UpdateCell(worker);
     m_changed = true;
   }
-  if (now >= m_reviewed_at + m_options.review_interval) {
+  const bool lists_changed =
+      m_deps.lists.Current()->allowances_version != m_allowances_version;
+  if (lists_changed || now >= m_reviewed_at + m_options.review_interval) {
     m_reviewed_at = now;
     Review();
   }
@@ -358,6 +360,7 @@
     allowed = MayDisrupt(victim, "evict", reason) && allowed;
   }
   if (!allowed) {
+    m_scheduler.AwaitApproval(plan.task);
     return;
   }
   for (const std::string& victim : plan.victims) {
--- a/packages/control/src/placement_review.cc
+++ b/packages/control/src/placement_review.cc
@@ -22,6 +22,11 @@
 void PlacementController::Review() {
   const auto lists = m_deps.lists.Current();
   SyncAllowances(*lists);
+  if (lists->allowances_version != m_allowances_version) {
+    m_allowances_version = lists->allowances_version;
+    m_scheduler.RetryUnapproved();
+    m_changed = true;
+  }
   m_health.SetWorkerCount(m_deps.fleet.WorkerCount());
   for (const std::string& worker : m_health.TakeDueProbes(NowMillis())) {
     m_probes.insert(worker);
--- a/packages/control/tests/peer_service_test.cc
+++ b/packages/control/tests/peer_service_test.cc
@@ -125,6 +125,7 @@
   base::Metrics metrics;
   // Ports that only TCP holds, so that some UDP picks meet a taken one.
   std::vector<std::unique_ptr<ACE_SOCK_Acceptor>> taken;
+  taken.reserve(kServices);
   for (int i = 0; i < kServices; ++i) {
     taken.push_back(std::make_unique<ACE_SOCK_Acceptor>(
         ACE_INET_Addr(static_cast<unsigned short>(0), "127.0.0.1")));
--- a/packages/control/tests/task_service_test.cc
+++ b/packages/control/tests/task_service_test.cc
@@ -27,10 +27,11 @@
 int CountRuns(const FakeCell& cell, const std::string& task) {
   int runs = 0;
   for (const auto& worker : cell.workers) {
-    runs += std::ranges::count_if(
-        worker->journal(), [&task](const JournalRun& run) {
-          return run.released_ms >= 0 && ParseRunId(run.id).task == task;
-        });
+    for (const JournalRun& run : worker->journal()) {
+      const bool counts =
+          run.released_ms >= 0 && ParseRunId(run.id).task == task;
+      runs += counts ? 1 : 0;
+    }
   }
   return runs;
 }
--- a/packages/placement/include/placement/job_key.h
+++ b/packages/placement/include/placement/job_key.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <functional>
 #include <string>
+#include <tuple>
 
 namespace azurespur::placement {
 
@@ -14,7 +15,9 @@
   std::string job;
 
   friend bool operator==(const JobKey&, const JobKey&) = default;
-  friend auto operator<=>(const JobKey&, const JobKey&) = default;
+  friend bool operator<(const JobKey& a, const JobKey& b) {
+    return std::tie(a.plan, a.job) < std::tie(b.plan, b.job);
+  }
 };
 
 struct JobKeyHash {
--- a/packages/placement/include/placement/scheduler.h
+++ b/packages/placement/include/placement/scheduler.h
@@ -94,6 +94,13 @@
   // no task is failed for want of a worker that is large enough.
   void SetAllWorkersKnown(bool known);
 
+  // The evictions proposed for `task` wait for an approval.
+  void AwaitApproval(std::string_view task);
+
+  // Evictions that wait for an approval are planned again by the next pass;
+  // for callers that learned of new approvals.
+  void RetryUnapproved();
+
   // Returns false if the id waits or runs already. A demand above both the
   // limit and the quota of its plan is failed by the next pass.
   bool Submit(TaskDemand demand);
@@ -146,6 +153,7 @@
   // An eviction that was proposed and has not led to a start yet.
   struct Proposal {
     int64_t proposed_ms = 0;
+    bool awaits_approval = false;
     std::vector<std::string> workers;
   };
 
--- a/packages/placement/src/scheduler.cc
+++ b/packages/placement/src/scheduler.cc
@@ -324,6 +324,25 @@
   result.preemptions.push_back(std::move(*plan));
 }
 
+void Scheduler::AwaitApproval(std::string_view task) {
+  const auto found = m_proposals.find(task);
+  if (found != m_proposals.end()) {
+    found->second.awaits_approval = true;
+  }
+}
+
+void Scheduler::RetryUnapproved() {
+  std::vector<std::string> waiting;
+  for (const auto& [id, proposal] : m_proposals) {
+    if (proposal.awaits_approval) {
+      waiting.push_back(id);
+    }
+  }
+  for (const std::string& id : waiting) {
+    ForgetProposal(id);
+  }
+}
+
 void Scheduler::ForgetProposal(std::string_view id) {
   const auto found = m_proposals.find(id);
   if (found == m_proposals.end()) {
--- a/testing/standins/src/executor_fleet.cc
+++ b/testing/standins/src/executor_fleet.cc
@@ -22,13 +22,13 @@
 base::Outcome<base::Unit> ExecutorFleet::Start() {
   VmRegistrar registrar(m_options.vm_list_url);
   for (unsigned index = 0; index < m_options.count; ++index) {
-    const base::Outcome<base::Unit> started = StartOne(index);
+    base::Outcome<base::Unit> started = StartOne(index);
     if (!base::Ok(started)) {
       return started;
     }
   }
   for (const auto& [id, host] : m_hosts) {
-    const base::Outcome<base::Unit> registered = registrar.Register(
+    base::Outcome<base::Unit> registered = registrar.Register(
         {{"id", id},
          {"kind", "executor"},
          {"address", "127.0.0.1:" + std::to_string(host.port)},
--- a/testing/standins/src/relay.cc
+++ b/testing/standins/src/relay.cc
@@ -83,11 +83,10 @@
 
 void Relay::HandleControl(const http::HttpRequest& request, Reply& reply) {
   const std::vector<std::string> path = PathSegments(request.path);
-  if (path.size() != 2 || path[0] != "links") {
-    reply.Send(UnknownPath(request));
-  } else if (request.method == "PUT") {
+  const bool is_link = path.size() == 2 && path[0] == "links";
+  if (is_link && request.method == "PUT") {
     reply.Send(PutLink(path[1], request.body));
-  } else if (request.method == "POST") {
+  } else if (is_link && request.method == "POST") {
     reply.Send(PostLink(path[1], request.body));
   } else {
     reply.Send(UnknownPath(request));
