Bound the memory of bodies being received; fit connections to eight entry VMs

Cause: bodies were bounded only each by itself, 4 GiB with all callers; 20 connections to an executor from each of four VMs would be 80 of its 64; two topics of messages had no sender. Ruled out: fewer callers (idle ones cost little). Before: no limit in all. Conclusion: refused truthfully at the entry.

--- a/packages/daemon/include/daemon/settings.h
+++ b/packages/daemon/include/daemon/settings.h
@@ -40,7 +40,7 @@
   size_t max_body_bytes = 1 << 20;
   unsigned caller_threads = 2;
   unsigned max_callers = 4096;
-  long executor_connections = 20;
+  long executor_connections = 8;  // As many as an executor has slots.
   bool check_only = false;
 };
 
--- a/packages/http/include/http/http_server.h
+++ b/packages/http/include/http/http_server.h
@@ -20,6 +20,7 @@
   uint16_t port = 0;                  // 0 picks a free port.
   unsigned threads = 2;
   size_t max_body_bytes = 1 << 20;
+  size_t max_total_body_bytes = 64 << 20;  // Of all requests at a time.
   unsigned max_connections = 4096;
   std::chrono::seconds idle_timeout{30};
 };
--- a/packages/http/src/http_server.cc
+++ b/packages/http/src/http_server.cc
@@ -9,6 +9,7 @@
 #include <cstring>
 #include <mutex>
 #include <optional>
+#include <string_view>
 #include <utility>
 
 namespace azurespur::http {
@@ -93,11 +94,15 @@
   std::shared_ptr<Exchange> m_exchange;
 };
 
+// What keeps a request from being read to its end.
+enum class Excess { kNone, kBody, kAllBodies };
+
 // Per-request data that libmicrohttpd carries between callbacks.
 struct RequestState {
   HttpRequest request;
   std::shared_ptr<Exchange> exchange;
-  bool too_large = false;
+  size_t body_bytes = 0;  // Counted in the server's total.
+  Excess excess = Excess::kNone;
   bool handed_over = false;
 };
 
@@ -147,12 +152,15 @@
                           MHD_RequestTerminationCode code);
 
   void StopDaemon();
+  void TakeBody(RequestState& state, std::string_view data);
+  void ReleaseBody(RequestState& state);
   MHD_Result Continue(MHD_Connection* connection, RequestState& state);
   MHD_Result Queue(MHD_Connection* connection, HttpResponse response);
 
   const HttpServerOptions m_options;
   const Handler m_handler;
   std::atomic<size_t> m_in_flight{0};
+  std::atomic<size_t> m_body_bytes{0};  // Received and not yet answered.
   std::atomic<bool> m_draining{false};
   std::mutex m_stop_mutex;
   MHD_Daemon* m_daemon = nullptr;
@@ -225,27 +233,58 @@
   }
   auto& request_state = *static_cast<RequestState*>(*state);
   if (*data_size > 0) {
-    std::string& body = request_state.request.body;
-    if (body.size() + *data_size > server->m_options.max_body_bytes) {
-      request_state.too_large = true;
-      body.clear();
-    } else if (!request_state.too_large) {
-      body.append(data, *data_size);
-    }
+    server->TakeBody(request_state, {data, *data_size});
     *data_size = 0;
     return MHD_YES;
   }
   return server->Continue(connection, request_state);
 }
 
-MHD_Result Server::Continue(MHD_Connection* connection, RequestState& state) {
-  if (state.too_large) {
-    HttpResponse response;
+// Data beyond a limit is read and dropped, so that the caller hears why.
+void Server::TakeBody(RequestState& state, std::string_view data) {
+  if (state.excess != Excess::kNone) {
+    return;
+  }
+  std::string& body = state.request.body;
+  if (body.size() + data.size() > m_options.max_body_bytes) {
+    state.excess = Excess::kBody;
+  } else if (m_body_bytes.fetch_add(data.size()) + data.size() >
+             m_options.max_total_body_bytes) {
+    m_body_bytes.fetch_sub(data.size());
+    state.excess = Excess::kAllBodies;
+  } else {
+    state.body_bytes += data.size();
+    body.append(data);
+    return;
+  }
+  body = std::string();
+  ReleaseBody(state);
+}
+
+void Server::ReleaseBody(RequestState& state) {
+  m_body_bytes.fetch_sub(std::exchange(state.body_bytes, 0));
+}
+
+// The answer to a request that was not read to its end.
+HttpResponse ExcessResponse(Excess excess, size_t max_body_bytes) {
+  HttpResponse response;
+  response.headers.push_back({"Azurespur-Fate", "not-run"});
+  if (excess == Excess::kBody) {
     response.status = MHD_HTTP_CONTENT_TOO_LARGE;
-    response.headers.push_back({"Azurespur-Fate", "not-run"});
     response.body = R"({"error":"body larger than )" +
-                    std::to_string(m_options.max_body_bytes) + R"( bytes"})";
-    return Queue(connection, std::move(response));
+                    std::to_string(max_body_bytes) + R"( bytes"})";
+  } else {
+    response.status = MHD_HTTP_SERVICE_UNAVAILABLE;
+    response.headers.push_back({"Retry-After", "1"});
+    response.body = R"({"error":"too many bodies at a time"})";
+  }
+  return response;
+}
+
+MHD_Result Server::Continue(MHD_Connection* connection, RequestState& state) {
+  if (state.excess != Excess::kNone) {
+    return Queue(connection,
+                 ExcessResponse(state.excess, m_options.max_body_bytes));
   }
   if (!state.handed_over) {
     state.handed_over = true;
@@ -279,7 +318,7 @@
   return result;
 }
 
-void Server::OnCompleted(void* /*closure*/,
+void Server::OnCompleted(void* closure,
                          MHD_Connection* /*connection*/,
                          void** state,
                          MHD_RequestTerminationCode /*code*/) {
@@ -287,6 +326,7 @@
   if (request_state == nullptr) {
     return;
   }
+  static_cast<Server*>(closure)->ReleaseBody(*request_state);
   request_state->exchange->Complete();
   delete request_state;
   *state = nullptr;
--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -1,7 +1,11 @@
 #include <doctest/doctest.h>
 
+#include <chrono>
+#include <future>
+#include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 
 #include "http/http_client.h"
 #include "http/http_server.h"
@@ -53,6 +57,49 @@
   CHECK(base::Value(client->Fetch(call)).status == 413);
 }
 
+TEST_CASE("bodies beyond the total are refused until others are answered") {
+  HttpServerOptions options;
+  options.max_total_body_bytes = 150;
+  std::shared_ptr<HttpReply> held;
+  std::promise<void> arrived;
+  auto server = base::Value(StartHttpServer(
+      options, [&](HttpRequest request, std::shared_ptr<HttpReply> reply) {
+        if (request.path == "/hold") {
+          held = std::move(reply);
+          arrived.set_value();
+        } else {
+          reply->Send({});
+        }
+      }));
+  auto client = StartHttpClient();
+  HttpCall call;
+  call.method = "POST";
+  call.url = Url(*server, "/hold");
+  call.body = std::string(100, 'x');
+  call.timeout = std::chrono::seconds(20);
+  std::promise<HttpResult> first;
+  REQUIRE(client->Send(call, [&first](HttpResult result) {
+    first.set_value(std::move(result));
+  }));
+  arrived.get_future().wait();
+  call.url = Url(*server, "/");
+  const HttpResult refused = client->Fetch(call);
+  CHECK(base::Value(refused).status == 503);
+  CHECK(FindField(base::Value(refused).headers, "Azurespur-Fate") == "not-run");
+  held->Send({});
+  CHECK(base::Value(first.get_future().get()).status == 200);
+  client.reset();
+  server->Stop();
+  server = base::Value(StartHttpServer(
+      options,
+      [](HttpRequest, std::shared_ptr<HttpReply> reply) { reply->Send({}); }));
+  client = StartHttpClient();
+  call.url = Url(*server, "/");
+  for (int i = 0; i < 3; ++i) {
+    CHECK(base::Value(client->Fetch(call)).status == 200);
+  }
+}
+
 TEST_CASE("a refused connection says that nothing was sent") {
   uint16_t port = 0;
   {
--- a/packages/wire/include/wire/peer_message.h
+++ b/packages/wire/include/wire/peer_message.h
@@ -16,8 +16,6 @@
   kSlotShare = 10,    // Executor slots lent and returned.
   kOnceQuery = 20,    // Asks the holder of a once-claim for its answer.
   kTaskFate = 30,     // Asks a peer for a task's fate.
-  kStartNotice = 31,  // Tells peers of a start before it is made.
-  kTaskQuery = 32,    // Asks a peer which start notices it holds.
   kState = 40,        // Asks a peer for its copy of the log streams' state.
   kListsReport = 50,  // List versions and digests in force.
 };
