--- a/packages/control/src/peer_service.cc
+++ b/packages/control/src/peer_service.cc
@@ -18,6 +18,7 @@
 #include "datagram_port.h"
 #include "frame_acceptor.h"
 #include "frame_connection.h"
+#include "peer_calls.h"
 #include "peer_table.h"
 #include "wire/heartbeat.h"
 #include "wire/peer_answer.h"
@@ -33,7 +34,6 @@
 constexpr size_t kMaxHandles = 4096;
 constexpr int kFreePortTries = 64;
 constexpr base::Millis kReactorWait{50};
-constexpr base::Millis kServerFrameTimeout{10000};
 constexpr size_t kMaxDatagramPayloadBytes = 32 << 10;
 
 // A message handed from any thread to the peers' thread.
@@ -61,9 +61,12 @@
         m_ring(options.queue_size),
         m_reactor(new ACE_Dev_Poll_Reactor(kMaxHandles), true),
         m_datagrams([this](std::string_view bytes) { OnDatagram(bytes); }),
-        m_acceptor([this] { return MakeServerConnection(); },
+        m_calls(m_reactor,
+                clock,
+                [this](const std::string& frame) { return Answer(frame); }),
+        m_acceptor([this] { return m_calls.MakeServed(); },
                    [this](std::unique_ptr<FrameConnection> connection) {
-                     Adopt(std::move(connection));
+                     m_calls.Adopt(std::move(connection));
                    }),
         m_table(options) {}
   Service(const Service&) = delete;
@@ -89,24 +92,13 @@
   size_t RankInDomain() const override;
 
  private:
-  struct ClientCall {
-    Done done;
-    bool finished = false;
-  };
-
   // Binds UDP and TCP to one port; nothing stays bound if that fails.
   bool Bind(const ACE_INET_Addr& address);
   void Run();
   void DrainRing();
+  // Ends the requests that were never sent.
+  void EndQueued();
   void SendDatagram(const Outgoing& outgoing, const ACE_INET_Addr& to);
-  void BeginCall(Outgoing outgoing, const ACE_INET_Addr& to);
-  void FinishCall(FrameConnection& connection,
-                  base::Outcome<std::string> outcome);
-  std::unique_ptr<FrameConnection> MakeServerConnection();
-  void Adopt(std::unique_ptr<FrameConnection> connection);
-  void Forget(FrameConnection& connection);
-  void CloseExpired(MonoTime now);
-  void CloseAll();
   void Beat(MonoTime now);
   void OnDatagram(std::string_view bytes);
   std::string Answer(const std::string& frame);
@@ -132,9 +124,8 @@
   // Reactor's thread only.
   ACE_Reactor m_reactor;
   DatagramPort m_datagrams;
+  PeerCalls m_calls;
   FrameAcceptor m_acceptor;
-  std::map<FrameConnection*, std::unique_ptr<FrameConnection>> m_connections;
-  std::map<FrameConnection*, ClientCall> m_calls;
   MonoTime m_next_near_beat{};
   MonoTime m_next_far_beat{};
 
@@ -186,7 +177,8 @@
     m_reactor.notify();
     m_thread.join();
   }
-  CloseAll();
+  m_calls.CloseAll();
+  EndQueued();
   m_datagrams.Close();
   m_acceptor.Close();
 }
@@ -281,7 +273,7 @@
     DrainRing();
     const MonoTime now = m_clock.Now();
     Beat(now);
-    CloseExpired(now);
+    m_calls.CloseExpired(now);
   }
   m_reactor.owner(ACE_OS::thr_self());
 }
@@ -301,7 +293,11 @@
       continue;
     }
     if (outgoing->over_tcp) {
-      BeginCall(std::move(*outgoing), to);
+      m_sent.Add(1);
+      m_sent_bytes.Add(static_cast<int64_t>(outgoing->bytes.size()));
+      m_calls.Begin({std::move(outgoing->vm), std::move(outgoing->bytes),
+                     outgoing->deadline, std::move(outgoing->done)},
+                    to);
     } else {
       SendDatagram(*outgoing, to);
     }
@@ -314,92 +310,7 @@
   m_datagrams.Send(outgoing.bytes, to);
 }
 
-void Service::BeginCall(Outgoing outgoing, const ACE_INET_Addr& to) {
-  m_sent.Add(1);
-  m_sent_bytes.Add(static_cast<int64_t>(outgoing.bytes.size()));
-  auto connection = std::make_unique<FrameConnection>(
-      outgoing.deadline,
-      [this](FrameConnection& from, std::string frame) {
-        const auto answer = wire::Decode<wire::PeerAnswer>(frame);
-        if (!base::Ok(answer)) {
-          FinishCall(from, base::GetError(answer));
-        } else if (!base::Value(answer).ok) {
-          const auto code =
-              static_cast<base::ErrorCode>(base::Value(answer).error_code);
-          FinishCall(from, base::Error{code, base::Value(answer).payload});
-        } else {
-          FinishCall(from, base::Value(answer).payload);
-        }
-      },
-      [this](FrameConnection& closed) {
-        FinishCall(closed, base::Error{base::ErrorCode::kUnknown,
-                                       "peer closed before its answer"});
-        Forget(closed);
-      });
-  FrameConnection* raw = connection.get();
-  m_calls[raw] = ClientCall{std::move(outgoing.done)};
-  m_connections[raw] = std::move(connection);
-  if (!raw->OpenConnecting(m_reactor, to)) {
-    FinishCall(*raw, base::Error{base::ErrorCode::kUnavailable,
-                                 "VM \"" + outgoing.vm + "\" refused"});
-    Forget(*raw);
-    return;
-  }
-  raw->SendFrame(outgoing.bytes, false);
-}
-
-void Service::FinishCall(FrameConnection& connection,
-                         base::Outcome<std::string> outcome) {
-  const auto it = m_calls.find(&connection);
-  if (it == m_calls.end() || it->second.finished) {
-    return;
-  }
-  it->second.finished = true;
-  const Done done = std::move(it->second.done);
-  done(std::move(outcome));
-}
-
-std::unique_ptr<FrameConnection> Service::MakeServerConnection() {
-  return std::make_unique<FrameConnection>(
-      m_clock.Now() + kServerFrameTimeout,
-      [this](FrameConnection& from, std::string frame) {
-        from.SendFrame(Answer(frame), true);
-      },
-      [this](FrameConnection& closed) { Forget(closed); });
-}
-
-void Service::Adopt(std::unique_ptr<FrameConnection> connection) {
-  FrameConnection* raw = connection.get();
-  m_connections[raw] = std::move(connection);
-  if (!raw->OpenAccepted(m_reactor)) {
-    Forget(*raw);
-  }
-}
-
-void Service::Forget(FrameConnection& connection) {
-  m_calls.erase(&connection);
-  m_connections.erase(&connection);
-}
-
-void Service::CloseExpired(MonoTime now) {
-  std::vector<FrameConnection*> expired;
-  for (const auto& [raw, connection] : m_connections) {
-    const auto call = m_calls.find(raw);
-    const bool finished = call != m_calls.end() && call->second.finished;
-    if (finished || connection->deadline() <= now) {
-      expired.push_back(raw);
-    }
-  }
-  for (FrameConnection* raw : expired) {
-    m_reactor.remove_handler(raw, ACE_Event_Handler::ALL_EVENTS_MASK);
-  }
-}
-
-void Service::CloseAll() {
-  while (!m_connections.empty()) {
-    m_reactor.remove_handler(m_connections.begin()->first,
-                             ACE_Event_Handler::ALL_EVENTS_MASK);
-  }
+void Service::EndQueued() {
   while (std::optional<Outgoing> outgoing = m_ring.Pop()) {
     if (outgoing->done) {
       outgoing->done(
