Name every measurement in tools/bench.sh; check the seeds of the fault campaign

Cause: bench_placement was not found by tools/bench.sh, its build file is in a folder of its own; a last seed below the first printed 2^64 runs. Conclusion: both build files are read; a wrong seed names field and value.

--- a/bench/task_faults.cc
+++ b/bench/task_faults.cc
@@ -1,16 +1,31 @@
 // Plays seeded fault runs over the real controllers in virtual time and prints
 // what was violated. Usage: bench_task_faults FIRST_SEED LAST_SEED
 
+#include <CLI/CLI.hpp>
 #include <cstdint>
-#include <cstdlib>
 #include <iostream>
 
 #include "fault_plan.h"
 
+namespace {
+
+constexpr int kExitUsage = 2;
+
+}  // namespace
+
 int main(int argc, char** argv) {
   using azurespur::control::FaultRun;
-  const uint64_t first = argc > 1 ? std::strtoull(argv[1], nullptr, 10) : 1;
-  const uint64_t last = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 200;
+  CLI::App app("Seeded fault runs over the controllers in virtual time");
+  uint64_t first = 1;
+  uint64_t last = 200;
+  app.add_option("first", first, "First seed");
+  app.add_option("last", last, "Last seed");
+  CLI11_PARSE(app, argc, argv);
+  if (last < first) {
+    std::cerr << "bench_task_faults: last: " << last
+              << " is not allowed: at least first (" << first << ")\n";
+    return kExitUsage;
+  }
   FaultRun total;
   size_t violations = 0;
   for (uint64_t seed = first; seed <= last; ++seed) {
--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -4,18 +4,19 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
+lists=(bench/CMakeLists.txt bench/*/CMakeLists.txt)
+
 if [ "$#" -eq 0 ]; then
   echo "usage: tools/bench.sh NAME [ARGUMENT...]"
   echo "measurements:"
-  grep -oE 'bench_[a-z0-9_]+' bench/CMakeLists.txt | sort -u |
-    sed 's/^bench_/  /'
+  grep -ohE '\bbench_[a-z0-9_]+' "${lists[@]}" | sort -u | sed 's/^bench_/  /'
   exit 0
 fi
 
 name="$1"
 shift
-if ! grep -qE "\bbench_$name\b" bench/CMakeLists.txt; then
-  echo "measurement \"$name\" does not exist in bench/CMakeLists.txt" >&2
+if ! grep -qE "\bbench_$name\b" "${lists[@]}"; then
+  echo "measurement \"$name\" does not exist under bench" >&2
   exit 2
 fi
 tools/build.sh release >&2
