Leave the relay's accept mask alone unless it changes

The control thread set the mask that was set already, while the reactor's thread could be in an upcall of the same handler and restore its own.

--- a/testing/standins/include/standins/tcp_relay.h
+++ b/testing/standins/include/standins/tcp_relay.h
@@ -48,6 +48,7 @@
   std::mutex& m_mutex;
   Timer& m_timer;
   ACE_SOCK_Acceptor m_acceptor;
+  bool m_accepts = true;  // Registered for new connections.
   std::vector<std::shared_ptr<TcpRelayEnd>> m_ends;
   // Closed ends, kept until no upcall can still be in them.
   std::vector<std::shared_ptr<TcpRelayEnd>> m_closed;
--- a/testing/standins/src/tcp_relay.cc
+++ b/testing/standins/src/tcp_relay.cc
@@ -41,10 +41,16 @@
     end->SetReading(!m_link.cut);
     end->Flush();
   }
-  // New connections wait in the listen queue while the link is cut.
-  reactor()->mask_ops(this, ACE_Event_Handler::ACCEPT_MASK,
-                      m_link.cut && !m_link.reset ? ACE_Reactor::CLR_MASK
-                                                  : ACE_Reactor::ADD_MASK);
+  // New connections wait in the listen queue while the link is cut. The mask is
+  // left alone unless it changes: the reactor's thread may be in an upcall of
+  // this handler, and would then restore the mask that it had before.
+  const bool accepts = !m_link.cut || m_link.reset;
+  if (accepts != m_accepts) {
+    m_accepts = accepts;
+    reactor()->mask_ops(
+        this, ACE_Event_Handler::ACCEPT_MASK,
+        accepts ? ACE_Reactor::ADD_MASK : ACE_Reactor::CLR_MASK);
+  }
 }
 
 ACE_HANDLE TcpRelay::get_handle() const {
