Run both fleets of stand-ins by one main part

Cause: standin_workers and standin_executors had the same main, 45 lines each. Ruled out: merging their options (they differ). Conclusion: RunFleet serves both; behaviour, flags and the READY lines unchanged.

--- a/testing/standins/programs/standin_workers.cc
+++ b/testing/standins/programs/standin_workers.cc
@@ -1,28 +1,17 @@
 // Stand-in for the workers of one failure domain.
 
 #include <CLI/CLI.hpp>
-#include <cstdint>
-#include <memory>
 
-#include "standins/journal.h"
+#include "standins/fleet_program.h"
 #include "standins/program.h"
-#include "standins/server.h"
-#include "standins/timer.h"
 #include "standins/worker_fleet.h"
 
 using namespace azurespur;
 
 namespace {
 
-constexpr unsigned kMaxConnections = 256;
-
-struct ProgramOptions {
-  standins::WorkerFleetOptions fleet;
-  uint16_t control_port = 0;
-  std::string journal;
-  size_t journal_lines = 1'000'000;
-  unsigned threads = 4;
-};
+using ProgramOptions =
+    standins::FleetProgramOptions<standins::WorkerFleetOptions>;
 
 void AddOptions(CLI::App& app, ProgramOptions& options) {
   standins::WorkerFleetOptions& fleet = options.fleet;
@@ -56,32 +45,5 @@
   ProgramOptions options;
   AddOptions(app, options);
   CLI11_PARSE(app, argc, argv);
-
-  standins::Journal journal(options.journal, options.journal_lines);
-  if (!journal.Good()) {
-    return standins::FailStart("--journal: \"" + options.journal +
-                               "\" can't be written");
-  }
-  // Declared first because the threads of timer and server use it.
-  std::unique_ptr<standins::WorkerFleet> fleet;
-  standins::Timer timer;
-  auto server = standins::StartServer(options.threads);
-  if (!base::Ok(server)) {
-    return standins::FailStart(base::GetError(server).message);
-  }
-  fleet = std::make_unique<standins::WorkerFleet>(
-      options.fleet, *base::Value(server), timer, journal);
-  const auto started = fleet->Start();
-  if (!base::Ok(started)) {
-    return standins::FailStart(base::GetError(started).message);
-  }
-  const auto control = base::Value(server)->Listen(
-      options.control_port, kMaxConnections,
-      [&](auto request, auto reply) { fleet->HandleControl(request, *reply); });
-  if (!base::Ok(control)) {
-    return standins::FailStart(base::GetError(control).message);
-  }
-  standins::PrintReady("workers-control", base::Value(control));
-  standins::WaitForStop();
-  return 0;
+  return standins::RunFleet<standins::WorkerFleet>(options, "workers-control");
 }
