--- a/bench/control/bench_control.cc
+++ b/bench/control/bench_control.cc
@@ -23,7 +23,7 @@
 #include "fake_log_service.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
-#include "platform/vm_list.h"
+#include "services/vm_list.h"
 
 namespace azurespur {
 namespace {
@@ -44,19 +44,19 @@
 
 class FixedDirectory : public control::VmDirectory {
  public:
-  std::shared_ptr<const platform::VmListPage> Current() const override {
+  std::shared_ptr<const services::VmListPage> Current() const override {
     std::lock_guard<std::mutex> lock(m_mutex);
     return m_page;
   }
-  void Set(platform::VmListPage page) {
+  void Set(services::VmListPage page) {
     std::lock_guard<std::mutex> lock(m_mutex);
-    m_page = std::make_shared<const platform::VmListPage>(std::move(page));
+    m_page = std::make_shared<const services::VmListPage>(std::move(page));
   }
 
  private:
   mutable std::mutex m_mutex;
-  std::shared_ptr<const platform::VmListPage> m_page =
-      std::make_shared<platform::VmListPage>();
+  std::shared_ptr<const services::VmListPage> m_page =
+      std::make_shared<services::VmListPage>();
 };
 
 // Heartbeats of `vms` VMs, three to a failure domain, for `seconds`.
@@ -65,7 +65,7 @@
   FixedDirectory directory;
   std::vector<std::unique_ptr<base::Metrics>> metrics;
   std::vector<std::unique_ptr<control::PeerService>> services;
-  platform::VmListPage page;
+  services::VmListPage page;
   page.version = 1;
   for (int i = 0; i < vms; ++i) {
     control::PeerBusOptions options;
@@ -78,7 +78,7 @@
       std::printf("peers vms=%d: a port can't be bound\n", vms);
       return;
     }
-    platform::Vm vm;
+    services::Vm vm;
     vm.id = options.vm_id;
     vm.domain = options.domain;
     vm.peer_address = "127.0.0.1:" + std::to_string(services.back()->port());
@@ -202,7 +202,7 @@
         reply->Send(std::move(response));
       }));
   auto client = http::StartHttpClient();
-  auto list = platform::MakeHttpVmList(
+  auto list = services::MakeHttpVmList(
       *client, "http://127.0.0.1:" + std::to_string(server->port()));
   double changed = 0;
   double unchanged = 0;
--- a/bench/requests/bench_requests_http.cc
+++ b/bench/requests/bench_requests_http.cc
@@ -26,7 +26,7 @@
 #include "filters/request_service.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
-#include "platform/executor_client.h"
+#include "services/executor_client.h"
 
 namespace azurespur::bench {
 
@@ -115,11 +115,11 @@
   explicit Entry(const Executors& executors)
       : m_ledger(base::Millis(600000)),
         m_client(http::StartHttpClient()),
-        m_executors(platform::MakeHttpExecutorClient(*m_client)) {
+        m_executors(services::MakeHttpExecutorClient(*m_client)) {
     for (size_t i = 0; i < executors.size(); ++i) {
-      m_vms.Add(executors.Address(i), platform::VmKind::kExecutor);
+      m_vms.Add(executors.Address(i), services::VmKind::kExecutor);
     }
-    m_vms.Add("e1", platform::VmKind::kEntry);
+    m_vms.Add("e1", services::VmKind::kEntry);
     filters::RequestServiceOptions options;
     options.slot_quiet = base::Millis(1);
     m_service = std::make_unique<filters::RequestService>(
@@ -154,7 +154,7 @@
   filters::OnceLedger m_ledger;
   base::Metrics m_metrics;
   std::unique_ptr<http::HttpClient> m_client;
-  std::unique_ptr<platform::ExecutorClient> m_executors;
+  std::unique_ptr<services::ExecutorClient> m_executors;
   std::unique_ptr<filters::RequestService> m_service;
   std::unique_ptr<http::HttpServer> m_server;
 };
--- a/cmake/azurespur.cmake
+++ b/cmake/azurespur.cmake
@@ -30,7 +30,7 @@
 # azurespur_tests(NAME DEPS...) makes ${NAME}_test from tests/*_test.cc.
 function(azurespur_tests name)
   file(GLOB tests CONFIGURE_DEPENDS tests/*_test.cc)
-  if(tests)
+  if(tests AND AZURESPUR_TESTS)
     add_executable(${name}_test ${tests} ${CMAKE_SOURCE_DIR}/testing/test_main.cc)
     target_include_directories(${name}_test PRIVATE src)
     target_link_libraries(${name}_test PRIVATE ${name} ${ARGN} doctest::doctest)
--- a/packages/base/include/base/clock.h
+++ b/packages/base/include/base/clock.h
@@ -28,6 +28,10 @@
 // The clock of the operating system. Lives for the whole process.
 const Clock& SystemClock();
 
+// As SystemClock(), but its monotonic time goes on while the VM is suspended.
+// Leases are kept in it.
+const Clock& SuspendAwareClock();
+
 // Whole milliseconds from `from` to `to`, negative if `to` is earlier.
 int64_t MillisBetween(MonoTime from, MonoTime to);
 
--- a/packages/base/include/base/event_log.h
+++ b/packages/base/include/base/event_log.h
@@ -26,6 +26,12 @@
 // Starts glog, writing to standard error. Call once, first thing in main().
 void InitEventLog(const char* program);
 
+// From here on events are JSON lines on standard output, written by a thread of
+// its own: at most `lines_per_second`, and what is left out is counted. Never
+// blocks the caller. StopJsonEvents() writes what waits.
+void StartJsonEvents(int lines_per_second);
+void StopJsonEvents();
+
 }  // namespace azurespur::base
 
 #endif  // BASE_EVENT_LOG_H_
--- a/packages/base/src/clock.cc
+++ b/packages/base/src/clock.cc
@@ -1,5 +1,7 @@
 #include "base/clock.h"
 
+#include <ctime>
+
 namespace azurespur::base {
 
 namespace {
@@ -18,8 +20,24 @@
   }
 };
 
+class BootTimeClock : public OsClock {
+ public:
+  MonoTime Now() const override {
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    return MonoTime{std::chrono::duration_cast<Micros>(
+        std::chrono::seconds{time.tv_sec} +
+        std::chrono::nanoseconds{time.tv_nsec})};
+  }
+};
+
 }  // namespace
 
+const Clock& SuspendAwareClock() {
+  static const BootTimeClock clock;
+  return clock;
+}
+
 const Clock& SystemClock() {
   static const OsClock clock;
   return clock;
--- a/packages/base/src/event_log.cc
+++ b/packages/base/src/event_log.cc
@@ -2,6 +2,8 @@
 
 #include <glog/logging.h>
 
+#include "json_event_writer.h"
+
 namespace azurespur::base {
 
 namespace {
@@ -40,6 +42,10 @@
               std::string_view id,
               std::string_view text,
               std::initializer_list<EventField> fields) {
+  if (JsonEventWriter* writer = JsonEventWriter::Current()) {
+    writer->Write(severity, id, text, fields);
+    return;
+  }
   std::string line(id);
   line += ' ';
   line += text;
@@ -57,4 +63,12 @@
   google::InitGoogleLogging(program);
 }
 
+void StartJsonEvents(int lines_per_second) {
+  JsonEventWriter::Start(lines_per_second);
+}
+
+void StopJsonEvents() {
+  JsonEventWriter::Stop();
+}
+
 }  // namespace azurespur::base
--- /dev/null
+++ b/packages/cell/include/cell/fenced_log.h
@@ -0,0 +1,81 @@
+// Interface to an append-only log with conditional and fenced appends.
+
+#ifndef CELL_FENCED_LOG_H_
+#define CELL_FENCED_LOG_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+
+namespace azurespur::cell {
+
+// A writer whose appends are numbered, so that a repeat has no effect. An
+// append with a lower epoch than the log has seen is rejected.
+struct Producer {
+  std::string name;
+  uint64_t epoch = 0;
+  uint64_t sequence = 0;
+};
+
+struct AppendCall {
+  std::string topic;
+  std::vector<std::string> records;
+  std::optional<int64_t> expected_end;  // Appends only at this offset.
+  std::optional<Producer> producer;
+  base::Millis timeout{500};
+};
+
+enum class AppendStatus {
+  kAppended,
+  kWrongEnd,       // The log does not end at `expected_end`.
+  kFenced,         // A higher epoch was seen.
+  kWrongSequence,  // Not the next number of this producer.
+  kRefused,        // Had no effect; may be repeated.
+  kUnknown,        // May have had, or may still have, an effect.
+};
+
+struct AppendResult {
+  AppendStatus status = AppendStatus::kUnknown;
+  int64_t offset = 0;  // Of the first record, if appended.
+};
+
+struct ReadCall {
+  std::string topic;
+  int64_t from = 0;
+  base::Millis wait{0};  // For a record, if there is none yet.
+  base::Millis timeout{500};
+};
+
+enum class ReadStatus {
+  kRead,
+  kTrimmed,  // Records from `from` on are gone; `first` is the oldest.
+  kFailed,
+};
+
+struct ReadResult {
+  ReadStatus status = ReadStatus::kFailed;
+  int64_t end = 0;
+  int64_t first = 0;
+  std::vector<std::string> records;  // From the asked offset on.
+};
+
+std::string_view AppendStatusName(AppendStatus status);
+
+class FencedLog {
+ public:
+  virtual ~FencedLog() = default;
+
+  // The callbacks run on another thread and must not block.
+  virtual void Append(AppendCall call,
+                      std::function<void(AppendResult)> done) = 0;
+  virtual void Read(ReadCall call, std::function<void(ReadResult)> done) = 0;
+};
+
+}  // namespace azurespur::cell
+
+#endif  // CELL_FENCED_LOG_H_
--- /dev/null
+++ b/packages/cell/include/cell/messages.h
@@ -0,0 +1,76 @@
+// Datagrams between the VMs of a cell. Each may be lost; the log has all that
+// matters.
+
+#ifndef CELL_MESSAGES_H_
+#define CELL_MESSAGES_H_
+
+#include <cereal/types/string.hpp>
+#include <cereal/types/variant.hpp>
+#include <cereal/types/vector.hpp>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "jobs/orders.h"
+
+namespace azurespur::cell {
+
+enum class Stream : uint8_t { kIntake, kWork };
+
+// Records that were just appended. Without records: only that there are some.
+struct RecordsNotice {
+  Stream stream = Stream::kIntake;
+  int64_t offset = 0;
+  std::vector<std::string> records;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(stream, offset, records);
+  }
+};
+
+// A follower lives and can ask for advice.
+struct Hello {
+  std::string vm;
+  std::string address;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(vm, address);
+  }
+};
+
+// The leader wants advice asked for.
+struct AdviceRequest {
+  uint64_t epoch = 0;
+  uint64_t query_id = 0;
+  jobs::JobId job = 0;
+  int32_t step = 0;
+  std::vector<std::string> workers;
+  int64_t timeout_ms = 0;
+  std::string reply_to;  // "IP:PORT".
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(epoch, query_id, job, step, workers, timeout_ms, reply_to);
+  }
+};
+
+struct AdviceReply {
+  uint64_t epoch = 0;
+  uint64_t query_id = 0;
+  bool ok = false;
+  std::vector<jobs::AdviceTicket> tickets;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(epoch, query_id, ok, tickets);
+  }
+};
+
+using Message = std::variant<RecordsNotice, Hello, AdviceRequest, AdviceReply>;
+
+}  // namespace azurespur::cell
+
+#endif  // CELL_MESSAGES_H_
--- /dev/null
+++ b/packages/cell/include/cell/node_options.h
@@ -0,0 +1,35 @@
+// Settings of a VM of the cell.
+
+#ifndef CELL_NODE_OPTIONS_H_
+#define CELL_NODE_OPTIONS_H_
+
+#include <string>
+
+#include "base/clock.h"
+#include "jobs/scheduler_options.h"
+
+namespace azurespur::cell {
+
+struct NodeOptions {
+  std::string vm;
+  std::string peer_address;  // "IP:PORT", where datagrams of peers arrive.
+  double cpu_share = 1;      // Of a core; larger VMs stand for leader earlier.
+  jobs::SchedulerOptions scheduler;
+
+  base::Millis leader_silence{1500};      // Then the leader counts as gone.
+  base::Millis mark_interval{500};        // A leader appends at least so often.
+  base::Millis poll_interval{1000};       // Of both streams, by a follower.
+  base::Millis alert_poll_interval{200};  // While the leader is silent.
+  base::Millis leader_poll_interval{400};  // Of the intake, by the leader.
+  base::Millis hello_interval{500};
+  base::Millis peer_silence{1300};  // Then a follower is not asked to help.
+  base::Millis directory_interval{250};
+  base::Millis append_timeout{500};
+  base::Millis ready_contact{1500};  // Ready: the log answered so lately.
+  base::Millis keep_final{180000};   // States of finished jobs.
+  base::Millis plan_interval{15};    // Shortest time between two plans.
+};
+
+}  // namespace azurespur::cell
+
+#endif  // CELL_NODE_OPTIONS_H_
--- /dev/null
+++ b/packages/cell/include/cell/topics.h
@@ -0,0 +1,18 @@
+// Names of the log streams of a cell.
+
+#ifndef CELL_TOPICS_H_
+#define CELL_TOPICS_H_
+
+#include <string_view>
+
+namespace azurespur::cell {
+
+inline constexpr std::string_view kIntakeTopic = "azurespur.intake";
+inline constexpr std::string_view kWorkTopic = "azurespur.work";
+
+// Numbers the appends to the work stream; its epoch fences earlier leaders.
+inline constexpr std::string_view kLeaderProducer = "leader";
+
+}  // namespace azurespur::cell
+
+#endif  // CELL_TOPICS_H_
--- /dev/null
+++ b/packages/cell/src/election.cc
@@ -0,0 +1,37 @@
+#include "election.h"
+
+#include <algorithm>
+
+namespace azurespur::cell {
+
+namespace {
+
+// With terms below 2^33, epochs stay exact in the numbers of JSON.
+constexpr unsigned kNonceBits = 20;
+
+}  // namespace
+
+uint64_t NextEpoch(uint64_t epoch, uint64_t nonce) {
+  const uint64_t term = (epoch >> kNonceBits) + 1;
+  return (term << kNonceBits) | (nonce & ((uint64_t{1} << kNonceBits) - 1));
+}
+
+bool ShouldStand(const ElectionView& view,
+                 const ElectionTiming& timing,
+                 base::MonoTime started,
+                 base::MonoTime now) {
+  if (!view.caught_up || view.draining) {
+    return false;
+  }
+  const base::MonoTime since = std::max(view.last_advance, started);
+  if (view.epoch == 0 || view.yielded || view.was_me) {
+    return now >= since + timing.jitter;
+  }
+  // Silence counts only if the log itself said so after the time was over.
+  const base::MonoTime silent_at =
+      since + timing.leader_silence + timing.jitter;
+  return now >= silent_at && view.last_read >= since + timing.leader_silence &&
+         now <= view.last_read + timing.read_age;
+}
+
+}  // namespace azurespur::cell
--- /dev/null
+++ b/packages/cell/src/intake_writer.cc
@@ -0,0 +1,132 @@
+#include "intake_writer.h"
+
+#include <algorithm>
+#include <iterator>
+#include <memory>
+#include <utility>
+
+#include "base/event_log.h"
+
+namespace azurespur::cell {
+
+namespace {
+
+constexpr size_t kMaxBatchRecords = 64;
+constexpr size_t kMaxBatchBytes = 256 << 10;
+// A second append is sent while the first waits for an answer, so that one
+// lost answer does not hold up all callers.
+constexpr int kMaxInFlight = 4;
+constexpr int kMaxTries = 4;
+constexpr base::Millis kPauseAfterRefusal{60};
+
+}  // namespace
+
+IntakeWriter::IntakeWriter(FencedLog& log,
+                           Mailbox& mailbox,
+                           const base::Clock& clock,
+                           std::string topic,
+                           base::Millis timeout,
+                           OnStored on_stored)
+    : m_log(log),
+      m_mailbox(mailbox),
+      m_clock(clock),
+      m_topic(std::move(topic)),
+      m_timeout(timeout),
+      m_on_stored(std::move(on_stored)) {}
+
+void IntakeWriter::Store(std::string record,
+                         base::MonoTime deadline,
+                         Done done) {
+  Item item;
+  item.record = std::move(record);
+  item.deadline = deadline;
+  item.done = std::move(done);
+  m_waiting.push_back(std::move(item));
+  Flush();
+}
+
+void IntakeWriter::Tick(base::MonoTime now) {
+  for (size_t i = m_waiting.size(); i-- > 0;) {
+    if (m_waiting[i].deadline <= now) {
+      Item item = std::move(m_waiting[i]);
+      m_waiting.erase(m_waiting.begin() + static_cast<std::ptrdiff_t>(i));
+      item.done(item.uncertain ? StoreOutcome::kUnknown
+                               : StoreOutcome::kNotStored);
+    }
+  }
+  Flush();
+}
+
+void IntakeWriter::Flush() {
+  const base::MonoTime now = m_clock.Now();
+  while (!m_waiting.empty() && m_in_flight < kMaxInFlight &&
+         now >= m_pause_until) {
+    auto items = std::make_shared<std::vector<Item>>();
+    AppendCall call;
+    call.topic = m_topic;
+    call.timeout = m_timeout;
+    size_t bytes = 0;
+    while (!m_waiting.empty() && items->size() < kMaxBatchRecords &&
+           bytes < kMaxBatchBytes) {
+      bytes += m_waiting.front().record.size();
+      call.records.push_back(m_waiting.front().record);
+      items->push_back(std::move(m_waiting.front()));
+      m_waiting.pop_front();
+    }
+    ++m_in_flight;
+    m_log.Append(std::move(call), [this, items](AppendResult result) {
+      m_mailbox.Push([this, items, result] {
+        --m_in_flight;
+        OnAppend(std::move(*items), result);
+      });
+    });
+  }
+}
+
+void IntakeWriter::OnAppend(std::vector<Item> items,
+                            const AppendResult& result) {
+  const base::MonoTime now = m_clock.Now();
+  if (result.status == AppendStatus::kAppended) {
+    m_failures = 0;
+    std::vector<std::string> records;
+    records.reserve(items.size());
+    for (Item& item : items) {
+      records.push_back(std::move(item.record));
+    }
+    m_on_stored(result.offset, records);
+    for (Item& item : items) {
+      item.done(StoreOutcome::kStored);
+    }
+    Flush();
+    return;
+  }
+  ++m_failures;
+  base::LogEvent(base::Severity::kWarning, "AZ8204",
+                 "append of submissions failed",
+                 {{"status", std::string(AppendStatusName(result.status))},
+                  {"records", std::to_string(items.size())},
+                  {"failures_in_row", std::to_string(m_failures)}});
+  const bool unknown = result.status == AppendStatus::kUnknown;
+  if (!unknown) {
+    m_pause_until = now + kPauseAfterRefusal;
+  }
+  for (Item& item : items) {
+    item.uncertain = item.uncertain || unknown;
+    ++item.tries;
+    Retry(std::move(item), now);
+  }
+  Flush();
+}
+
+void IntakeWriter::Retry(Item item, base::MonoTime now) {
+  const bool hopeless =
+      item.deadline <= now || item.tries >= kMaxTries || failing();
+  if (hopeless) {
+    item.done(item.uncertain ? StoreOutcome::kUnknown
+                             : StoreOutcome::kNotStored);
+    return;
+  }
+  m_waiting.push_back(std::move(item));
+}
+
+}  // namespace azurespur::cell
--- /dev/null
+++ b/packages/cell/src/intake_writer.h
@@ -0,0 +1,76 @@
+// Appends submissions and cancellations, batched, and tells each caller
+// whether its record is stored.
+
+#ifndef CELL_SRC_INTAKE_WRITER_H_
+#define CELL_SRC_INTAKE_WRITER_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "cell/fenced_log.h"
+#include "cell/mailbox.h"
+
+namespace azurespur::cell {
+
+enum class StoreOutcome {
+  kStored,
+  kNotStored,  // And never will be.
+  kUnknown,    // May be stored, now or later.
+};
+
+class IntakeWriter {
+ public:
+  using Done = std::function<void(StoreOutcome)>;
+  // Records were stored at an offset.
+  using OnStored =
+      std::function<void(int64_t offset, const std::vector<std::string>&)>;
+
+  IntakeWriter(FencedLog& log,
+               Mailbox& mailbox,
+               const base::Clock& clock,
+               std::string topic,
+               base::Millis timeout,
+               OnStored on_stored);
+
+  // `done` runs once, at the latest soon after `deadline`.
+  void Store(std::string record, base::MonoTime deadline, Done done);
+
+  // Sends what waits and was refused before.
+  void Tick(base::MonoTime now);
+
+  // True while appends fail: what comes now is answered after one try.
+  bool failing() const { return m_failures >= 2; }
+  size_t waiting() const { return m_waiting.size(); }
+
+ private:
+  struct Item {
+    std::string record;
+    base::MonoTime deadline{};
+    Done done;
+    bool uncertain = false;  // An earlier try may have been carried out.
+    int tries = 0;
+  };
+
+  void Flush();
+  void OnAppend(std::vector<Item> items, const AppendResult& result);
+  void Retry(Item item, base::MonoTime now);
+
+  FencedLog& m_log;
+  Mailbox& m_mailbox;
+  const base::Clock& m_clock;
+  const std::string m_topic;
+  const base::Millis m_timeout;
+  const OnStored m_on_stored;
+  std::deque<Item> m_waiting;
+  int m_in_flight = 0;
+  int m_failures = 0;  // In a row.
+  base::MonoTime m_pause_until{};
+};
+
+}  // namespace azurespur::cell
+
+#endif  // CELL_SRC_INTAKE_WRITER_H_
--- /dev/null
+++ b/packages/cell/src/leadership.h
@@ -0,0 +1,91 @@
+// One term of a leader: its scheduler, and its numbered appends to the work
+// stream. A record has an effect only once it is stored.
+
+#ifndef CELL_SRC_LEADERSHIP_H_
+#define CELL_SRC_LEADERSHIP_H_
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "cell/fenced_log.h"
+#include "cell/mailbox.h"
+#include "cell/node_options.h"
+#include "cell/topics.h"
+#include "jobs/job_table.h"
+#include "jobs/scheduler.h"
+
+namespace azurespur::cell {
+
+class Leadership : public std::enable_shared_from_this<Leadership> {
+ public:
+  // Records were stored; the table has them once this returns.
+  using OnStored =
+      std::function<void(int64_t offset, const std::vector<std::string>&)>;
+
+  // `sequence` is that of the append that began the term.
+  Leadership(const NodeOptions& options,
+             FencedLog& log,
+             Mailbox& mailbox,
+             const base::Clock& clock,
+             const jobs::JobTable& table,
+             uint64_t epoch,
+             uint64_t sequence,
+             OnStored on_stored);
+
+  uint64_t epoch() const { return m_epoch; }
+  bool lost() const { return m_lost; }
+  base::MonoTime last_append() const { return m_last_append; }
+  jobs::Scheduler& scheduler() { return m_scheduler; }
+  // Filled by calls to the scheduler; Pump() takes the records out of it.
+  jobs::SchedulerOutput& output() { return m_output; }
+
+  // Appends what waits, or a mark if nothing was appended for a while.
+  void Pump(base::MonoTime now, int64_t intake_end);
+
+  // The term ends: nothing more is planned, and a yield is appended last.
+  void Yield();
+  bool yielded() const { return m_yield_stored; }
+
+  // No record is waiting or in flight.
+  bool Idle() const { return m_waiting.empty() && !m_in_flight; }
+
+ private:
+  struct Batch {
+    std::vector<jobs::PendingRecord> pending;
+    std::vector<std::string> records;
+    uint64_t sequence = 0;
+  };
+
+  void Send(base::MonoTime now);
+  void OnAppend(const AppendResult& result, base::MonoTime sent_at);
+
+  const NodeOptions& m_options;
+  FencedLog& m_log;
+  Mailbox& m_mailbox;
+  const base::Clock& m_clock;
+  const uint64_t m_epoch;
+  const OnStored m_on_stored;
+  jobs::Scheduler m_scheduler;
+  jobs::SchedulerOutput m_output;
+  std::deque<jobs::PendingRecord> m_waiting;
+  Batch m_batch;
+  bool m_in_flight = false;  // The batch is sent, or is to be repeated.
+  base::MonoTime m_resend_at{};
+  bool m_sent = false;
+  uint64_t m_next_sequence;
+  int64_t m_marked_intake_end = -1;
+  base::MonoTime m_last_append;
+  base::MonoTime m_last_success;
+  bool m_yielding = false;
+  bool m_yield_stored = false;
+  bool m_lost = false;
+};
+
+}  // namespace azurespur::cell
+
+#endif  // CELL_SRC_LEADERSHIP_H_
--- /dev/null
+++ b/packages/cell/src/log_tail.h
@@ -0,0 +1,76 @@
+// Follows one log stream: applies its records in order, each once.
+
+#ifndef CELL_SRC_LOG_TAIL_H_
+#define CELL_SRC_LOG_TAIL_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/clock.h"
+#include "cell/fenced_log.h"
+#include "cell/mailbox.h"
+
+namespace azurespur::cell {
+
+class LogTail {
+ public:
+  // Returns false if the record can't be applied yet.
+  using Apply = std::function<bool(std::string_view record)>;
+
+  LogTail(FencedLog& log,
+          Mailbox& mailbox,
+          const base::Clock& clock,
+          std::string topic,
+          Apply apply);
+
+  // Reads on from next(), unless a read is in flight. `done`, if any, runs
+  // once a read that was sent after this call has ended: true if it succeeded.
+  void Poll(std::function<void(bool)> done = nullptr);
+
+  // Records known to stand at `offset`. Those that are next are applied; after
+  // a gap a read is started.
+  void Offer(int64_t offset, std::span<const std::string> records);
+
+  const std::string& topic() const { return m_topic; }
+  int64_t next() const { return m_next; }
+  bool reading() const { return m_reading; }
+  // True once a read found no more records.
+  bool caught_up() const { return m_caught_up; }
+  // When the last successful read was sent, and when records last came.
+  base::MonoTime last_read() const { return m_last_read; }
+  base::MonoTime last_advance() const { return m_last_advance; }
+  base::MonoTime last_attempt() const { return m_last_attempt; }
+
+ private:
+  void StartRead();
+  // The records begin at offset `from`.
+  void OnRead(const ReadResult& result, int64_t from, base::MonoTime sent_at);
+  // Applies those of the records that are next. Returns false if one had to
+  // wait.
+  bool ApplyFrom(int64_t offset, std::span<const std::string> records);
+
+  FencedLog& m_log;
+  Mailbox& m_mailbox;
+  const base::Clock& m_clock;
+  const std::string m_topic;
+  const Apply m_apply;
+  int64_t m_next = 0;
+  bool m_reading = false;
+  bool m_applying = false;
+  bool m_caught_up = false;
+  bool m_failing = false;
+  base::MonoTime m_last_read{};
+  base::MonoTime m_last_advance{};
+  base::MonoTime m_last_attempt{};
+  std::vector<std::function<void(bool)>> m_waiting;  // For the next read.
+  std::vector<std::function<void(bool)>> m_in_read;  // For the one in flight.
+};
+
+}  // namespace azurespur::cell
+
+#endif  // CELL_SRC_LOG_TAIL_H_
--- /dev/null
+++ b/packages/cell/src/node_dump.cc
@@ -0,0 +1,62 @@
+#include "node_dump.h"
+
+#include <nlohmann/json.hpp>
+
+namespace azurespur::cell {
+
+namespace {
+
+nlohmann::json DumpJob(const jobs::Job& job) {
+  nlohmann::json steps = nlohmann::json::array();
+  for (const jobs::StepProgress& step : job.steps) {
+    steps.push_back({{"tasks", step.tasks.size()},
+                     {"done", step.done},
+                     {"bound", step.bound},
+                     {"failed_runs", step.failed_runs}});
+  }
+  return {{"job", jobs::FormatJobId(job.spec.id)},
+          {"queue", job.spec.queue},
+          {"state", jobs::JobStateName(job.state)},
+          {"steps", steps}};
+}
+
+nlohmann::json DumpWorker(const jobs::Worker& worker, base::MonoTime now) {
+  const placement::Resources free = jobs::FreeRoom(worker);
+  return {{"worker", worker.entry.boot.id},
+          {"takes_tasks", jobs::TakesTasks(worker, now)},
+          {"runs", worker.runs.size()},
+          {"free_cpu_millis", free.cpu_millis},
+          {"free_memory_mb", free.memory_mb},
+          {"lease_left_ms", base::MillisBetween(now, worker.lease_over)}};
+}
+
+}  // namespace
+
+std::string DumpNode(const NodeView& view,
+                     const jobs::JobTable& table,
+                     const jobs::Fleet* fleet,
+                     base::MonoTime now) {
+  nlohmann::json dump = {{"vm", view.vm},
+                         {"leading", view.leading},
+                         {"ready", view.ready},
+                         {"leader", view.leader.vm},
+                         {"epoch", view.leader.epoch},
+                         {"intake_next", view.intake_next},
+                         {"work_next", view.work_next},
+                         {"policy_version", view.policy_version}};
+  nlohmann::json jobs = nlohmann::json::array();
+  for (const auto& [id, job] : table.jobs()) {
+    jobs.push_back(DumpJob(job));
+  }
+  dump["jobs"] = std::move(jobs);
+  if (fleet != nullptr) {
+    nlohmann::json workers = nlohmann::json::array();
+    for (const auto& [id, worker] : fleet->workers()) {
+      workers.push_back(DumpWorker(worker, now));
+    }
+    dump["workers"] = std::move(workers);
+  }
+  return dump.dump();
+}
+
+}  // namespace azurespur::cell
--- /dev/null
+++ b/packages/cell/src/node_dump.h
@@ -0,0 +1,33 @@
+// A VM's state as JSON, for operators.
+
+#ifndef CELL_SRC_NODE_DUMP_H_
+#define CELL_SRC_NODE_DUMP_H_
+
+#include <cstdint>
+#include <string>
+
+#include "base/clock.h"
+#include "jobs/fleet.h"
+#include "jobs/job_table.h"
+
+namespace azurespur::cell {
+
+struct NodeView {
+  std::string vm;
+  jobs::LeadRecord leader;
+  bool leading = false;
+  bool ready = false;
+  int64_t intake_next = 0;
+  int64_t work_next = 0;
+  int64_t policy_version = 0;
+};
+
+// `fleet` is null unless the VM leads.
+std::string DumpNode(const NodeView& view,
+                     const jobs::JobTable& table,
+                     const jobs::Fleet* fleet,
+                     base::MonoTime now);
+
+}  // namespace azurespur::cell
+
+#endif  // CELL_SRC_NODE_DUMP_H_
--- /dev/null
+++ b/packages/cell/tests/election_test.cc
@@ -0,0 +1,72 @@
+#include "election.h"
+
+#include <doctest/doctest.h>
+
+namespace azurespur::cell {
+
+namespace {
+
+using base::Millis;
+using base::MonoTime;
+
+constexpr MonoTime kStart{Millis{100000}};
+
+ElectionView Follower() {
+  ElectionView view;
+  view.caught_up = true;
+  view.epoch = 7;
+  view.last_advance = kStart;
+  view.last_read = kStart;
+  return view;
+}
+
+}  // namespace
+
+TEST_CASE("a follower stands only once the log itself showed the silence") {
+  const ElectionTiming timing;
+  ElectionView view = Follower();
+  CHECK_FALSE(ShouldStand(view, timing, kStart, kStart + Millis{1600}));
+  view.last_read = kStart + Millis{1550};
+  CHECK(ShouldStand(view, timing, kStart, kStart + Millis{1600}));
+  CHECK_FALSE(ShouldStand(view, timing, kStart, kStart + Millis{2100}));
+}
+
+TEST_CASE("a follower of a leader that records does not stand") {
+  ElectionView view = Follower();
+  view.last_advance = kStart + Millis{1000};
+  view.last_read = kStart + Millis{1550};
+  CHECK_FALSE(ShouldStand(view, {}, kStart, kStart + Millis{1600}));
+}
+
+TEST_CASE("a yield, an earlier life of the VM and an empty log need no wait") {
+  ElectionView view = Follower();
+  view.yielded = true;
+  CHECK(ShouldStand(view, {}, kStart, kStart));
+  view = Follower();
+  view.was_me = true;
+  CHECK(ShouldStand(view, {}, kStart, kStart));
+  view = Follower();
+  view.epoch = 0;
+  CHECK(ShouldStand(view, {}, kStart, kStart));
+}
+
+TEST_CASE("a VM that drains or has not read the log does not stand") {
+  ElectionView view = Follower();
+  view.yielded = true;
+  view.draining = true;
+  CHECK_FALSE(ShouldStand(view, {}, kStart, kStart));
+  view.draining = false;
+  view.caught_up = false;
+  CHECK_FALSE(ShouldStand(view, {}, kStart, kStart));
+}
+
+TEST_CASE("epochs rise, differ between VMs and are exact in JSON") {
+  const uint64_t first = NextEpoch(0, 0xfffffffffULL);
+  const uint64_t other = NextEpoch(0, 1);
+  CHECK(first != other);
+  CHECK(NextEpoch(first, 0) > first);
+  CHECK(NextEpoch(other, 0) > first);
+  CHECK(NextEpoch(uint64_t{1} << 51, 5) < uint64_t{1} << 53);
+}
+
+}  // namespace azurespur::cell
--- /dev/null
+++ b/packages/cell/tests/log_tail_test.cc
@@ -0,0 +1,112 @@
+#include "log_tail.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+#include <vector>
+
+#include "fake_log.h"
+
+namespace azurespur::cell {
+
+namespace {
+
+struct TailFixture {
+  void Append(const std::string& record) {
+    log.topics["t"].records.push_back(record);
+  }
+
+  // Lets all answers arrive and be handled.
+  void Settle() {
+    while (log.waiting() > 0) {
+      log.Answer();
+      while (auto mail = mailbox.Pop()) {
+        (*mail)();
+      }
+    }
+  }
+
+  FakeLog log;
+  Mailbox mailbox{64};
+  FakeClock clock;
+  std::vector<std::string> applied;
+  bool blocked = false;
+  LogTail tail{log, mailbox, clock, "t", [this](std::string_view record) {
+                 if (blocked) {
+                   return false;
+                 }
+                 applied.emplace_back(record);
+                 return true;
+               }};
+};
+
+}  // namespace
+
+TEST_CASE("a tail applies records in order and once") {
+  TailFixture f;
+  f.Append("a");
+  f.Append("b");
+  f.tail.Poll();
+  f.Settle();
+  f.tail.Poll();
+  f.Settle();
+  CHECK(f.applied == std::vector<std::string>{"a", "b"});
+  CHECK(f.tail.next() == 2);
+  CHECK(f.tail.caught_up());
+}
+
+TEST_CASE(
+    "a notice that comes while a read is in flight is not counted twice") {
+  TailFixture f;
+  f.Append("a");
+  f.Append("b");
+  f.tail.Poll();
+  const std::vector<std::string> notice = {"a", "b"};
+  f.tail.Offer(0, notice);
+  f.Settle();
+  CHECK(f.applied == std::vector<std::string>{"a", "b"});
+  CHECK(f.tail.next() == 2);
+  f.Append("c");
+  f.tail.Poll();
+  f.Settle();
+  CHECK(f.applied.back() == "c");
+  CHECK(f.tail.next() == 3);
+}
+
+TEST_CASE("a notice after a gap makes the tail read") {
+  TailFixture f;
+  f.Append("a");
+  f.Append("b");
+  const std::vector<std::string> notice = {"b"};
+  f.tail.Offer(1, notice);
+  CHECK(f.applied.empty());
+  f.Settle();
+  CHECK(f.applied == std::vector<std::string>{"a", "b"});
+}
+
+TEST_CASE("a record that has to wait is applied by a later read") {
+  TailFixture f;
+  f.Append("a");
+  f.blocked = true;
+  f.tail.Poll();
+  f.Settle();
+  CHECK(f.tail.next() == 0);
+  f.blocked = false;
+  f.tail.Poll();
+  f.Settle();
+  CHECK(f.applied == std::vector<std::string>{"a"});
+}
+
+TEST_CASE("a poll tells whether the read that it asked for succeeded") {
+  TailFixture f;
+  std::vector<bool> results;
+  f.log.readable = false;
+  f.tail.Poll([&](bool ok) { results.push_back(ok); });
+  f.Settle();
+  f.log.readable = true;
+  f.tail.Poll([&](bool ok) { results.push_back(ok); });
+  f.Settle();
+  CHECK(results == std::vector<bool>{false, true});
+}
+
+}  // namespace azurespur::cell
--- a/packages/control/include/control/feasibility.h
+++ b/packages/control/include/control/feasibility.h
@@ -7,19 +7,19 @@
 #include <string_view>
 
 #include "control/task_spec.h"
-#include "platform/vm_list.h"
+#include "services/vm_list.h"
 
 namespace azurespur::control {
 
 // True if the workers of `domain`, when empty, could hold all members at once.
 bool FitsDomain(const TaskSpec& spec,
-                const platform::VmListPage& list,
+                const services::VmListPage& list,
                 std::string_view domain);
 
 // Why no domain could ever hold the task; empty if one could, or if the list is
 // not known yet.
 std::string WhyNeverFits(const TaskSpec& spec,
-                         const platform::VmListPage& list);
+                         const services::VmListPage& list);
 
 }  // namespace azurespur::control
 
--- a/packages/control/include/control/fleet_listener.h
+++ b/packages/control/include/control/fleet_listener.h
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "base/clock.h"
-#include "platform/worker_client.h"
+#include "services/worker_client.h"
 
 namespace azurespur::control {
 
@@ -17,11 +17,11 @@
 
   // `report` was made after every earlier owner's lease had lapsed.
   virtual void OnWorkerOwned(const std::string& worker,
-                             const platform::WorkerReport& report) = 0;
+                             const services::WorkerReport& report) = 0;
   virtual void OnWorkerLost(const std::string& worker) = 0;
   // A newer report of an owned worker.
   virtual void OnWorkerReport(const std::string& worker,
-                              const platform::WorkerReport& report) = 0;
+                              const services::WorkerReport& report) = 0;
   // Ids that a renewal sent at `sent` found not running.
   virtual void OnNotRunning(const std::string& worker,
                             std::span<const std::string> ids,
--- a/packages/control/include/control/log_channel.h
+++ b/packages/control/include/control/log_channel.h
@@ -16,7 +16,7 @@
 class Clock;
 class Metrics;
 }  // namespace azurespur::base
-namespace azurespur::platform {
+namespace azurespur::services {
 class LogService;
 }
 
@@ -90,7 +90,7 @@
 
 // `observer`, `log`, `clock` and `metrics` must outlive the channel.
 std::unique_ptr<LogChannel> MakeLogChannel(const LogChannelOptions& options,
-                                           platform::LogService& log,
+                                           services::LogService& log,
                                            LogObserver& observer,
                                            const base::Clock& clock,
                                            base::Metrics& metrics);
--- a/packages/control/include/control/ownership.h
+++ b/packages/control/include/control/ownership.h
@@ -12,7 +12,7 @@
 #include <string_view>
 
 #include "base/clock.h"
-#include "platform/worker_client.h"
+#include "services/worker_client.h"
 
 namespace azurespur::control {
 
--- a/packages/control/include/control/run_controller.h
+++ b/packages/control/include/control/run_controller.h
@@ -48,7 +48,7 @@
 struct RunControllerDeps {
   LogChannel& log;
   TaskLedger& ledger;
-  platform::WorkerClient& workers;
+  services::WorkerClient& workers;
   WorkerFleet& fleet;
   Mailbox& mailbox;
   const base::Clock& clock;
@@ -64,10 +64,10 @@
                 RunListener& listener);
 
   void OnWorkerOwned(const std::string& worker,
-                     const platform::WorkerReport& report) override;
+                     const services::WorkerReport& report) override;
   void OnWorkerLost(const std::string& worker) override;
   void OnWorkerReport(const std::string& worker,
-                      const platform::WorkerReport& report) override;
+                      const services::WorkerReport& report) override;
   void OnNotRunning(const std::string& worker,
                     std::span<const std::string> ids,
                     base::MonoTime sent) override;
@@ -98,7 +98,7 @@
   };
 
   struct OwnedWorker {
-    platform::WorkerReport report;
+    services::WorkerReport report;
     std::set<std::string> tasks;  // With a member here.
     std::vector<LateStart> late_starts;
   };
@@ -132,7 +132,7 @@
   void OnReleaseAnswer(const std::string& run_id,
                        const base::Outcome<base::Unit>& result);
   void OnStopAnswer(const std::string& run_id,
-                    const base::Outcome<platform::WorkerStop>& result);
+                    const base::Outcome<services::WorkerStop>& result);
   void OnCheckpoint(const std::string& id,
                     uint64_t attempt,
                     const base::Outcome<std::string>& result);
@@ -143,7 +143,7 @@
                   bool seen);
   void NoteSettled(TaskRun& run, MemberRun& member);
   std::pair<TaskRun*, MemberRun*> FindMember(std::string_view run_id);
-  const platform::WorkerTask* FindReported(const std::string& worker,
+  const services::WorkerTask* FindReported(const std::string& worker,
                                            const std::string& run_id) const;
 
   const RunControllerDeps m_deps;
--- a/packages/control/include/control/slot_controller.h
+++ b/packages/control/include/control/slot_controller.h
@@ -12,7 +12,7 @@
 #include "base/clock.h"
 #include "base/ring.h"
 #include "control/slot_share.h"
-#include "platform/vm_list.h"
+#include "services/vm_list.h"
 #include "wire/peer_message.h"
 
 namespace azurespur::base {
@@ -60,7 +60,7 @@
   const SlotControllerDeps m_deps;
   SlotShare m_share;
   std::shared_ptr<base::Ring<wire::PeerMessage>> m_inbox;
-  std::shared_ptr<const platform::VmListPage> m_seen;
+  std::shared_ptr<const services::VmListPage> m_seen;
   base::Counter& m_messages;
   base::Counter& m_bytes;
 };
--- a/packages/control/include/control/task_run.h
+++ b/packages/control/include/control/task_run.h
@@ -12,7 +12,7 @@
 #include "base/clock.h"
 #include "control/task_state.h"
 #include "placement/resources.h"
-#include "platform/worker_client.h"
+#include "services/worker_client.h"
 
 namespace azurespur::control {
 
@@ -122,17 +122,17 @@
 // `settle_ms`: reports made over this long a time must miss a member that was
 // never seen before it counts as forgotten.
 void SettleFromReport(MemberRun& member,
-                      const platform::WorkerTask* entry,
+                      const services::WorkerTask* entry,
                       int64_t made_ms,
                       int64_t settle_ms);
 
 // The same for a member that an earlier owner was responsible for. `untouched`:
 // it is certain that no earlier owner started it or gave it back.
 void SettleInherited(MemberRun& member,
-                     const platform::WorkerTask* entry,
+                     const services::WorkerTask* entry,
                      bool untouched);
 
-void SettleFromStop(MemberRun& member, const platform::WorkerStop& stop);
+void SettleFromStop(MemberRun& member, const services::WorkerStop& stop);
 
 }  // namespace azurespur::control
 
--- a/packages/control/include/control/task_service.h
+++ b/packages/control/include/control/task_service.h
@@ -44,7 +44,7 @@
   PeerBus& peers;
   VmDirectory& directory;
   ListsView& lists;
-  platform::WorkerClient& workers;
+  services::WorkerClient& workers;
   const base::Clock& clock;
   base::Metrics& metrics;
   VmIdentity identity;
--- a/packages/control/include/control/vm_directory.h
+++ b/packages/control/include/control/vm_directory.h
@@ -5,7 +5,7 @@
 
 #include <memory>
 
-#include "platform/vm_list.h"
+#include "services/vm_list.h"
 
 namespace azurespur::control {
 
@@ -15,7 +15,7 @@
 
   // Never null; version 0 and empty until the list was read once. Outages
   // leave the last list in force.
-  virtual std::shared_ptr<const platform::VmListPage> Current() const = 0;
+  virtual std::shared_ptr<const services::VmListPage> Current() const = 0;
 };
 
 }  // namespace azurespur::control
--- a/packages/control/include/control/vm_poller.h
+++ b/packages/control/include/control/vm_poller.h
@@ -17,14 +17,14 @@
 class VmPoller : public VmDirectory {
  public:
   // `list` and `clock` must outlive the poller.
-  VmPoller(platform::VmList& list,
+  VmPoller(services::VmList& list,
            const base::Clock& clock,
            base::Millis interval);
   VmPoller(const VmPoller&) = delete;
   VmPoller& operator=(const VmPoller&) = delete;
   ~VmPoller() override;
 
-  std::shared_ptr<const platform::VmListPage> Current() const override;
+  std::shared_ptr<const services::VmListPage> Current() const override;
 
   // Since the last answered read, or since the start.
   int64_t SilentMillis() const;
@@ -34,11 +34,11 @@
  private:
   void Run();
 
-  platform::VmList& m_list;
+  services::VmList& m_list;
   const base::Clock& m_clock;
   const base::Millis m_interval;
   mutable std::mutex m_mutex;
-  std::shared_ptr<const platform::VmListPage> m_current;
+  std::shared_ptr<const services::VmListPage> m_current;
   base::MonoTime m_last_answer;
   base::Wakeup m_wakeup;
   std::atomic<bool> m_stopping{false};
--- a/packages/control/include/control/worker_fleet.h
+++ b/packages/control/include/control/worker_fleet.h
@@ -16,8 +16,8 @@
 #include "control/ownership.h"
 #include "control/task_state.h"
 #include "control/vm_identity.h"
-#include "platform/vm_list.h"
-#include "platform/worker_client.h"
+#include "services/vm_list.h"
+#include "services/worker_client.h"
 
 namespace azurespur::base {
 class Counter;
@@ -61,7 +61,7 @@
 };
 
 struct WorkerFleetDeps {
-  platform::WorkerClient& workers;
+  services::WorkerClient& workers;
   VmDirectory& directory;
   PeerBus& peers;
   Mailbox& mailbox;
@@ -83,7 +83,7 @@
   // True if a start or release may be sent to the worker at this instant.
   bool Owns(std::string_view worker) const;
   // Null if the worker is not on the VM list.
-  const platform::Vm* FindVm(std::string_view worker) const;
+  const services::Vm* FindVm(std::string_view worker) const;
   // Marker under which the worker is owned; empty otherwise.
   std::string MarkerOf(std::string_view worker) const;
   // What a binding to the worker records; an empty marker if it is not owned.
@@ -113,7 +113,7 @@
 
  private:
   struct Worker {
-    platform::Vm vm;
+    services::Vm vm;
     size_t rack = 0;
     size_t seek_rank = 0;
     OwnershipState ownership;
@@ -132,9 +132,9 @@
   void PollReport(Worker& worker);
   void OnReport(const std::string& id,
                 base::MonoTime sent,
-                base::Outcome<platform::WorkerReport> result);
-  void AdvanceOwnership(Worker& worker, const platform::WorkerReport& report);
-  void KeepTasksAlive(Worker& worker, const platform::WorkerReport& report);
+                base::Outcome<services::WorkerReport> result);
+  void AdvanceOwnership(Worker& worker, const services::WorkerReport& report);
+  void KeepTasksAlive(Worker& worker, const services::WorkerReport& report);
   void Act(Worker& worker, const OwnershipStep& step);
   void StartMarker(Worker& worker, const std::string& marker);
   void RenewMarker(Worker& worker, const std::string& marker);
--- a/packages/control/src/feasibility.cc
+++ b/packages/control/src/feasibility.cc
@@ -17,11 +17,11 @@
 }  // namespace
 
 bool FitsDomain(const TaskSpec& spec,
-                const platform::VmListPage& list,
+                const services::VmListPage& list,
                 std::string_view domain) {
   std::map<std::string_view, int64_t> by_rack;
-  for (const platform::Vm& vm : list.vms) {
-    if (vm.kind != platform::VmKind::kWorker || vm.domain != domain) {
+  for (const services::Vm& vm : list.vms) {
+    if (vm.kind != services::VmKind::kWorker || vm.domain != domain) {
       continue;
     }
     const placement::Resources capacity{vm.cpu_millis, vm.memory_mb,
@@ -37,13 +37,13 @@
 }
 
 std::string WhyNeverFits(const TaskSpec& spec,
-                         const platform::VmListPage& list) {
+                         const services::VmListPage& list) {
   if (list.version == 0) {
     return {};
   }
   std::set<std::string_view> domains;
-  for (const platform::Vm& vm : list.vms) {
-    if (vm.kind == platform::VmKind::kWorker) {
+  for (const services::Vm& vm : list.vms) {
+    if (vm.kind == services::VmKind::kWorker) {
       domains.insert(vm.domain);
     }
   }
--- a/packages/control/src/list_reporter.cc
+++ b/packages/control/src/list_reporter.cc
@@ -100,10 +100,10 @@
 ListsConfirmation ListReporter::Confirm() const {
   std::map<std::string, std::string> domains = {
       {m_options.vm, m_options.domain}};
-  const std::shared_ptr<const platform::VmListPage> page =
+  const std::shared_ptr<const services::VmListPage> page =
       m_directory.Current();
-  for (const platform::Vm& vm : page->vms) {
-    if (vm.kind == platform::VmKind::kEntry) {
+  for (const services::Vm& vm : page->vms) {
+    if (vm.kind == services::VmKind::kEntry) {
       domains.emplace(vm.id, vm.domain);
     }
   }
--- a/packages/control/src/log_channel.cc
+++ b/packages/control/src/log_channel.cc
@@ -15,7 +15,7 @@
 #include "base/metrics.h"
 #include "base/ring.h"
 #include "control/log_observer.h"
-#include "platform/log_service.h"
+#include "services/log_service.h"
 
 namespace azurespur::control {
 
@@ -46,7 +46,7 @@
 class Channel : public LogChannel {
  public:
   Channel(const LogChannelOptions& options,
-          platform::LogService& log,
+          services::LogService& log,
           LogObserver& observer,
           const base::Clock& clock,
           base::Metrics& metrics)
@@ -96,9 +96,9 @@
 
   // Reader's thread.
   void RunReader();
-  void ApplyPage(const platform::LogPage& page);
-  void ApplyRecord(const platform::LogRecord& record);
-  void NotePage(const platform::LogPage& page, MonoTime begun);
+  void ApplyPage(const services::LogPage& page);
+  void ApplyRecord(const services::LogRecord& record);
+  void NotePage(const services::LogPage& page, MonoTime begun);
   void MaybeRefresh(int64_t now_ms);
 
   base::Error NotAppended() const {
@@ -115,7 +115,7 @@
   };
 
   const LogChannelOptions m_options;
-  platform::LogService& m_log;
+  services::LogService& m_log;
   LogObserver& m_observer;
   const base::Clock& m_clock;
   base::Counter& m_appends;
@@ -367,7 +367,7 @@
   uint64_t from = m_next;
   while (!m_stopping.load()) {
     const MonoTime begun = m_clock.Now();
-    const base::Outcome<platform::LogPage> read = m_log.Read(
+    const base::Outcome<services::LogPage> read = m_log.Read(
         m_options.stream, from, kReadPageRecords, m_options.read_wait);
     if (!base::Ok(read)) {
       {
@@ -377,7 +377,7 @@
       std::this_thread::sleep_for(kRetryPause);
       continue;
     }
-    const platform::LogPage& page = base::Value(read);
+    const services::LogPage& page = base::Value(read);
     if (page.first > from) {
       m_observer.OnGap(from, page.first);
     }
@@ -395,13 +395,13 @@
   }
 }
 
-void Channel::ApplyPage(const platform::LogPage& page) {
-  for (const platform::LogRecord& record : page.records) {
+void Channel::ApplyPage(const services::LogPage& page) {
+  for (const services::LogRecord& record : page.records) {
     ApplyRecord(record);
   }
 }
 
-void Channel::ApplyRecord(const platform::LogRecord& record) {
+void Channel::ApplyRecord(const services::LogRecord& record) {
   const base::Outcome<wire::LogBatch> batch =
       wire::Decode<wire::LogBatch>(record.body);
   if (!base::Ok(batch)) {
@@ -418,7 +418,7 @@
   }
 }
 
-void Channel::NotePage(const platform::LogPage& page, MonoTime begun) {
+void Channel::NotePage(const services::LogPage& page, MonoTime begun) {
   {
     std::lock_guard<std::mutex> lock(m_mutex);
     m_next = std::max(m_next, page.next);
@@ -471,7 +471,7 @@
 }  // namespace
 
 std::unique_ptr<LogChannel> MakeLogChannel(const LogChannelOptions& options,
-                                           platform::LogService& log,
+                                           services::LogService& log,
                                            LogObserver& observer,
                                            const base::Clock& clock,
                                            base::Metrics& metrics) {
--- a/packages/control/src/peer_service.cc
+++ b/packages/control/src/peer_service.cc
@@ -245,8 +245,8 @@
 
 bool Service::FindAddress(std::string_view vm, std::string& address) const {
   const auto list = m_directory.Current();
-  for (const platform::Vm& listed : list->vms) {
-    if (listed.kind == platform::VmKind::kEntry && listed.id == vm) {
+  for (const services::Vm& listed : list->vms) {
+    if (listed.kind == services::VmKind::kEntry && listed.id == vm) {
       address = listed.peer_address;
       return !address.empty();
     }
--- a/packages/control/src/peer_table.cc
+++ b/packages/control/src/peer_table.cc
@@ -5,10 +5,10 @@
 
 namespace azurespur::control {
 
-void PeerTable::Update(const platform::VmListPage& list) {
+void PeerTable::Update(const services::VmListPage& list) {
   std::set<std::string, std::less<>> listed;
-  for (const platform::Vm& vm : list.vms) {
-    if (vm.kind != platform::VmKind::kEntry || vm.id == m_options.vm_id) {
+  for (const services::Vm& vm : list.vms) {
+    if (vm.kind != services::VmKind::kEntry || vm.id == m_options.vm_id) {
       continue;
     }
     listed.insert(vm.id);
--- a/packages/control/src/peer_table.h
+++ b/packages/control/src/peer_table.h
@@ -12,7 +12,7 @@
 #include "base/clock.h"
 #include "control/peer_bus.h"
 #include "control/peer_bus_options.h"
-#include "platform/vm_list.h"
+#include "services/vm_list.h"
 
 namespace azurespur::control {
 
@@ -21,7 +21,7 @@
   explicit PeerTable(const PeerBusOptions& options) : m_options(options) {}
 
   // Takes over the entry VMs of the list; VMs not on it are forgotten.
-  void Update(const platform::VmListPage& list);
+  void Update(const services::VmListPage& list);
 
   // Notes a sign of life. Returns false for a message of an older process of
   // the same VM, which must be ignored.
--- a/packages/control/src/placement_controller.cc
+++ b/packages/control/src/placement_controller.cc
@@ -135,7 +135,7 @@
 }
 
 void PlacementController::UpdateCell(const std::string& worker) {
-  const platform::Vm* vm = m_deps.fleet.FindVm(worker);
+  const services::Vm* vm = m_deps.fleet.FindVm(worker);
   if (vm == nullptr || m_deps.fleet.MarkerOf(worker).empty()) {
     m_scheduler.cell().RemoveWorker(worker);
     return;
--- a/packages/control/src/run_calls.cc
+++ b/packages/control/src/run_calls.cc
@@ -38,12 +38,12 @@
 }
 
 void RunController::WriteIntent(TaskRun& run, MemberRun& member) {
-  const platform::Vm* vm = m_deps.fleet.FindVm(member.worker);
+  const services::Vm* vm = m_deps.fleet.FindVm(member.worker);
   if (vm == nullptr || !m_deps.fleet.Owns(member.worker)) {
     return;
   }
   (void)run;
-  platform::WorkerStart start;
+  services::WorkerStart start;
   start.id = IntentId(member.run_id);
   start.lease = m_options.intent_lease;
   member.sent = m_deps.clock.Now();
@@ -100,11 +100,11 @@
 void RunController::StartMember(TaskRun& run,
                                 MemberRun& member,
                                 const TaskState& task) {
-  const platform::Vm* vm = m_deps.fleet.FindVm(member.worker);
+  const services::Vm* vm = m_deps.fleet.FindVm(member.worker);
   if (vm == nullptr || !m_deps.fleet.Owns(member.worker)) {
     return;
   }
-  platform::WorkerStart start;
+  services::WorkerStart start;
   start.id = member.run_id;
   start.cpu_millis = run.size.cpu_millis;
   start.memory_mb = run.size.memory_mb;
@@ -167,7 +167,7 @@
 
 void RunController::ReleaseMembers(TaskRun& run) {
   for (MemberRun& member : run.members) {
-    const platform::Vm* vm = m_deps.fleet.FindVm(member.worker);
+    const services::Vm* vm = m_deps.fleet.FindVm(member.worker);
     if (member.phase != MemberPhase::kThrottled || vm == nullptr ||
         !m_deps.fleet.Owns(member.worker)) {
       continue;
@@ -233,7 +233,7 @@
 }
 
 void RunController::StopMember(TaskRun& run, MemberRun& member) {
-  const platform::Vm* vm = m_deps.fleet.FindVm(member.worker);
+  const services::Vm* vm = m_deps.fleet.FindVm(member.worker);
   if (vm == nullptr) {
     return;
   }
@@ -249,7 +249,7 @@
 
 void RunController::OnStopAnswer(
     const std::string& run_id,
-    const base::Outcome<platform::WorkerStop>& result) {
+    const base::Outcome<services::WorkerStop>& result) {
   const auto [run, member] = FindMember(run_id);
   if (member == nullptr || member->phase != MemberPhase::kStopping ||
       !base::Ok(result)) {
@@ -264,7 +264,7 @@
 
 void RunController::TakeCheckpoint(TaskRun& run) {
   const MemberRun& member = run.members.front();
-  const platform::Vm* vm = m_deps.fleet.FindVm(member.worker);
+  const services::Vm* vm = m_deps.fleet.FindVm(member.worker);
   run.retry_at = m_deps.clock.Now() + m_options.call_timeout;
   if (vm == nullptr) {
     return;
@@ -301,7 +301,7 @@
 // The last guard before a start. Bindings of an earlier owner were made without
 // knowledge of what came after.
 bool RunController::HasRoomFor(const std::string& worker) const {
-  const platform::Vm* vm = m_deps.fleet.FindVm(worker);
+  const services::Vm* vm = m_deps.fleet.FindVm(worker);
   if (vm == nullptr) {
     return false;
   }
--- a/packages/control/src/run_controller.cc
+++ b/packages/control/src/run_controller.cc
@@ -252,10 +252,10 @@
   }
   usage.report_age_ms =
       std::max<int64_t>(0, m_deps.fleet.ReportAgeMillis(worker));
-  std::unordered_map<std::string_view, const platform::WorkerTask*> held;
-  for (const platform::WorkerTask& entry : found->second.report.tasks) {
-    if (entry.state == platform::WorkerTaskState::kRunning ||
-        entry.state == platform::WorkerTaskState::kThrottled) {
+  std::unordered_map<std::string_view, const services::WorkerTask*> held;
+  for (const services::WorkerTask& entry : found->second.report.tasks) {
+    if (entry.state == services::WorkerTaskState::kRunning ||
+        entry.state == services::WorkerTaskState::kThrottled) {
       held.emplace(entry.id, &entry);
       usage.reported = placement::Add(
           usage.reported,
--- a/packages/control/src/run_inheritance.cc
+++ b/packages/control/src/run_inheritance.cc
@@ -12,7 +12,7 @@
 namespace azurespur::control {
 
 void RunController::OnWorkerOwned(const std::string& worker,
-                                  const platform::WorkerReport& report) {
+                                  const services::WorkerReport& report) {
   m_owned[worker].report = report;
   for (const std::string& id : m_deps.ledger.BoundTo(worker)) {
     if (const auto task = m_deps.ledger.Find(id)) {
@@ -89,7 +89,7 @@
 }
 
 void RunController::OnWorkerReport(const std::string& worker,
-                                   const platform::WorkerReport& report) {
+                                   const services::WorkerReport& report) {
   const auto found = m_owned.find(worker);
   if (found == m_owned.end()) {
     return;
@@ -105,8 +105,8 @@
 
 void RunController::ApplyReport(const std::string& worker) {
   OwnedWorker& owned = m_owned.at(worker);
-  std::unordered_map<std::string_view, const platform::WorkerTask*> entries;
-  for (const platform::WorkerTask& entry : owned.report.tasks) {
+  std::unordered_map<std::string_view, const services::WorkerTask*> entries;
+  for (const services::WorkerTask& entry : owned.report.tasks) {
     entries.emplace(entry.id, &entry);
   }
   const std::vector<std::string> tasks(owned.tasks.begin(), owned.tasks.end());
@@ -135,14 +135,14 @@
 // whose start landed late, or is the rest of an attempt that was given up. It
 // does no work and must never.
 void RunController::StopLeftovers(const std::string& worker) {
-  const platform::Vm* vm = m_deps.fleet.FindVm(worker);
+  const services::Vm* vm = m_deps.fleet.FindVm(worker);
   const auto found = m_owned.find(worker);
   if (vm == nullptr || found == m_owned.end()) {
     return;
   }
-  for (const platform::WorkerTask& entry : found->second.report.tasks) {
-    const bool throttled = entry.state == platform::WorkerTaskState::kThrottled;
-    const bool running = entry.state == platform::WorkerTaskState::kRunning;
+  for (const services::WorkerTask& entry : found->second.report.tasks) {
+    const bool throttled = entry.state == services::WorkerTaskState::kThrottled;
+    const bool running = entry.state == services::WorkerTaskState::kRunning;
     if ((!throttled && !running) || IsOwnershipMarker(entry.id) ||
         IsIntent(entry.id) || FindMember(entry.id).second != nullptr) {
       continue;
@@ -233,7 +233,7 @@
 
 void RunController::Inherit(TaskRun& run, const TaskState& task, size_t i) {
   MemberRun& member = run.members[i];
-  const platform::WorkerTask* entry =
+  const services::WorkerTask* entry =
       FindReported(member.worker, member.run_id);
   SettleInherited(member, entry, IsUntouched(task, i));
   member.held_since = m_deps.clock.Now();
@@ -250,7 +250,7 @@
   if (owned == m_owned.end()) {
     return false;
   }
-  const platform::WorkerReport& report = owned->second.report;
+  const services::WorkerReport& report = owned->second.report;
   const bool remembers =
       report.boot == place.boot &&
       report.made_ms < place.made_ms + m_options.intent_lease.count();
@@ -260,7 +260,7 @@
          remembers && FindReported(place.worker, intent) == nullptr;
 }
 
-const platform::WorkerTask* RunController::FindReported(
+const services::WorkerTask* RunController::FindReported(
     const std::string& worker,
     const std::string& run_id) const {
   const auto found = m_owned.find(worker);
@@ -269,7 +269,7 @@
   }
   const auto& tasks = found->second.report.tasks;
   const auto entry =
-      std::ranges::find(tasks, run_id, &platform::WorkerTask::id);
+      std::ranges::find(tasks, run_id, &services::WorkerTask::id);
   return entry == tasks.end() ? nullptr : &*entry;
 }
 
--- a/packages/control/src/slot_controller.cc
+++ b/packages/control/src/slot_controller.cc
@@ -63,13 +63,13 @@
 }
 
 void SlotController::TakeVmList(base::MonoTime now) {
-  std::shared_ptr<const platform::VmListPage> page = m_deps.vms.Current();
+  std::shared_ptr<const services::VmListPage> page = m_deps.vms.Current();
   if (page == m_seen || page->version == 0) {
     return;
   }
   std::vector<std::string> ids;
-  for (const platform::Vm& vm : page->vms) {
-    if (vm.kind == platform::VmKind::kEntry && vm.domain == m_deps.domain) {
+  for (const services::Vm& vm : page->vms) {
+    if (vm.kind == services::VmKind::kEntry && vm.domain == m_deps.domain) {
       ids.push_back(vm.id);
     }
   }
--- a/packages/control/src/task_run.cc
+++ b/packages/control/src/task_run.cc
@@ -69,23 +69,23 @@
 }
 
 // Returns false if `entry` shows no end.
-bool SettleEnd(MemberRun& member, const platform::WorkerTask& entry) {
+bool SettleEnd(MemberRun& member, const services::WorkerTask& entry) {
   switch (entry.state) {
-    case platform::WorkerTaskState::kFinished:
+    case services::WorkerTaskState::kFinished:
       Settle(member, MemberPhase::kFinished, entry.result);
       return true;
-    case platform::WorkerTaskState::kFailed:
+    case services::WorkerTaskState::kFailed:
       Settle(
           member, MemberPhase::kFailed,
           "exit " + std::to_string(entry.exit) + " on worker " + member.worker);
       return true;
-    case platform::WorkerTaskState::kStopped:
-    case platform::WorkerTaskState::kLapsed:
+    case services::WorkerTaskState::kStopped:
+    case services::WorkerTaskState::kLapsed:
       Settle(member,
              entry.released ? MemberPhase::kStopped : MemberPhase::kNotRun);
       return true;
-    case platform::WorkerTaskState::kThrottled:
-    case platform::WorkerTaskState::kRunning:
+    case services::WorkerTaskState::kThrottled:
+    case services::WorkerTaskState::kRunning:
       return false;
   }
   return false;
@@ -195,7 +195,7 @@
 }
 
 void SettleFromReport(MemberRun& member,
-                      const platform::WorkerTask* entry,
+                      const services::WorkerTask* entry,
                       int64_t made_ms,
                       int64_t settle_ms) {
   if (IsSettled(member) && member.phase != MemberPhase::kForgotten) {
@@ -211,7 +211,7 @@
     member.peak = placement::Max(
         member.peak,
         {entry->cpu_millis, entry->memory_mb, entry->accelerators});
-    const bool running = entry->state == platform::WorkerTaskState::kRunning;
+    const bool running = entry->state == services::WorkerTaskState::kRunning;
     if (running && (member.phase == MemberPhase::kReleasing ||
                     member.phase == MemberPhase::kUnsettled)) {
       member.phase = MemberPhase::kRunning;
@@ -236,7 +236,7 @@
 }
 
 void SettleInherited(MemberRun& member,
-                     const platform::WorkerTask* entry,
+                     const services::WorkerTask* entry,
                      bool untouched) {
   if (entry == nullptr && untouched) {
     member.phase = MemberPhase::kIdle;
@@ -252,12 +252,12 @@
     return;
   }
   member.seen = true;
-  member.phase = entry->state == platform::WorkerTaskState::kRunning
+  member.phase = entry->state == services::WorkerTaskState::kRunning
                      ? MemberPhase::kRunning
                      : MemberPhase::kThrottled;
 }
 
-void SettleFromStop(MemberRun& member, const platform::WorkerStop& stop) {
+void SettleFromStop(MemberRun& member, const services::WorkerStop& stop) {
   if (stop.released) {
     Settle(member,
            stop.known ? MemberPhase::kStopped : MemberPhase::kUnsettled);
--- a/packages/control/src/vm_poller.cc
+++ b/packages/control/src/vm_poller.cc
@@ -4,13 +4,13 @@
 
 namespace azurespur::control {
 
-VmPoller::VmPoller(platform::VmList& list,
+VmPoller::VmPoller(services::VmList& list,
                    const base::Clock& clock,
                    base::Millis interval)
     : m_list(list),
       m_clock(clock),
       m_interval(interval),
-      m_current(std::make_shared<platform::VmListPage>()),
+      m_current(std::make_shared<services::VmListPage>()),
       m_last_answer(clock.Now()) {
   m_thread = std::thread([this] { Run(); });
 }
@@ -19,7 +19,7 @@
   Stop();
 }
 
-std::shared_ptr<const platform::VmListPage> VmPoller::Current() const {
+std::shared_ptr<const services::VmListPage> VmPoller::Current() const {
   std::lock_guard<std::mutex> lock(m_mutex);
   return m_current;
 }
--- a/packages/control/src/worker_fleet.cc
+++ b/packages/control/src/worker_fleet.cc
@@ -26,9 +26,9 @@
 // Reports of a worker that another VM owns are read this much more rarely.
 constexpr int kStandbyPollFactor = 5;
 
-bool RunsNow(const platform::WorkerTask& task) {
-  return task.state == platform::WorkerTaskState::kRunning ||
-         task.state == platform::WorkerTaskState::kThrottled;
+bool RunsNow(const services::WorkerTask& task) {
+  return task.state == services::WorkerTaskState::kRunning ||
+         task.state == services::WorkerTaskState::kThrottled;
 }
 
 }  // namespace
@@ -67,14 +67,14 @@
   m_list_version = list->version;
   std::set<std::string> racks;
   std::set<std::string, std::less<>> listed;
-  for (const platform::Vm& vm : list->vms) {
-    if (vm.kind == platform::VmKind::kWorker &&
+  for (const services::Vm& vm : list->vms) {
+    if (vm.kind == services::VmKind::kWorker &&
         vm.domain == m_deps.identity.domain) {
       racks.insert(vm.rack);
       listed.insert(vm.id);
     }
   }
-  for (const platform::Vm& vm : list->vms) {
+  for (const services::Vm& vm : list->vms) {
     if (!listed.contains(vm.id)) {
       continue;
     }
@@ -155,7 +155,7 @@
 
 void WorkerFleet::OnReport(const std::string& id,
                            base::MonoTime sent,
-                           base::Outcome<platform::WorkerReport> result) {
+                           base::Outcome<services::WorkerReport> result) {
   Worker* worker = Find(id);
   if (worker == nullptr || worker->report_sent != sent) {
     return;  // Reports must stay in order: only the newest call counts.
@@ -164,7 +164,7 @@
   if (!base::Ok(result)) {
     return;
   }
-  const platform::WorkerReport& report = base::Value(result);
+  const services::WorkerReport& report = base::Value(result);
   const bool repeated = worker->ownership.boot == report.boot &&
                         report.made_ms <= worker->ownership.made_ms;
   if (repeated) {
@@ -177,10 +177,10 @@
 }
 
 void WorkerFleet::AdvanceOwnership(Worker& worker,
-                                   const platform::WorkerReport& report) {
+                                   const services::WorkerReport& report) {
   std::vector<std::string_view> markers;
   worker.marker_left_ms = 0;
-  for (const platform::WorkerTask& task : report.tasks) {
+  for (const services::WorkerTask& task : report.tasks) {
     if (RunsNow(task) && IsOwnershipMarker(task.id)) {
       markers.push_back(task.id);
       worker.marker_left_ms =
@@ -207,14 +207,14 @@
 // While ownership changes hands, the tasks on the worker must not lapse. To
 // renew a task decides nothing about it.
 void WorkerFleet::KeepTasksAlive(Worker& worker,
-                                 const platform::WorkerReport& report) {
+                                 const services::WorkerReport& report) {
   const OwnershipPhase phase = worker.ownership.phase;
   if (phase != OwnershipPhase::kStarting &&
       phase != OwnershipPhase::kSettling) {
     return;
   }
   std::vector<std::string> ids;
-  for (const platform::WorkerTask& task : report.tasks) {
+  for (const services::WorkerTask& task : report.tasks) {
     if (RunsNow(task) && !IsOwnershipMarker(task.id) &&
         task.lease_left_ms < m_options.task_lease.count() / 2) {
       ids.push_back(task.id);
@@ -241,7 +241,7 @@
 }
 
 void WorkerFleet::StartMarker(Worker& worker, const std::string& marker) {
-  platform::WorkerStart start;
+  services::WorkerStart start;
   start.id = marker;
   start.lease = m_options.ownership.lease;
   const base::MonoTime sent = m_deps.clock.Now();
@@ -317,7 +317,7 @@
   return worker != nullptr && OwnsWorker(worker->ownership, m_deps.clock.Now());
 }
 
-const platform::Vm* WorkerFleet::FindVm(std::string_view id) const {
+const services::Vm* WorkerFleet::FindVm(std::string_view id) const {
   const Worker* worker = Find(id);
   return worker == nullptr ? nullptr : &worker->vm;
 }
--- a/packages/control/tests/fake_cell.cc
+++ b/packages/control/tests/fake_cell.cc
@@ -111,7 +111,7 @@
 }
 
 bool FakeVm::Start(std::string_view address,
-                   platform::WorkerStart start,
+                   services::WorkerStart start,
                    Answered<base::Unit> done) {
   return Call<base::Unit>(
       address, std::move(done),
@@ -147,18 +147,18 @@
 
 bool FakeVm::Stop(std::string_view address,
                   std::string_view run,
-                  Answered<platform::WorkerStop> done) {
-  return Call<platform::WorkerStop>(
+                  Answered<services::WorkerStop> done) {
+  return Call<services::WorkerStop>(
       address, std::move(done), [run = std::string(run)](FakeWorker& worker) {
         return worker.Stop(run);
       });
 }
 
 bool FakeVm::Report(std::string_view address,
-                    Answered<platform::WorkerReport> done) {
-  return Call<platform::WorkerReport>(
+                    Answered<services::WorkerReport> done) {
+  return Call<services::WorkerReport>(
       address, std::move(done),
-      [](FakeWorker& worker) -> base::Outcome<platform::WorkerReport> {
+      [](FakeWorker& worker) -> base::Outcome<services::WorkerReport> {
         return worker.Report();
       });
 }
@@ -288,17 +288,17 @@
   return rank;
 }
 
-std::shared_ptr<const platform::VmListPage> FakeVm::Current() const {
+std::shared_ptr<const services::VmListPage> FakeVm::Current() const {
   if (m_list && m_list->version == m_cell.list_version) {
     return m_list;
   }
-  auto page = std::make_shared<platform::VmListPage>();
+  auto page = std::make_shared<services::VmListPage>();
   page->version = m_cell.list_version;
   int index = 0;
   for (const auto& worker : m_cell.workers) {
-    platform::Vm vm;
+    services::Vm vm;
     vm.id = worker->id();
-    vm.kind = platform::VmKind::kWorker;
+    vm.kind = services::VmKind::kWorker;
     vm.address = worker->id();
     vm.domain = "a";
     vm.rack = "r" + std::to_string(index++ / m_cell.options.workers_per_rack);
--- a/packages/control/tests/fake_cell.h
+++ b/packages/control/tests/fake_cell.h
@@ -41,13 +41,13 @@
 class FakeCell;
 
 // The part of the outside world that one entry VM sees.
-class FakeVm : public platform::WorkerClient,
+class FakeVm : public services::WorkerClient,
                public LogChannel,
                public PeerBus,
                public VmDirectory {
  public:
   template <typename T>
-  using Answered = platform::WorkerClient::Done<T>;
+  using Answered = services::WorkerClient::Done<T>;
 
   FakeVm(FakeCell& cell, std::string id, std::string domain);
 
@@ -56,7 +56,7 @@
   void Step();  // One round of the process and its log reader.
 
   bool Start(std::string_view address,
-             platform::WorkerStart start,
+             services::WorkerStart start,
              Answered<base::Unit> done) override;
   bool Renew(std::string_view address,
              base::Millis lease,
@@ -75,9 +75,9 @@
                   Answered<std::string> done) override;
   bool Stop(std::string_view address,
             std::string_view id,
-            Answered<platform::WorkerStop> done) override;
+            Answered<services::WorkerStop> done) override;
   bool Report(std::string_view address,
-              Answered<platform::WorkerReport> done) override;
+              Answered<services::WorkerReport> done) override;
 
   bool Append(wire::EntryKind kind,
               std::string payload,
@@ -102,7 +102,7 @@
   std::vector<Peer> Peers() const override;
   size_t RankInDomain() const override;
 
-  std::shared_ptr<const platform::VmListPage> Current() const override;
+  std::shared_ptr<const services::VmListPage> Current() const override;
 
   struct Lists : ListsView {
     std::shared_ptr<const ListsSnapshot> Current() const override {
@@ -141,7 +141,7 @@
 
   FakeCell& m_cell;
   uint64_t m_sequence = 0;
-  mutable std::shared_ptr<const platform::VmListPage> m_list;
+  mutable std::shared_ptr<const services::VmListPage> m_list;
   size_t m_read = 0;
   int64_t m_flushed_ms = 0;
   std::map<std::string, PendingAppend> m_pending;
--- a/packages/control/tests/fake_log_service.h
+++ b/packages/control/tests/fake_log_service.h
@@ -9,11 +9,11 @@
 #include <string>
 #include <vector>
 
-#include "platform/log_service.h"
+#include "services/log_service.h"
 
 namespace azurespur::control {
 
-class FakeLogService : public platform::LogService {
+class FakeLogService : public services::LogService {
  public:
   base::Outcome<uint64_t> Append(std::string_view /*stream*/,
                                  std::string_view body) override {
@@ -34,7 +34,7 @@
     return m_bodies.size() - 1;
   }
 
-  base::Outcome<platform::LogPage> Read(std::string_view /*stream*/,
+  base::Outcome<services::LogPage> Read(std::string_view /*stream*/,
                                         uint64_t from,
                                         size_t max,
                                         base::Millis wait) override {
@@ -43,7 +43,7 @@
       return base::Error{base::ErrorCode::kUnavailable, "outage"};
     }
     m_changed.wait_for(lock, wait, [&] { return m_bodies.size() > from; });
-    platform::LogPage page;
+    services::LogPage page;
     page.next = from;
     while (page.next < m_bodies.size() && page.records.size() < max) {
       page.records.push_back({page.next, 1000, m_bodies[page.next]});
--- a/packages/control/tests/fake_worker.h
+++ b/packages/control/tests/fake_worker.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "fake_time.h"
-#include "platform/worker_client.h"
+#include "services/worker_client.h"
 
 namespace azurespur::control {
 
@@ -32,7 +32,7 @@
   FakeWorker(FakeTime& time, std::string id, int64_t report_lag_ms)
       : m_time(time), m_id(std::move(id)), m_report_lag_ms(report_lag_ms) {}
 
-  base::Outcome<base::Unit> Start(const platform::WorkerStart& start) {
+  base::Outcome<base::Unit> Start(const services::WorkerStart& start) {
     Expire();
     if (m_tasks.contains(start.id)) {
       return base::Error{base::ErrorCode::kConflict, "known"};
@@ -81,32 +81,32 @@
     Task& task = found->second;
     if (!task.report.released) {
       task.report.released = true;
-      task.report.state = platform::WorkerTaskState::kRunning;
+      task.report.state = services::WorkerTaskState::kRunning;
       m_journal[task.journal].released_ms = Now();
       task.finish_ms = task.run_ms > 0 ? Now() + task.run_ms : -1;
     }
     return base::Unit{};
   }
 
-  base::Outcome<platform::WorkerStop> Stop(const std::string& id) {
+  base::Outcome<services::WorkerStop> Stop(const std::string& id) {
     Expire();
     const auto found = m_tasks.find(id);
     if (found == m_tasks.end()) {
-      return platform::WorkerStop{};
+      return services::WorkerStop{};
     }
-    const platform::WorkerStop stop{Held(found->second),
+    const services::WorkerStop stop{Held(found->second),
                                     found->second.report.released};
     if (stop.known) {
-      End(found->second, platform::WorkerTaskState::kStopped);
+      End(found->second, services::WorkerTaskState::kStopped);
     }
     return stop;
   }
 
-  platform::WorkerReport Report() {
+  services::WorkerReport Report() {
     Expire();
-    platform::WorkerReport report =
+    services::WorkerReport report =
         m_snapshots.empty() ? Snapshot() : m_snapshots.front();
-    for (const platform::WorkerReport& snapshot : m_snapshots) {
+    for (const services::WorkerReport& snapshot : m_snapshots) {
       if (snapshot.made_ms <= Now() - m_report_lag_ms) {
         report = snapshot;
       }
@@ -130,7 +130,7 @@
   void Restart() {
     for (auto& [id, task] : m_tasks) {
       if (Held(task)) {
-        End(task, platform::WorkerTaskState::kStopped);
+        End(task, services::WorkerTaskState::kStopped);
       }
     }
     m_tasks.clear();
@@ -148,7 +148,7 @@
   static constexpr int64_t kEndedMemoryMillis = 20000;
 
   struct Task {
-    platform::WorkerTask report;
+    services::WorkerTask report;
     int64_t until_ms = 0;
     int64_t run_ms = 0;
     int64_t finish_ms = -1;
@@ -159,16 +159,16 @@
   int64_t Now() const { return m_time.NowMillis(); }
 
   static bool Held(const Task& task) {
-    return task.report.state == platform::WorkerTaskState::kThrottled ||
-           task.report.state == platform::WorkerTaskState::kRunning;
+    return task.report.state == services::WorkerTaskState::kThrottled ||
+           task.report.state == services::WorkerTaskState::kRunning;
   }
 
-  void End(Task& task, platform::WorkerTaskState state) {
+  void End(Task& task, services::WorkerTaskState state) {
     task.report.state = state;
     task.ended_ms = Now();
     JournalRun& run = m_journal[task.journal];
     run.end_ms = Now();
-    run.finished = state == platform::WorkerTaskState::kFinished;
+    run.finished = state == services::WorkerTaskState::kFinished;
   }
 
   void Expire() {
@@ -176,9 +176,9 @@
       Task& task = it->second;
       if (Held(task) && task.finish_ms >= 0 && task.finish_ms <= Now()) {
         task.report.result = "done";
-        End(task, platform::WorkerTaskState::kFinished);
+        End(task, services::WorkerTaskState::kFinished);
       } else if (Held(task) && task.until_ms <= Now()) {
-        End(task, platform::WorkerTaskState::kLapsed);
+        End(task, services::WorkerTaskState::kLapsed);
       }
       const bool forget =
           !Held(task) && Now() - task.ended_ms > kEndedMemoryMillis;
@@ -186,12 +186,12 @@
     }
   }
 
-  platform::WorkerReport Snapshot() {
-    platform::WorkerReport report;
+  services::WorkerReport Snapshot() {
+    services::WorkerReport report;
     report.boot = m_id + "/" + std::to_string(m_boot);
     report.made_ms = Now();
     for (auto& [id, task] : m_tasks) {
-      platform::WorkerTask entry = task.report;
+      services::WorkerTask entry = task.report;
       entry.lease_left_ms = std::max<int64_t>(0, task.until_ms - Now());
       report.tasks.push_back(std::move(entry));
     }
@@ -205,7 +205,7 @@
   bool m_failing = false;
   int64_t m_snapshot_ms = 0;
   std::map<std::string, Task> m_tasks;
-  std::deque<platform::WorkerReport> m_snapshots;
+  std::deque<services::WorkerReport> m_snapshots;
   std::vector<JournalRun> m_journal;
 };
 
--- a/packages/control/tests/list_api_test.cc
+++ b/packages/control/tests/list_api_test.cc
@@ -34,7 +34,7 @@
 struct Fixture {
   Fixture() : channel(stream, ledger) {
     for (const char* id : {"a", "b"}) {
-      platform::Vm vm;
+      services::Vm vm;
       vm.id = id;
       vm.domain = std::string("domain-") + id;
       directory.page.vms.push_back(vm);
--- a/packages/control/tests/list_fakes.h
+++ b/packages/control/tests/list_fakes.h
@@ -176,11 +176,11 @@
 
 class FakeDirectory : public VmDirectory {
  public:
-  std::shared_ptr<const platform::VmListPage> Current() const override {
-    return std::make_shared<const platform::VmListPage>(page);
+  std::shared_ptr<const services::VmListPage> Current() const override {
+    return std::make_shared<const services::VmListPage>(page);
   }
 
-  platform::VmListPage page;
+  services::VmListPage page;
 };
 
 }  // namespace azurespur::control
--- a/packages/control/tests/peer_service_test.cc
+++ b/packages/control/tests/peer_service_test.cc
@@ -19,14 +19,14 @@
 
 class FakeDirectory : public VmDirectory {
  public:
-  std::shared_ptr<const platform::VmListPage> Current() const override {
+  std::shared_ptr<const services::VmListPage> Current() const override {
     std::lock_guard<std::mutex> lock(m_mutex);
     return m_page;
   }
   void Add(const std::string& id, uint16_t port) {
     std::lock_guard<std::mutex> lock(m_mutex);
-    auto page = std::make_shared<platform::VmListPage>(*m_page);
-    platform::Vm vm;
+    auto page = std::make_shared<services::VmListPage>(*m_page);
+    services::Vm vm;
     vm.id = id;
     vm.domain = "d1";
     vm.peer_address = "127.0.0.1:" + std::to_string(port);
@@ -36,8 +36,8 @@
 
  private:
   mutable std::mutex m_mutex;
-  std::shared_ptr<const platform::VmListPage> m_page =
-      std::make_shared<platform::VmListPage>();
+  std::shared_ptr<const services::VmListPage> m_page =
+      std::make_shared<services::VmListPage>();
 };
 
 std::unique_ptr<PeerService> MakePeer(const std::string& id,
--- a/packages/daemon/programs/azurespurd.cc
+++ b/packages/daemon/programs/azurespurd.cc
@@ -4,11 +4,13 @@
 
 #include <csignal>
 #include <iostream>
+#include <string_view>
 #include <variant>
 
 #include "base/event_log.h"
 #include "daemon/daemon.h"
 #include "daemon/settings.h"
+#include "platform/platform_program.h"
 
 namespace {
 
@@ -42,6 +44,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  if (argc > 1 && std::string_view(argv[1]) == "platform") {
+    return azurespur::platform::RunPlatformProgram(argc - 1, argv + 1);
+  }
   using azurespur::daemon::EarlyExit;
   const auto parsed = azurespur::daemon::ParseSettings(argc, argv);
   if (const auto* exit = std::get_if<EarlyExit>(&parsed)) {
--- a/packages/daemon/src/daemon.cc
+++ b/packages/daemon/src/daemon.cc
@@ -27,10 +27,10 @@
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "log_streams.h"
-#include "platform/executor_client.h"
-#include "platform/log_service.h"
-#include "platform/vm_list.h"
-#include "platform/worker_client.h"
+#include "services/executor_client.h"
+#include "services/log_service.h"
+#include "services/vm_list.h"
+#include "services/worker_client.h"
 
 namespace azurespur::daemon {
 
@@ -117,10 +117,10 @@
       http::StartHttpClient(ClientOptions(m_settings.executor_connections));
   std::unique_ptr<http::HttpClient> m_worker_http =
       http::StartHttpClient(ClientOptions(kWorkerConnections));
-  std::unique_ptr<platform::LogService> m_log;
-  std::unique_ptr<platform::VmList> m_vm_list;
-  std::unique_ptr<platform::ExecutorClient> m_executors;
-  std::unique_ptr<platform::WorkerClient> m_workers;
+  std::unique_ptr<services::LogService> m_log;
+  std::unique_ptr<services::VmList> m_vm_list;
+  std::unique_ptr<services::ExecutorClient> m_executors;
+  std::unique_ptr<services::WorkerClient> m_workers;
 
   control::VmPoller m_vms;
   std::unique_ptr<control::PeerService> m_peers;
@@ -150,13 +150,13 @@
 
 Daemon::Impl::Impl(const Settings& settings)
     : m_settings(settings),
-      m_log(platform::MakeHttpLogService(*m_platform_http,
+      m_log(services::MakeHttpLogService(*m_platform_http,
                                          settings.log_url,
                                          settings.log_timeout)),
       m_vm_list(
-          platform::MakeHttpVmList(*m_platform_http, settings.vm_list_url)),
-      m_executors(platform::MakeHttpExecutorClient(*m_executor_http)),
-      m_workers(platform::MakeHttpWorkerClient(*m_worker_http,
+          services::MakeHttpVmList(*m_platform_http, settings.vm_list_url)),
+      m_executors(services::MakeHttpExecutorClient(*m_executor_http)),
+      m_workers(services::MakeHttpWorkerClient(*m_worker_http,
                                                settings.worker_timeout)),
       m_vms(*m_vm_list, m_clock, settings.vm_list_interval),
       m_peers(control::MakePeerService(PeerOptions(settings, m_incarnation),
--- a/packages/daemon/src/log_streams.cc
+++ b/packages/daemon/src/log_streams.cc
@@ -5,7 +5,7 @@
 #include <optional>
 #include <utility>
 
-#include "platform/log_service.h"
+#include "services/log_service.h"
 
 namespace azurespur::daemon {
 
@@ -15,7 +15,7 @@
 
 }  // namespace
 
-LogStreams::LogStreams(platform::LogService& log,
+LogStreams::LogStreams(services::LogService& log,
                        const base::Clock& clock,
                        base::Metrics& metrics)
     : m_log(log), m_clock(clock), m_metrics(metrics) {}
--- a/packages/daemon/src/log_streams.h
+++ b/packages/daemon/src/log_streams.h
@@ -19,7 +19,7 @@
 class LogObserver;
 class PeerBus;
 }  // namespace azurespur::control
-namespace azurespur::platform {
+namespace azurespur::services {
 class LogService;
 }
 
@@ -27,7 +27,7 @@
 
 class LogStreams {
  public:
-  LogStreams(platform::LogService& log,
+  LogStreams(services::LogService& log,
              const base::Clock& clock,
              base::Metrics& metrics);
 
@@ -60,7 +60,7 @@
 
   bool TryStartOne(Stream& stream);
 
-  platform::LogService& m_log;
+  services::LogService& m_log;
   const base::Clock& m_clock;
   base::Metrics& m_metrics;
   std::vector<Stream> m_streams;
--- a/packages/filters/include/filters/request_service.h
+++ b/packages/filters/include/filters/request_service.h
@@ -25,7 +25,7 @@
 class PeerBus;
 class VmDirectory;
 }  // namespace azurespur::control
-namespace azurespur::platform {
+namespace azurespur::services {
 class ExecutorClient;
 }
 
@@ -41,7 +41,7 @@
   control::PeerBus& peers;
   control::LogChannel& once;
   OnceLedger& ledger;
-  platform::ExecutorClient& executors;
+  services::ExecutorClient& executors;
   const base::Clock& clock;
   base::Metrics& metrics;
   RequestIdentity identity;
--- a/packages/filters/src/dispatcher.cc
+++ b/packages/filters/src/dispatcher.cc
@@ -33,15 +33,15 @@
 
 // A refusal without a result tells that the executor is done with the request;
 // an answer to another request or none tells nothing.
-AttemptEnd EndOf(const platform::ExecutorAnswer& answer) {
+AttemptEnd EndOf(const services::ExecutorAnswer& answer) {
   switch (answer.verdict) {
-    case platform::ExecutorVerdict::kRan:
+    case services::ExecutorVerdict::kRan:
       return AttemptEnd::kRan;
-    case platform::ExecutorVerdict::kNotRun:
+    case services::ExecutorVerdict::kNotRun:
       return AttemptEnd::kNotRun;
-    case platform::ExecutorVerdict::kLeaving:
+    case services::ExecutorVerdict::kLeaving:
       return AttemptEnd::kLeaving;
-    case platform::ExecutorVerdict::kMayHaveRun:
+    case services::ExecutorVerdict::kMayHaveRun:
       break;
   }
   constexpr int kStatusOk = 200;
@@ -160,8 +160,8 @@
   }
   m_vms = std::move(page);
   std::vector<ExecutorInfo> executors;
-  for (const platform::Vm& vm : m_vms->vms) {
-    if (vm.kind == platform::VmKind::kExecutor &&
+  for (const services::Vm& vm : m_vms->vms) {
+    if (vm.kind == services::VmKind::kExecutor &&
         vm.domain == m_deps.identity.domain) {
       executors.push_back({vm.id, vm.address, vm.slots, vm.leaving});
     }
@@ -299,7 +299,7 @@
   (preview ? m_preview_wait : m_other_wait).Observe(waited_ms);
   m_sent[attempt.id] = {attempt.handle, attempt.slot.executor, open.request.key,
                         open.claim_id};
-  platform::ExecutorCall call;
+  services::ExecutorCall call;
   call.request_id = open.request.id;
   call.body = open.request.body;
   call.timeout = m_deps.options.max_run;
@@ -308,12 +308,12 @@
   call.idempotent = open.item.idempotent;
   const bool queued = m_deps.executors.Run(
       m_core.AddressOf(attempt.slot.executor), std::move(call),
-      [box = m_mailbox, id = attempt.id](platform::ExecutorAnswer answer) {
+      [box = m_mailbox, id = attempt.id](services::ExecutorAnswer answer) {
         box->Complete(Completion(AttemptDone{id, std::move(answer)}));
       });
   if (!queued) {
-    platform::ExecutorAnswer answer;
-    answer.verdict = platform::ExecutorVerdict::kNotRun;
+    services::ExecutorAnswer answer;
+    answer.verdict = services::ExecutorVerdict::kNotRun;
     answer.reason = "the HTTP client's queue is full";
     OnAttemptDone({attempt.id, std::move(answer)}, now);
   }
--- a/packages/filters/src/dispatcher.h
+++ b/packages/filters/src/dispatcher.h
@@ -87,7 +87,7 @@
   size_t m_live_vms = 1;
   uint64_t m_next_handle = 1;
   base::MonoTime m_next_periodic{};
-  std::shared_ptr<const platform::VmListPage> m_vms;
+  std::shared_ptr<const services::VmListPage> m_vms;
   std::vector<bool> m_reported_ejected;  // By executor.
   bool m_reported_slots = false;
   bool m_reported_no_slots = false;
--- a/packages/filters/src/mailbox.h
+++ b/packages/filters/src/mailbox.h
@@ -16,7 +16,7 @@
 #include "decode.h"
 #include "http/http_server.h"
 #include "once_filter.h"
-#include "platform/executor_client.h"
+#include "services/executor_client.h"
 
 namespace azurespur::filters {
 
@@ -30,7 +30,7 @@
 
 struct AttemptDone {
   uint64_t attempt = 0;
-  platform::ExecutorAnswer answer;
+  services::ExecutorAnswer answer;
 };
 
 using Completion = std::variant<AttemptDone, OnceEvent>;
--- a/packages/filters/tests/fakes.h
+++ b/packages/filters/tests/fakes.h
@@ -19,7 +19,7 @@
 #include "control/vm_directory.h"
 #include "filters/once_ledger.h"
 #include "http/http_server.h"
-#include "platform/executor_client.h"
+#include "services/executor_client.h"
 
 namespace azurespur::filters {
 
@@ -52,13 +52,13 @@
 
 class FakeVms : public control::VmDirectory {
  public:
-  std::shared_ptr<const platform::VmListPage> Current() const override {
+  std::shared_ptr<const services::VmListPage> Current() const override {
     std::lock_guard<std::mutex> lock(m_mutex);
     return m_page;
   }
-  void Add(const std::string& id, platform::VmKind kind) {
-    Change([&](platform::VmListPage& page) {
-      platform::Vm vm;
+  void Add(const std::string& id, services::VmKind kind) {
+    Change([&](services::VmListPage& page) {
+      services::Vm vm;
       vm.id = id;
       vm.kind = kind;
       vm.address = id;
@@ -68,25 +68,25 @@
     });
   }
   void SetLeaving(const std::string& id) {
-    Change([&](platform::VmListPage& page) {
-      for (platform::Vm& vm : page.vms) {
+    Change([&](services::VmListPage& page) {
+      for (services::Vm& vm : page.vms) {
         vm.leaving = vm.leaving || vm.id == id;
       }
     });
   }
 
  private:
-  void Change(const std::function<void(platform::VmListPage&)>& edit) {
+  void Change(const std::function<void(services::VmListPage&)>& edit) {
     std::lock_guard<std::mutex> lock(m_mutex);
-    auto page = std::make_shared<platform::VmListPage>(*m_page);
+    auto page = std::make_shared<services::VmListPage>(*m_page);
     ++page->version;
     edit(*page);
     m_page = page;
   }
 
   mutable std::mutex m_mutex;
-  std::shared_ptr<const platform::VmListPage> m_page =
-      std::make_shared<platform::VmListPage>();
+  std::shared_ptr<const services::VmListPage> m_page =
+      std::make_shared<services::VmListPage>();
 };
 
 // Connects the buses of several services in one process; delivers at once.
@@ -270,22 +270,22 @@
 };
 
 // Answers calls by a function that the test sets.
-class FakeExecutors : public platform::ExecutorClient {
+class FakeExecutors : public services::ExecutorClient {
  public:
   struct Call {
     std::string address;
-    platform::ExecutorCall call;
+    services::ExecutorCall call;
     Done done;
 
     void Ran(std::string body) {
-      platform::ExecutorAnswer answer;
-      answer.verdict = platform::ExecutorVerdict::kRan;
+      services::ExecutorAnswer answer;
+      answer.verdict = services::ExecutorVerdict::kRan;
       answer.status = 200;
       answer.body = std::move(body);
       done(std::move(answer));
     }
-    void End(platform::ExecutorVerdict verdict, int status = 0) {
-      platform::ExecutorAnswer answer;
+    void End(services::ExecutorVerdict verdict, int status = 0) {
+      services::ExecutorAnswer answer;
       answer.verdict = verdict;
       answer.status = status;
       answer.reason = "set by the test";
@@ -297,7 +297,7 @@
   explicit FakeExecutors(Handler handler) : m_handler(std::move(handler)) {}
 
   bool Run(std::string_view address,
-           platform::ExecutorCall call,
+           services::ExecutorCall call,
            Done done) override {
     m_calls.fetch_add(1);
     m_handler({std::string(address), std::move(call), std::move(done)});
--- a/packages/filters/tests/request_service_test.cc
+++ b/packages/filters/tests/request_service_test.cc
@@ -13,19 +13,19 @@
 
 namespace {
 
-using platform::ExecutorVerdict;
+using services::ExecutorVerdict;
 
 // One entry VM in a domain with its fakes.
 struct Site {
   explicit Site(FakeExecutors::Handler handler)
       : executors(std::move(handler)) {
-    vms.Add("x1", platform::VmKind::kExecutor);
-    vms.Add("x2", platform::VmKind::kExecutor);
+    vms.Add("x1", services::VmKind::kExecutor);
+    vms.Add("x2", services::VmKind::kExecutor);
   }
 
   RequestService& AddVm(const std::string& id, uint64_t incarnation = 1) {
     if (incarnation == 1) {
-      vms.Add(id, platform::VmKind::kEntry);
+      vms.Add(id, services::VmKind::kEntry);
     }
     ledgers.push_back(std::make_unique<OnceLedger>(base::Millis(600000)));
     log.AddReader(*ledgers.back());
--- /dev/null
+++ b/packages/jobs/include/jobs/job_spec.h
@@ -0,0 +1,51 @@
+// What a caller submits: a job of steps, each of equal tasks.
+
+#ifndef JOBS_JOB_SPEC_H_
+#define JOBS_JOB_SPEC_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "jobs/job_id.h"
+#include "placement/resources.h"
+
+namespace azurespur::jobs {
+
+struct StepSpec {
+  int32_t count = 0;            // Tasks of the step.
+  placement::Resources demand;  // Of each task.
+  int64_t estimate_ms = 0;      // Run time of a task; may be far off.
+  std::vector<int32_t> after;   // Steps that must be done first.
+  bool gang = false;            // All tasks run together or none.
+  bool one_rack = false;        // Slower when spread over racks.
+  bool idempotent = false;      // Copies of a task may run at a time.
+  bool checkpointing = false;
+  std::string required_label;  // Empty: any worker.
+  std::string preferred_rack;  // Empty: any rack.
+  int32_t max_per_worker = 0;  // 0: no limit.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(count, demand.cpu_millis, demand.memory_mb, demand.accelerators,
+            estimate_ms, after, gang, one_rack, idempotent, checkpointing,
+            required_label, preferred_rack, max_per_worker);
+  }
+};
+
+struct JobSpec {
+  JobId id = 0;
+  std::string queue;
+  std::string payload;  // Handed to each task unchanged.
+  std::vector<StepSpec> steps;
+  int64_t submitted_unix_ms = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, queue, payload, steps, submitted_unix_ms);
+  }
+};
+
+}  // namespace azurespur::jobs
+
+#endif  // JOBS_JOB_SPEC_H_
--- /dev/null
+++ b/packages/jobs/include/jobs/job_table.h
@@ -0,0 +1,111 @@
+// The replicated state of all jobs: what the two log streams say so far.
+
+#ifndef JOBS_JOB_TABLE_H_
+#define JOBS_JOB_TABLE_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/clock.h"
+#include "jobs/job_spec.h"
+#include "jobs/records.h"
+#include "jobs/task_ref.h"
+
+namespace azurespur::jobs {
+
+enum class JobState { kQueued, kRunning, kCompleted, kFailed, kCancelled };
+
+enum class TaskPhase { kWaiting, kBound, kDone };
+
+struct TaskProgress {
+  TaskPhase phase = TaskPhase::kWaiting;
+  int32_t run = 0;  // Highest so far; 0 before the first.
+  int32_t failures = 0;
+  WorkerBoot worker;       // While bound.
+  std::string checkpoint;  // Empty: none.
+};
+
+struct StepProgress {
+  std::vector<TaskProgress> tasks;
+  int32_t done = 0;
+  int32_t bound = 0;
+  int32_t failed_runs = 0;  // Of a gang, as a whole.
+  int32_t last_failed_run = 0;
+  std::string gang_checkpoint;
+};
+
+struct Job {
+  JobSpec spec;
+  std::vector<StepProgress> steps;
+  JobState state = JobState::kQueued;
+  base::MonoTime accepted_at{};
+  base::MonoTime state_since{};
+};
+
+bool IsFinal(JobState state);
+std::string_view JobStateName(JobState state);
+
+// True if all steps that `step` depends on are done.
+bool StepIsReady(const Job& job, size_t step);
+
+class JobTable {
+ public:
+  // Returns false if the job is known already.
+  bool Submit(const JobSpec& spec, base::MonoTime now);
+
+  // Returns false if the job is unknown.
+  bool Cancel(JobId id, base::MonoTime now);
+
+  void Apply(const IntakeRecord& record, base::MonoTime now);
+  void Apply(const WorkRecord& record, base::MonoTime now);
+
+  // Null if unknown or reduced to its state.
+  const Job* Find(JobId id) const;
+
+  // Empty if the job is unknown.
+  std::optional<JobState> StateOf(JobId id) const;
+
+  // Accepted jobs of `queue` of which no task has been bound.
+  int64_t CountPending(std::string_view queue) const;
+
+  // Drops the states of jobs that have been final for `keep`.
+  void Sweep(base::MonoTime now, base::Millis keep);
+
+  // Jobs that are not final, or still have bound tasks.
+  const std::map<JobId, Job>& jobs() const { return m_jobs; }
+
+  uint64_t epoch() const { return m_lead.epoch; }
+  const LeadRecord& leader() const { return m_lead; }
+  bool leader_yielded() const { return m_yielded; }
+
+ private:
+  struct FinalState {
+    JobState state;
+    base::MonoTime since;
+  };
+
+  void ApplyOne(const LeadRecord& record, base::MonoTime now);
+  void ApplyOne(const YieldRecord& record, base::MonoTime now);
+  void ApplyOne(const MarkRecord& record, base::MonoTime now);
+  void ApplyOne(const BindRecord& record, base::MonoTime now);
+  void ApplyOne(const EndRecord& record, base::MonoTime now);
+  void ApplyOne(const JobFailedRecord& record, base::MonoTime now);
+  void SetState(Job& job, JobState state, base::MonoTime now);
+  // Keeps only the state of a final job once nothing of it is bound.
+  void ReduceIfOver(JobId id);
+
+  std::map<JobId, Job> m_jobs;
+  std::unordered_map<JobId, FinalState> m_final;
+  std::map<std::string, int64_t, std::less<>> m_pending;  // By queue.
+  LeadRecord m_lead;
+  bool m_yielded = false;
+};
+
+}  // namespace azurespur::jobs
+
+#endif  // JOBS_JOB_TABLE_H_
--- /dev/null
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -0,0 +1,179 @@
+// Decides, on the leader, which task starts where and when. No I/O, no clock.
+//
+// It reads the job table, which only stored records change, and binds a task
+// only while the table says that the task waits. What it wants done is put into
+// a SchedulerOutput.
+
+#ifndef JOBS_SCHEDULER_H_
+#define JOBS_SCHEDULER_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+#include "base/clock.h"
+#include "jobs/advice_book.h"
+#include "jobs/fleet.h"
+#include "jobs/job_table.h"
+#include "jobs/queue_policy.h"
+#include "jobs/scheduler_options.h"
+#include "jobs/scheduler_output.h"
+
+namespace azurespur::jobs {
+
+// A step that could start now.
+struct ReadyStep {
+  StepRef ref;
+  const Job* job = nullptr;
+  const QueuePolicy* policy = nullptr;
+  std::vector<int32_t> waiting;  // Tasks without a run.
+  int64_t slack_ms = 0;  // Time to spare before the objective is missed.
+};
+
+class Scheduler {
+ public:
+  // `table` must outlive the scheduler.
+  Scheduler(const SchedulerOptions& options, const JobTable& table);
+
+  // Takes over all bindings in the table. Call once, before the rest.
+  void Adopt(base::MonoTime now);
+
+  void SetPolicy(const CellPolicy& policy) { m_policy = policy; }
+  void SetWorkers(std::span<const WorkerEntry> entries,
+                  base::MonoTime now,
+                  SchedulerOutput& out);
+  void SetAdviceVms(std::span<const std::string> vms) { m_advice.SetVms(vms); }
+
+  // The record is stored and applied to the table.
+  void OnStored(const PendingRecord& stored,
+                base::MonoTime stored_at,
+                base::MonoTime now,
+                SchedulerOutput& out);
+
+  void OnStarted(const StartOrder& order,
+                 OrderOutcome outcome,
+                 base::MonoTime now,
+                 SchedulerOutput& out);
+  void OnStopped(const StopOrder& order,
+                 OrderOutcome outcome,
+                 base::MonoTime now,
+                 SchedulerOutput& out);
+  void OnReport(const HoldOrder& order,
+                const WorkerReport& report,
+                base::MonoTime now,
+                SchedulerOutput& out);
+  void OnHoldFailed(const HoldOrder& order,
+                    OrderOutcome outcome,
+                    base::MonoTime now,
+                    SchedulerOutput& out);
+  void OnAdvice(uint64_t query_id,
+                std::span<const AdviceTicket> tickets,
+                base::MonoTime now);
+  void OnAdviceFailed(uint64_t query_id, base::MonoTime now);
+
+  // Does what is due and plans. `last_append` is when the last append that
+  // succeeded was sent; `unix_ms` is the time of day.
+  void Tick(base::MonoTime now,
+            int64_t unix_ms,
+            base::MonoTime last_append,
+            SchedulerOutput& out);
+
+  const Fleet& fleet() const { return m_fleet; }
+
+ private:
+  // Room that is kept for a gang.
+  struct Reservation {
+    std::map<std::string, placement::Resources, std::less<>> room;
+    bool firm = false;  // Urgent tasks may use room that is not.
+    base::MonoTime expires{};
+  };
+  // Slots of a gang's members by what is known of their workers.
+  struct GangRoom {
+    std::vector<std::pair<const Worker*, int64_t>> good;     // With ticket.
+    std::vector<std::pair<const Worker*, int64_t>> allowed;  // Good, any.
+    std::vector<std::pair<const Worker*, int64_t>> unknown;
+    int64_t good_slots = 0;
+    int64_t allowed_slots = 0;
+    int64_t possible_slots = 0;  // With all allowed and unknown ones empty.
+  };
+
+  std::vector<ReadyStep> FindReady(int64_t unix_ms, SchedulerOutput& out);
+  void AddReadySteps(const Job& job,
+                     const QueuePolicy& policy,
+                     int64_t unix_ms,
+                     std::vector<ReadyStep>& ready,
+                     SchedulerOutput& out);
+  bool UsedUp(const Job& job,
+              size_t step,
+              const QueuePolicy& policy,
+              SchedulerOutput& out);
+  void StopFinal();
+  void PlaceStep(const ReadyStep& step,
+                 base::MonoTime now,
+                 SchedulerOutput& out);
+  void PlaceGang(const ReadyStep& step,
+                 base::MonoTime now,
+                 SchedulerOutput& out);
+  GangRoom FindGangRoom(const ReadyStep& step, base::MonoTime now) const;
+  void BindGang(const ReadyStep& step,
+                const GangRoom& room,
+                SchedulerOutput& out);
+  void Reserve(const ReadyStep& step,
+               const GangRoom& room,
+               bool firm,
+               base::MonoTime expires);
+  void AskForGang(const ReadyStep& step,
+                  GangRoom room,
+                  base::MonoTime now,
+                  SchedulerOutput& out);
+  void PlaceSingles(const ReadyStep& step,
+                    base::MonoTime now,
+                    SchedulerOutput& out);
+  void AskForSingles(const ReadyStep& step,
+                     size_t missing,
+                     base::MonoTime now,
+                     SchedulerOutput& out);
+  void Ask(const ReadyStep& step,
+           std::vector<WorkerBoot> workers,
+           base::MonoTime now,
+           SchedulerOutput& out);
+  bool Suits(const ReadyStep& step, const Worker& worker) const;
+  // How many more tasks of the step the worker can take.
+  int64_t SlotsFor(const ReadyStep& step, const Worker& worker) const;
+  placement::Resources RoomFor(const ReadyStep& step,
+                               const Worker& worker) const;
+  Standing StandingOf(const ReadyStep& step,
+                      const Worker& worker,
+                      base::MonoTime now) const;
+  const Worker* BestWorker(const ReadyStep& step,
+                           int32_t index,
+                           base::MonoTime now) const;
+  void BindTask(const ReadyStep& step,
+                int32_t index,
+                int32_t run,
+                const Worker& worker,
+                SchedulerOutput& out);
+  void StartBound(const BindRecord& bind,
+                  base::MonoTime stored_at,
+                  base::MonoTime now,
+                  SchedulerOutput& out);
+  void RepairGangs();
+  void DropOldState(base::MonoTime now);
+
+  const SchedulerOptions m_options;
+  const JobTable& m_table;
+  CellPolicy m_policy;
+  Fleet m_fleet;
+  AdviceBook m_advice;
+  std::map<StepRef, Reservation> m_reservations;
+  std::set<JobId> m_failing;  // Their failure is being stored.
+  std::map<TaskRef, std::string> m_last_failed_on;  // Worker id.
+  base::MonoTime m_next_drop{};
+};
+
+}  // namespace azurespur::jobs
+
+#endif  // JOBS_SCHEDULER_H_
--- /dev/null
+++ b/packages/jobs/include/jobs/scheduler_options.h
@@ -0,0 +1,36 @@
+// Times and limits of the scheduler.
+
+#ifndef JOBS_SCHEDULER_OPTIONS_H_
+#define JOBS_SCHEDULER_OPTIONS_H_
+
+#include <cstddef>
+#include <cstdint>
+
+#include "base/clock.h"
+
+namespace azurespur::jobs {
+
+struct SchedulerOptions {
+  uint64_t fence = 0;  // Epoch of this leader.
+  // Lease of all that runs on a worker. Shorter: work of a silent worker is
+  // free earlier. Longer: work outlives a longer change of leaders.
+  base::Millis lease{4500};
+  // A leader renews leases for at most this long after its last append, so a
+  // successor knows when a worker that it can't reach has stopped its work.
+  base::Millis renew_after_append{7000};
+  base::Millis busy_hold_wait{1000};  // Look at a worker that runs something.
+  base::Millis idle_hold_wait{2000};  // Look at a worker that runs nothing.
+  base::Millis silent_retry{250};     // Between looks at a silent worker.
+  base::Millis stop_retry{500};       // Between repeats of a stop.
+  base::Millis start_after_append{1000};  // Oldest binding that is started.
+  base::Millis end_retry{300};  // Look again while ends are not yet stored.
+  // No progress for so long: the run is stopped and started elsewhere.
+  base::Millis stalled_after{2500};
+  int32_t failures_to_avoid = 3;    // In a row, without a success.
+  base::Millis avoid_worker{4000};  // Then the worker gets nothing.
+  size_t max_advice_workers = 100;  // In one query.
+};
+
+}  // namespace azurespur::jobs
+
+#endif  // JOBS_SCHEDULER_OPTIONS_H_
--- /dev/null
+++ b/packages/jobs/include/jobs/scheduler_output.h
@@ -0,0 +1,38 @@
+// What the scheduler wants done. Its owner carries it out in any order, but
+// appends the records in theirs.
+
+#ifndef JOBS_SCHEDULER_OUTPUT_H_
+#define JOBS_SCHEDULER_OUTPUT_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "jobs/orders.h"
+#include "jobs/records.h"
+
+namespace azurespur::jobs {
+
+// A record to append and, for an end that a worker listed, its number there.
+struct PendingRecord {
+  WorkRecord record;
+  WorkerBoot worker;
+  int64_t end_number = 0;  // 0: not an end from a worker's list.
+};
+
+struct SchedulerOutput {
+  std::vector<PendingRecord> records;
+  std::vector<StartOrder> starts;
+  std::vector<StopOrder> stops;
+  std::vector<HoldOrder> holds;
+  std::vector<AdviceQuery> queries;
+  bool fenced = false;  // A worker has seen a later leader.
+};
+
+void AddRecord(SchedulerOutput& out,
+               const WorkRecord& record,
+               const WorkerBoot& worker = {},
+               int64_t end_number = 0);
+
+}  // namespace azurespur::jobs
+
+#endif  // JOBS_SCHEDULER_OUTPUT_H_
--- /dev/null
+++ b/packages/jobs/include/jobs/worker_report.h
@@ -0,0 +1,50 @@
+// What a worker answers when it is looked at.
+
+#ifndef JOBS_WORKER_REPORT_H_
+#define JOBS_WORKER_REPORT_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "jobs/task_ref.h"
+
+namespace azurespur::jobs {
+
+struct RunningTask {
+  TaskRef task;
+  int32_t run = 0;
+  std::string checkpoint;  // Empty: none.
+  int32_t percent = 0;     // Of its work.
+};
+
+enum class EndCause {
+  kDone,
+  kFailed,
+  kStopped,
+  kLeaseExpired,
+  kGangBroken,      // Another member ended.
+  kGangIncomplete,  // The other members did not come in time.
+};
+
+struct EndedTask {
+  int64_t number = 0;  // Rises from 1 in each life of the worker.
+  TaskRef task;
+  int32_t run = 0;
+  EndCause cause = EndCause::kStopped;
+  std::string checkpoint;  // Empty: none.
+};
+
+struct WorkerReport {
+  int64_t clock_ms = 0;  // The worker's own clock, which leases are set in.
+  int64_t born_unix_ms = 0;
+  std::vector<RunningTask> running;
+  std::vector<EndedTask> ended;
+};
+
+std::string_view EndCauseName(EndCause cause);
+
+}  // namespace azurespur::jobs
+
+#endif  // JOBS_WORKER_REPORT_H_
--- /dev/null
+++ b/packages/jobs/src/fleet.cc
@@ -0,0 +1,524 @@
+#include "jobs/fleet.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "base/event_log.h"
+
+namespace azurespur::jobs {
+
+namespace {
+
+// A worker's clock may be this much slow.
+constexpr double kSlowestClock = 0.98;
+constexpr base::Millis kLeaseSlack{150};
+constexpr base::Millis kAvoidFullWorker{500};
+constexpr base::Millis kUrgentStalledAfter{1300};
+
+base::Millis OnOurClock(int64_t worker_ms) {
+  return base::Millis{
+      static_cast<int64_t>(static_cast<double>(worker_ms) / kSlowestClock)};
+}
+
+int64_t ClockNow(const Worker& worker, base::MonoTime now) {
+  return worker.clock_ms + base::MillisBetween(worker.clock_at, now);
+}
+
+void SetLeaseOver(Worker& worker) {
+  const int64_t left = worker.max_until_ms - worker.clock_ms;
+  worker.lease_over = std::max(
+      worker.lease_over, worker.clock_at + OnOurClock(left) + kLeaseSlack);
+}
+
+EndKind KindOf(EndCause cause) {
+  switch (cause) {
+    case EndCause::kDone:
+      return EndKind::kDone;
+    case EndCause::kFailed:
+      return EndKind::kFailed;
+    default:
+      return EndKind::kReleased;
+  }
+}
+
+bool HasPhase(const Worker& worker, RunPhase phase) {
+  return std::any_of(
+      worker.runs.begin(), worker.runs.end(),
+      [phase](const auto& entry) { return entry.second.phase == phase; });
+}
+
+void LogRelease(const Worker& worker, const TaskRef& task, const Run& run) {
+  base::LogEvent(base::Severity::kInfo, "AZ8105", "run is over without an end",
+                 {{"task", ToString(task)},
+                  {"run", std::to_string(run.run)},
+                  {"worker", worker.entry.boot.id},
+                  {"phase", std::to_string(static_cast<int>(run.phase))}});
+}
+
+}  // namespace
+
+bool TakesTasks(const Worker& worker, base::MonoTime now) {
+  return worker.listed && worker.fresh && worker.clock_known &&
+         !worker.entry.draining && worker.avoid_until <= now;
+}
+
+placement::Resources FreeRoom(const Worker& worker) {
+  return placement::Subtract(worker.entry.capacity, worker.used);
+}
+
+Worker* Fleet::FindWorker(std::string_view id) {
+  const auto found = m_workers.find(id);
+  return found == m_workers.end() ? nullptr : &found->second;
+}
+
+Worker* Fleet::WorkerOf(const TaskRef& task) {
+  const auto found = m_index.find(task);
+  return found == m_index.end() ? nullptr : FindWorker(found->second);
+}
+
+Run* Fleet::FindRun(Worker& worker, const TaskRef& task, int32_t run) {
+  const auto found = worker.runs.find(task);
+  const bool same = found != worker.runs.end() && found->second.run == run;
+  return same ? &found->second : nullptr;
+}
+
+const Run* Fleet::FindRun(const TaskRef& task) const {
+  const auto found = m_index.find(task);
+  if (found == m_index.end()) {
+    return nullptr;
+  }
+  return &m_workers.find(found->second)->second.runs.at(task);
+}
+
+void Fleet::SetEntries(std::span<const WorkerEntry> entries,
+                       base::MonoTime now,
+                       SchedulerOutput& out) {
+  std::set<std::string_view> present;
+  for (const WorkerEntry& entry : entries) {
+    present.insert(entry.boot.id);
+    Worker& worker = m_workers[entry.boot.id];
+    if (worker.entry.boot.id.empty()) {
+      worker.entry = entry;
+      worker.next_hold = now;
+    } else if (worker.entry.boot != entry.boot) {
+      Restart(worker, entry, out);
+      worker.next_hold = now;
+    } else {
+      worker.entry = entry;
+    }
+    worker.listed = true;
+  }
+  for (auto it = m_workers.begin(); it != m_workers.end();) {
+    if (present.count(it->first) == 0) {
+      it->second.listed = false;
+    }
+    const bool needed = it->second.listed || !it->second.runs.empty();
+    it = needed ? std::next(it) : m_workers.erase(it);
+  }
+}
+
+void Fleet::Restart(Worker& worker,
+                    const WorkerEntry& entry,
+                    SchedulerOutput& out) {
+  base::LogEvent(base::Severity::kWarning, "AZ8106", "worker was started again",
+                 {{"worker", entry.boot.id},
+                  {"born", std::to_string(entry.boot.born_unix_ms)},
+                  {"runs", std::to_string(worker.runs.size())}});
+  std::vector<TaskRef> over;
+  for (auto& [task, run] : worker.runs) {
+    switch (run.phase) {
+      case RunPhase::kBinding:
+        run.stop_wanted = true;
+        break;
+      case RunPhase::kStarting:
+        // The order may still reach the new life; a stop there prevents it.
+        run.phase = RunPhase::kSettling;
+        break;
+      case RunPhase::kSettling:
+      case RunPhase::kAdopted:
+        break;
+      case RunPhase::kRunning:
+      case RunPhase::kSettled:
+        over.push_back(task);
+    }
+  }
+  for (const TaskRef& task : over) {
+    Release(worker, task, out);
+  }
+  worker.entry = entry;
+  worker.fresh = false;
+  worker.clock_known = false;
+  worker.max_until_ms = 0;
+  worker.holds_in_flight = 0;
+  worker.ends_read = 0;
+  worker.ends_stored = 0;
+  worker.newest_look = {};
+}
+
+void Fleet::Adopt(const TaskRef& task,
+                  int32_t run_number,
+                  const WorkerBoot& boot,
+                  const placement::Resources& demand,
+                  base::MonoTime now) {
+  Worker& worker = m_workers[boot.id];
+  if (worker.entry.boot.id.empty()) {
+    worker.entry.boot = boot;
+    worker.listed = false;
+  }
+  Run run;
+  run.run = run_number;
+  run.phase = RunPhase::kAdopted;
+  run.demand = demand;
+  run.progress_at = now;
+  worker.lease_over = now + m_options.renew_after_append +
+                      OnOurClock(m_options.lease.count()) + kLeaseSlack;
+  worker.used = placement::Add(worker.used, demand);
+  worker.runs.emplace(task, std::move(run));
+  m_index[task] = boot.id;
+}
+
+void Fleet::Bind(const TaskRef& task,
+                 const Run& run,
+                 std::string_view worker_id) {
+  Worker* worker = FindWorker(worker_id);
+  worker->used = placement::Add(worker->used, run.demand);
+  worker->runs[task] = run;
+  m_index[task] = std::string(worker_id);
+}
+
+const Worker* Fleet::BeginStart(const TaskRef& task, int32_t run_number) {
+  Worker* worker = WorkerOf(task);
+  Run* run = worker != nullptr ? FindRun(*worker, task, run_number) : nullptr;
+  if (run == nullptr || run->phase != RunPhase::kBinding || run->stop_wanted ||
+      !worker->listed || !worker->fresh || worker->entry.draining) {
+    return nullptr;
+  }
+  run->phase = RunPhase::kStarting;
+  return worker;
+}
+
+void Fleet::Abandon(const TaskRef& task, SchedulerOutput& out) {
+  if (Worker* worker = WorkerOf(task)) {
+    Release(*worker, task, out);
+  }
+}
+
+int64_t Fleet::LeaseUntil(const Worker& worker, base::MonoTime now) {
+  Worker& own = *FindWorker(worker.entry.boot.id);
+  const int64_t until = ClockNow(own, now) + m_options.lease.count();
+  own.max_until_ms = std::max(own.max_until_ms, until);
+  SetLeaseOver(own);
+  return own.max_until_ms;
+}
+
+void Fleet::WantStop(const TaskRef& task) {
+  if (Worker* worker = WorkerOf(task)) {
+    worker->runs.at(task).stop_wanted = true;
+  }
+}
+
+void Fleet::OnStarted(const TaskRef& task,
+                      int32_t run_number,
+                      OrderOutcome outcome,
+                      base::MonoTime now,
+                      SchedulerOutput& out) {
+  out.fenced = out.fenced || outcome == OrderOutcome::kFenced;
+  Worker* worker = WorkerOf(task);
+  Run* run = worker != nullptr ? FindRun(*worker, task, run_number) : nullptr;
+  if (run == nullptr || run->phase != RunPhase::kStarting) {
+    return;
+  }
+  switch (outcome) {
+    case OrderOutcome::kAccepted:
+      run->phase = RunPhase::kRunning;
+      run->known_at = now;
+      run->progress_at = now;
+      return;
+    case OrderOutcome::kUnknown:
+      run->phase = RunPhase::kSettling;
+      return;
+    case OrderOutcome::kNoRoom:
+    case OrderOutcome::kRefused:
+    case OrderOutcome::kLate:
+      worker->avoid_until = now + kAvoidFullWorker;
+      break;
+    case OrderOutcome::kOtherBoot:
+      worker->fresh = false;
+      break;
+    default:
+      break;
+  }
+  Release(*worker, task, out);
+}
+
+void Fleet::OnStopped(const TaskRef& task,
+                      int32_t run_number,
+                      OrderOutcome outcome,
+                      base::MonoTime now,
+                      SchedulerOutput& out) {
+  out.fenced = out.fenced || outcome == OrderOutcome::kFenced;
+  Worker* worker = WorkerOf(task);
+  Run* run = worker != nullptr ? FindRun(*worker, task, run_number) : nullptr;
+  if (run == nullptr) {
+    return;
+  }
+  if (outcome == OrderOutcome::kAccepted && run->phase == RunPhase::kSettling) {
+    run->phase = RunPhase::kSettled;
+    run->known_at = now;
+    worker->next_hold = now;
+  }
+}
+
+void Fleet::OnReport(const WorkerBoot& boot,
+                     const WorkerReport& report,
+                     base::MonoTime asked_at,
+                     base::MonoTime now,
+                     SchedulerOutput& out) {
+  Worker* worker = FindWorker(boot.id);
+  if (worker == nullptr || worker->entry.boot != boot) {
+    return;
+  }
+  worker->holds_in_flight = std::max(0, worker->holds_in_flight - 1);
+  if (report.born_unix_ms != 0 && boot.born_unix_ms != 0 &&
+      report.born_unix_ms != boot.born_unix_ms) {
+    WorkerEntry entry = worker->entry;
+    entry.boot.born_unix_ms = report.born_unix_ms;
+    Restart(*worker, entry, out);
+    worker->next_hold = now;
+    return;
+  }
+  worker->fresh = true;
+  if (!worker->clock_known || report.clock_ms >= worker->clock_ms) {
+    worker->clock_known = true;
+    worker->clock_ms = report.clock_ms;
+    worker->clock_at = now;
+  }
+  for (const EndedTask& end : report.ended) {
+    if (end.number > worker->ends_read) {
+      TakeEnd(*worker, end, now, out);
+      worker->ends_read = end.number;
+    }
+  }
+  if (asked_at >= worker->newest_look) {
+    worker->newest_look = asked_at;
+    TakeRunning(*worker, report, asked_at, now, out);
+  }
+  const bool stored = worker->ends_stored >= worker->ends_read;
+  worker->next_hold = stored ? now : now + m_options.end_retry;
+}
+
+void Fleet::TakeEnd(Worker& worker,
+                    const EndedTask& end,
+                    base::MonoTime now,
+                    SchedulerOutput& out) {
+  if (FindRun(worker, end.task, end.run) != nullptr) {
+    CountEnd(worker, end.cause, now);
+    Forget(worker, end.task);
+  }
+  base::LogEvent(base::Severity::kInfo, "AZ8104", "task ended",
+                 {{"task", ToString(end.task)},
+                  {"run", std::to_string(end.run)},
+                  {"worker", worker.entry.boot.id},
+                  {"cause", std::string(EndCauseName(end.cause))}});
+  AddRecord(out,
+            EndRecord{end.task, end.run, KindOf(end.cause), end.checkpoint},
+            worker.entry.boot, end.number);
+}
+
+void Fleet::TakeRunning(Worker& worker,
+                        const WorkerReport& report,
+                        base::MonoTime asked_at,
+                        base::MonoTime now,
+                        SchedulerOutput& out) {
+  std::set<TaskRef> seen;
+  for (const RunningTask& running : report.running) {
+    Run* run = FindRun(worker, running.task, running.run);
+    if (run == nullptr) {
+      out.stops.push_back({worker.entry.boot, worker.entry.address,
+                           running.task, running.run, m_options.fence});
+      continue;
+    }
+    seen.insert(running.task);
+    if (run->phase == RunPhase::kStarting || run->phase == RunPhase::kAdopted) {
+      run->phase = RunPhase::kRunning;
+      run->known_at = now;
+      run->progress_at = now;
+    }
+    if (running.percent != run->percent) {
+      run->percent = running.percent;
+      run->progress_at = now;
+    }
+    if (!running.checkpoint.empty()) {
+      run->checkpoint = running.checkpoint;
+    }
+  }
+  std::vector<TaskRef> over;
+  for (const auto& [task, run] : worker.runs) {
+    const bool known =
+        run.phase == RunPhase::kRunning || run.phase == RunPhase::kSettled;
+    const bool gone =
+        run.phase == RunPhase::kAdopted || (known && run.known_at < asked_at);
+    if (gone && seen.count(task) == 0) {
+      over.push_back(task);
+    }
+  }
+  for (const TaskRef& task : over) {
+    Release(worker, task, out);
+  }
+}
+
+void Fleet::CountEnd(Worker& worker, EndCause cause, base::MonoTime now) {
+  if (cause == EndCause::kDone) {
+    worker.failures_in_row = 0;
+  } else if (cause == EndCause::kFailed) {
+    ++worker.failures_in_row;
+    if (worker.failures_in_row >= m_options.failures_to_avoid) {
+      worker.avoid_until = now + m_options.avoid_worker;
+      base::LogEvent(base::Severity::kWarning, "AZ8107",
+                     "worker fails what it starts; it gets nothing for a while",
+                     {{"worker", worker.entry.boot.id},
+                      {"failures", std::to_string(worker.failures_in_row)}});
+    }
+  }
+}
+
+void Fleet::OnHoldFailed(const WorkerBoot& boot,
+                         OrderOutcome outcome,
+                         base::MonoTime now,
+                         SchedulerOutput& out) {
+  out.fenced = out.fenced || outcome == OrderOutcome::kFenced;
+  Worker* worker = FindWorker(boot.id);
+  if (worker == nullptr || worker->entry.boot != boot) {
+    return;
+  }
+  worker->holds_in_flight = std::max(0, worker->holds_in_flight - 1);
+  worker->next_hold = now + m_options.silent_retry;
+  if (worker->fresh) {
+    worker->fresh = false;
+    base::LogEvent(base::Severity::kWarning, "AZ8108", "worker lost",
+                   {{"worker", boot.id},
+                    {"outcome", std::string(OrderOutcomeName(outcome))},
+                    {"runs", std::to_string(worker->runs.size())}});
+  }
+}
+
+void Fleet::OnEndStored(const PendingRecord& stored) {
+  Worker* worker = FindWorker(stored.worker.id);
+  if (worker == nullptr || worker->entry.boot != stored.worker) {
+    return;
+  }
+  worker->ends_stored = std::max(worker->ends_stored, stored.end_number);
+  if (worker->ends_stored >= worker->ends_read &&
+      worker->holds_in_flight == 0) {
+    worker->next_hold = {};
+  }
+}
+
+void Fleet::Tick(base::MonoTime now, bool may_renew, SchedulerOutput& out) {
+  for (auto& [id, worker] : m_workers) {
+    if (!worker.fresh && !worker.runs.empty() && now > worker.lease_over) {
+      ReleaseAll(worker, out);
+    }
+    StopStalled(worker, now);
+    SendStops(worker, now, out);
+    Look(worker, now, may_renew, out);
+  }
+}
+
+void Fleet::Look(Worker& worker,
+                 base::MonoTime now,
+                 bool may_renew,
+                 SchedulerOutput& out) {
+  const bool settled = HasPhase(worker, RunPhase::kSettled);
+  const int32_t allowed = settled ? 2 : 1;
+  if (worker.holds_in_flight >= allowed || now < worker.next_hold ||
+      worker.entry.address.empty()) {
+    return;
+  }
+  HoldOrder order;
+  order.worker = worker.entry.boot;
+  order.address = worker.entry.address;
+  order.fence = m_options.fence;
+  order.ended_seen = worker.ends_stored;
+  order.sent_at = now;
+  if (worker.fresh && worker.clock_known) {
+    if (may_renew) {
+      order.lease_until_ms = LeaseUntil(worker, now);
+    }
+    const bool unstored = worker.ends_read > worker.ends_stored;
+    if (!settled && !unstored) {
+      order.wait = worker.runs.empty() ? m_options.idle_hold_wait
+                                       : m_options.busy_hold_wait;
+    }
+  }
+  ++worker.holds_in_flight;
+  worker.next_hold = now + m_options.silent_retry;
+  out.holds.push_back(std::move(order));
+}
+
+void Fleet::SendStops(Worker& worker,
+                      base::MonoTime now,
+                      SchedulerOutput& out) {
+  for (auto& [task, run] : worker.runs) {
+    const bool wanted = run.phase == RunPhase::kSettling ||
+                        (run.stop_wanted && run.phase == RunPhase::kRunning);
+    if (!wanted || now < run.stop_sent_at + m_options.stop_retry) {
+      continue;
+    }
+    run.stop_sent_at = now;
+    out.stops.push_back({worker.entry.boot, worker.entry.address, task, run.run,
+                         m_options.fence});
+  }
+}
+
+void Fleet::StopStalled(Worker& worker, base::MonoTime now) {
+  if (!worker.fresh) {
+    return;
+  }
+  for (auto& [task, run] : worker.runs) {
+    const base::Millis limit =
+        run.urgent ? kUrgentStalledAfter : m_options.stalled_after;
+    const bool stalled = run.phase == RunPhase::kRunning && !run.stop_wanted &&
+                         worker.newest_look > run.progress_at + limit;
+    if (!stalled) {
+      continue;
+    }
+    run.stop_wanted = true;
+    worker.avoid_until = now + m_options.avoid_worker;
+    base::LogEvent(base::Severity::kWarning, "AZ8109",
+                   "run makes no progress; it is stopped",
+                   {{"task", ToString(task)},
+                    {"run", std::to_string(run.run)},
+                    {"worker", worker.entry.boot.id},
+                    {"percent", std::to_string(run.percent)}});
+  }
+}
+
+void Fleet::Forget(Worker& worker, const TaskRef& task) {
+  const auto found = worker.runs.find(task);
+  worker.used = placement::Subtract(worker.used, found->second.demand);
+  worker.runs.erase(found);
+  m_index.erase(task);
+}
+
+void Fleet::Release(Worker& worker, const TaskRef& task, SchedulerOutput& out) {
+  const Run& run = worker.runs.at(task);
+  LogRelease(worker, task, run);
+  AddRecord(out, EndRecord{task, run.run, EndKind::kReleased, run.checkpoint});
+  Forget(worker, task);
+}
+
+void Fleet::ReleaseAll(Worker& worker, SchedulerOutput& out) {
+  std::vector<TaskRef> over;
+  for (const auto& [task, run] : worker.runs) {
+    if (run.phase != RunPhase::kBinding) {
+      over.push_back(task);
+    }
+  }
+  for (const TaskRef& task : over) {
+    Release(worker, task, out);
+  }
+}
+
+}  // namespace azurespur::jobs
--- /dev/null
+++ b/packages/jobs/src/job_order.cc
@@ -0,0 +1,47 @@
+#include "job_order.h"
+
+#include <algorithm>
+#include <tuple>
+#include <vector>
+
+namespace azurespur::jobs {
+
+namespace {
+
+// For each step, the longest chain of estimates from its start to the job's
+// end. Steps depend on earlier ones only.
+std::vector<int64_t> ChainsToEnd(const JobSpec& spec) {
+  std::vector<int64_t> chains(spec.steps.size(), 0);
+  for (size_t s = spec.steps.size(); s-- > 0;) {
+    chains[s] += spec.steps[s].estimate_ms;
+    for (int32_t earlier : spec.steps[s].after) {
+      auto& chain = chains[static_cast<size_t>(earlier)];
+      chain = std::max(chain, chains[s]);
+    }
+  }
+  return chains;
+}
+
+}  // namespace
+
+int64_t SlackMs(const Job& job,
+                const QueuePolicy& policy,
+                size_t step,
+                int64_t unix_ms) {
+  const std::vector<int64_t> chains = ChainsToEnd(job.spec);
+  const int64_t longest = *std::max_element(chains.begin(), chains.end());
+  const auto objective =
+      static_cast<int64_t>(policy.stretch * static_cast<double>(longest)) +
+      policy.target_ms;
+  return job.spec.submitted_unix_ms + objective - unix_ms - chains[step];
+}
+
+bool StartsBefore(const ReadyStep& a, const ReadyStep& b) {
+  const auto key = [](const ReadyStep& step) {
+    return std::tuple(step.policy->priority != 0, step.slack_ms < 0,
+                      step.slack_ms);
+  };
+  return key(a) < key(b);
+}
+
+}  // namespace azurespur::jobs
--- /dev/null
+++ b/packages/jobs/src/job_table.cc
@@ -0,0 +1,244 @@
+#include "jobs/job_table.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace azurespur::jobs {
+
+namespace {
+
+TaskProgress* FindTask(Job& job, const TaskRef& task) {
+  if (task.step < 0 || static_cast<size_t>(task.step) >= job.steps.size()) {
+    return nullptr;
+  }
+  auto& tasks = job.steps[static_cast<size_t>(task.step)].tasks;
+  if (task.index < 0 || static_cast<size_t>(task.index) >= tasks.size()) {
+    return nullptr;
+  }
+  return &tasks[static_cast<size_t>(task.index)];
+}
+
+void CountFailure(StepProgress& step, TaskProgress& task, int32_t run) {
+  ++task.failures;
+  // Of a gang, several members may report the failure of one run.
+  if (run > step.last_failed_run) {
+    step.last_failed_run = run;
+    ++step.failed_runs;
+  }
+}
+
+// One end `done` of a gang stands for all its members.
+void FinishGang(StepProgress& step) {
+  for (TaskProgress& task : step.tasks) {
+    task.phase = TaskPhase::kDone;
+  }
+  step.bound = 0;
+  step.done = static_cast<int32_t>(step.tasks.size());
+}
+
+bool AllDone(const Job& job) {
+  return std::all_of(
+      job.steps.begin(), job.steps.end(), [](const StepProgress& step) {
+        return step.done == static_cast<int32_t>(step.tasks.size());
+      });
+}
+
+bool AnyBound(const Job& job) {
+  return std::any_of(job.steps.begin(), job.steps.end(),
+                     [](const StepProgress& step) { return step.bound > 0; });
+}
+
+}  // namespace
+
+bool IsFinal(JobState state) {
+  return state == JobState::kCompleted || state == JobState::kFailed ||
+         state == JobState::kCancelled;
+}
+
+std::string_view JobStateName(JobState state) {
+  switch (state) {
+    case JobState::kQueued:
+      return "queued";
+    case JobState::kRunning:
+      return "running";
+    case JobState::kCompleted:
+      return "completed";
+    case JobState::kFailed:
+      return "failed";
+    case JobState::kCancelled:
+      return "cancelled";
+  }
+  return "";
+}
+
+bool StepIsReady(const Job& job, size_t step) {
+  const auto& after = job.spec.steps[step].after;
+  return std::all_of(after.begin(), after.end(), [&job](int32_t earlier) {
+    const StepProgress& progress = job.steps[static_cast<size_t>(earlier)];
+    return progress.done == static_cast<int32_t>(progress.tasks.size());
+  });
+}
+
+bool JobTable::Submit(const JobSpec& spec, base::MonoTime now) {
+  if (StateOf(spec.id)) {
+    return false;
+  }
+  Job job;
+  job.spec = spec;
+  job.accepted_at = now;
+  job.state_since = now;
+  job.steps.resize(spec.steps.size());
+  for (size_t i = 0; i < spec.steps.size(); ++i) {
+    job.steps[i].tasks.resize(static_cast<size_t>(spec.steps[i].count));
+  }
+  ++m_pending[spec.queue];
+  m_jobs.emplace(spec.id, std::move(job));
+  return true;
+}
+
+bool JobTable::Cancel(JobId id, base::MonoTime now) {
+  const auto found = m_jobs.find(id);
+  if (found == m_jobs.end()) {
+    return m_final.count(id) > 0;
+  }
+  if (!IsFinal(found->second.state)) {
+    SetState(found->second, JobState::kCancelled, now);
+    ReduceIfOver(id);
+  }
+  return true;
+}
+
+void JobTable::Apply(const IntakeRecord& record, base::MonoTime now) {
+  if (const auto* spec = std::get_if<JobSpec>(&record)) {
+    Submit(*spec, now);
+  } else {
+    Cancel(std::get<CancelRecord>(record).job, now);
+  }
+}
+
+void JobTable::Apply(const WorkRecord& record, base::MonoTime now) {
+  std::visit([this, now](const auto& one) { ApplyOne(one, now); }, record);
+}
+
+void JobTable::ApplyOne(const LeadRecord& record, base::MonoTime /*now*/) {
+  m_lead = record;
+  m_yielded = false;
+}
+
+void JobTable::ApplyOne(const YieldRecord& record, base::MonoTime /*now*/) {
+  m_yielded = m_yielded || record.epoch == m_lead.epoch;
+}
+
+void JobTable::ApplyOne(const MarkRecord& /*record*/, base::MonoTime /*now*/) {}
+
+void JobTable::ApplyOne(const BindRecord& record, base::MonoTime now) {
+  const auto found = m_jobs.find(record.task.job);
+  if (found == m_jobs.end()) {
+    return;
+  }
+  Job& job = found->second;
+  TaskProgress* task = FindTask(job, record.task);
+  if (task == nullptr || task->phase == TaskPhase::kDone) {
+    return;
+  }
+  if (task->phase == TaskPhase::kWaiting) {
+    ++job.steps[static_cast<size_t>(record.task.step)].bound;
+  }
+  task->phase = TaskPhase::kBound;
+  task->run = std::max(task->run, record.run);
+  task->worker = record.worker;
+  if (job.state == JobState::kQueued) {
+    SetState(job, JobState::kRunning, now);
+  }
+}
+
+void JobTable::ApplyOne(const EndRecord& record, base::MonoTime now) {
+  const auto found = m_jobs.find(record.task.job);
+  if (found == m_jobs.end()) {
+    return;
+  }
+  Job& job = found->second;
+  TaskProgress* task = FindTask(job, record.task);
+  if (task == nullptr || task->phase != TaskPhase::kBound ||
+      task->run != record.run) {
+    return;
+  }
+  const StepSpec& spec = job.spec.steps[static_cast<size_t>(record.task.step)];
+  StepProgress& step = job.steps[static_cast<size_t>(record.task.step)];
+  if (!record.checkpoint.empty()) {
+    task->checkpoint = record.checkpoint;
+    step.gang_checkpoint = record.checkpoint;
+  }
+  if (record.kind == EndKind::kDone && spec.gang) {
+    FinishGang(step);
+  } else {
+    --step.bound;
+    task->worker = {};
+    const bool done = record.kind == EndKind::kDone;
+    task->phase = done ? TaskPhase::kDone : TaskPhase::kWaiting;
+    step.done += done ? 1 : 0;
+  }
+  if (record.kind == EndKind::kFailed) {
+    CountFailure(step, *task, record.run);
+  }
+  if (!IsFinal(job.state) && AllDone(job)) {
+    SetState(job, JobState::kCompleted, now);
+  }
+  ReduceIfOver(record.task.job);
+}
+
+void JobTable::ApplyOne(const JobFailedRecord& record, base::MonoTime now) {
+  const auto found = m_jobs.find(record.job);
+  if (found == m_jobs.end() || IsFinal(found->second.state)) {
+    return;
+  }
+  SetState(found->second, JobState::kFailed, now);
+  ReduceIfOver(record.job);
+}
+
+void JobTable::SetState(Job& job, JobState state, base::MonoTime now) {
+  if (job.state == JobState::kQueued) {
+    --m_pending[job.spec.queue];
+  }
+  job.state = state;
+  job.state_since = now;
+}
+
+void JobTable::ReduceIfOver(JobId id) {
+  const auto found = m_jobs.find(id);
+  if (found == m_jobs.end() || !IsFinal(found->second.state) ||
+      AnyBound(found->second)) {
+    return;
+  }
+  m_final[id] = {found->second.state, found->second.state_since};
+  m_jobs.erase(found);
+}
+
+const Job* JobTable::Find(JobId id) const {
+  const auto found = m_jobs.find(id);
+  return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+std::optional<JobState> JobTable::StateOf(JobId id) const {
+  if (const Job* job = Find(id)) {
+    return job->state;
+  }
+  const auto found = m_final.find(id);
+  if (found == m_final.end()) {
+    return std::nullopt;
+  }
+  return found->second.state;
+}
+
+int64_t JobTable::CountPending(std::string_view queue) const {
+  const auto found = m_pending.find(queue);
+  return found == m_pending.end() ? 0 : found->second;
+}
+
+void JobTable::Sweep(base::MonoTime now, base::Millis keep) {
+  std::erase_if(m_final, [now, keep](const auto& entry) {
+    return entry.second.since + keep < now;
+  });
+}
+
+}  // namespace azurespur::jobs
--- /dev/null
+++ b/packages/jobs/src/scheduler.cc
@@ -0,0 +1,290 @@
+#include "jobs/scheduler.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "base/event_log.h"
+#include "job_order.h"
+
+namespace azurespur::jobs {
+
+namespace {
+
+constexpr base::Millis kDropInterval{2000};
+
+bool IsGangWithGap(const StepProgress& step) {
+  int32_t newest = 0;
+  for (const TaskProgress& task : step.tasks) {
+    newest = std::max(newest, task.run);
+  }
+  return newest > 0 && step.bound > 0 &&
+         std::any_of(step.tasks.begin(), step.tasks.end(),
+                     [newest](const TaskProgress& task) {
+                       return task.phase == TaskPhase::kWaiting &&
+                              task.run == newest;
+                     });
+}
+
+}  // namespace
+
+Scheduler::Scheduler(const SchedulerOptions& options, const JobTable& table)
+    : m_options(options), m_table(table), m_fleet(options) {}
+
+void Scheduler::Adopt(base::MonoTime now) {
+  for (const auto& [id, job] : m_table.jobs()) {
+    for (size_t s = 0; s < job.steps.size(); ++s) {
+      const StepProgress& step = job.steps[s];
+      for (size_t i = 0; i < step.tasks.size(); ++i) {
+        const TaskProgress& task = step.tasks[i];
+        if (task.phase == TaskPhase::kBound) {
+          m_fleet.Adopt({id, static_cast<int32_t>(s), static_cast<int32_t>(i)},
+                        task.run, task.worker, job.spec.steps[s].demand, now);
+        }
+      }
+    }
+  }
+}
+
+void Scheduler::SetWorkers(std::span<const WorkerEntry> entries,
+                           base::MonoTime now,
+                           SchedulerOutput& out) {
+  m_fleet.SetEntries(entries, now, out);
+}
+
+void Scheduler::OnStored(const PendingRecord& stored,
+                         base::MonoTime stored_at,
+                         base::MonoTime now,
+                         SchedulerOutput& out) {
+  if (stored.end_number > 0) {
+    m_fleet.OnEndStored(stored);
+  }
+  if (const auto* bind = std::get_if<BindRecord>(&stored.record)) {
+    StartBound(*bind, stored_at, now, out);
+  } else if (const auto* end = std::get_if<EndRecord>(&stored.record)) {
+    if (end->kind == EndKind::kFailed) {
+      m_last_failed_on[end->task] = stored.worker.id;
+    }
+  }
+}
+
+void Scheduler::StartBound(const BindRecord& bind,
+                           base::MonoTime stored_at,
+                           base::MonoTime now,
+                           SchedulerOutput& out) {
+  const Job* job = m_table.Find(bind.task.job);
+  const bool wanted = job != nullptr && !IsFinal(job->state) &&
+                      now <= stored_at + m_options.start_after_append;
+  const auto policy =
+      wanted ? m_policy.queues.find(job->spec.queue) : m_policy.queues.end();
+  const bool advised =
+      policy != m_policy.queues.end() && policy->second.advice.has_value();
+  const bool allowed =
+      !advised || m_advice.StandingOf(bind.task.StepOf(), bind.worker, now) ==
+                      Standing::kGood;
+  const Worker* worker =
+      wanted && allowed ? m_fleet.BeginStart(bind.task, bind.run) : nullptr;
+  if (worker == nullptr) {
+    m_fleet.Abandon(bind.task, out);
+    return;
+  }
+  const auto step = static_cast<size_t>(bind.task.step);
+  const StepProgress& progress = job->steps[step];
+  const auto& task = progress.tasks[static_cast<size_t>(bind.task.index)];
+  StartOrder order;
+  order.worker = worker->entry.boot;
+  order.address = worker->entry.address;
+  order.task = bind.task;
+  order.run = bind.run;
+  order.payload = job->spec.payload;
+  order.lease_until_ms = m_fleet.LeaseUntil(*worker, now);
+  order.fence = m_options.fence;
+  order.checkpoint =
+      job->spec.steps[step].gang ? progress.gang_checkpoint : task.checkpoint;
+  if (advised) {
+    order.ticket = m_advice.TicketOf(bind.task.StepOf(), bind.worker.id);
+  }
+  out.starts.push_back(std::move(order));
+}
+
+void Scheduler::OnStarted(const StartOrder& order,
+                          OrderOutcome outcome,
+                          base::MonoTime now,
+                          SchedulerOutput& out) {
+  if (outcome == OrderOutcome::kBadTicket) {
+    m_advice.DropTicket(order.task.StepOf(), order.worker.id);
+  }
+  m_fleet.OnStarted(order.task, order.run, outcome, now, out);
+}
+
+void Scheduler::OnStopped(const StopOrder& order,
+                          OrderOutcome outcome,
+                          base::MonoTime now,
+                          SchedulerOutput& out) {
+  m_fleet.OnStopped(order.task, order.run, outcome, now, out);
+}
+
+void Scheduler::OnReport(const HoldOrder& order,
+                         const WorkerReport& report,
+                         base::MonoTime now,
+                         SchedulerOutput& out) {
+  m_fleet.OnReport(order.worker, report, order.sent_at, now, out);
+}
+
+void Scheduler::OnHoldFailed(const HoldOrder& order,
+                             OrderOutcome outcome,
+                             base::MonoTime now,
+                             SchedulerOutput& out) {
+  m_fleet.OnHoldFailed(order.worker, outcome, now, out);
+}
+
+void Scheduler::OnAdvice(uint64_t query_id,
+                         std::span<const AdviceTicket> tickets,
+                         base::MonoTime now) {
+  m_advice.OnAnswer(query_id, tickets, now);
+}
+
+void Scheduler::OnAdviceFailed(uint64_t query_id, base::MonoTime now) {
+  m_advice.OnFailure(query_id, now);
+}
+
+void Scheduler::Tick(base::MonoTime now,
+                     int64_t unix_ms,
+                     base::MonoTime last_append,
+                     SchedulerOutput& out) {
+  m_advice.Tick(now);
+  StopFinal();
+  RepairGangs();
+  std::erase_if(m_reservations, [now](const auto& entry) {
+    return entry.second.expires <= now;
+  });
+  for (const ReadyStep& step : FindReady(unix_ms, out)) {
+    PlaceStep(step, now, out);
+  }
+  const bool may_renew = now <= last_append + m_options.renew_after_append;
+  m_fleet.Tick(now, may_renew, out);
+  DropOldState(now);
+}
+
+std::vector<ReadyStep> Scheduler::FindReady(int64_t unix_ms,
+                                            SchedulerOutput& out) {
+  std::vector<ReadyStep> ready;
+  for (const auto& [id, job] : m_table.jobs()) {
+    const auto policy = m_policy.queues.find(job.spec.queue);
+    if (policy != m_policy.queues.end() && !IsFinal(job.state) &&
+        m_failing.count(id) == 0) {
+      AddReadySteps(job, policy->second, unix_ms, ready, out);
+    }
+  }
+  std::stable_sort(ready.begin(), ready.end(), StartsBefore);
+  return ready;
+}
+
+void Scheduler::AddReadySteps(const Job& job,
+                              const QueuePolicy& policy,
+                              int64_t unix_ms,
+                              std::vector<ReadyStep>& ready,
+                              SchedulerOutput& out) {
+  for (size_t s = 0; s < job.steps.size(); ++s) {
+    const StepProgress& progress = job.steps[s];
+    const auto count = static_cast<int32_t>(progress.tasks.size());
+    const bool gang = job.spec.steps[s].gang;
+    if (progress.done + progress.bound == count || !StepIsReady(job, s) ||
+        (gang && progress.bound > 0)) {
+      continue;
+    }
+    if (UsedUp(job, s, policy, out)) {
+      return;
+    }
+    ReadyStep step;
+    step.ref = {job.spec.id, static_cast<int32_t>(s)};
+    step.job = &job;
+    step.policy = &policy;
+    for (int32_t i = 0; i < count; ++i) {
+      const bool waits =
+          progress.tasks[static_cast<size_t>(i)].phase == TaskPhase::kWaiting;
+      if (waits &&
+          m_fleet.FindRun(TaskRef{job.spec.id, step.ref.step, i}) == nullptr) {
+        step.waiting.push_back(i);
+      }
+    }
+    const bool whole = static_cast<int32_t>(step.waiting.size()) == count;
+    if (step.waiting.empty() || (gang && !whole)) {
+      continue;
+    }
+    step.slack_ms = SlackMs(job, policy, s, unix_ms);
+    ready.push_back(std::move(step));
+  }
+}
+
+bool Scheduler::UsedUp(const Job& job,
+                       size_t s,
+                       const QueuePolicy& policy,
+                       SchedulerOutput& out) {
+  const StepProgress& progress = job.steps[s];
+  int32_t failures = 0;
+  if (job.spec.steps[s].gang) {
+    failures = progress.failed_runs;
+  } else {
+    for (const TaskProgress& task : progress.tasks) {
+      failures = std::max(failures, task.failures);
+    }
+  }
+  if (failures < policy.max_attempts) {
+    return false;
+  }
+  base::LogEvent(base::Severity::kInfo, "AZ8103", "job failed",
+                 {{"job", FormatJobId(job.spec.id)},
+                  {"step", std::to_string(s)},
+                  {"failed_runs", std::to_string(failures)},
+                  {"max_attempts", std::to_string(policy.max_attempts)},
+                  {"policy_version", std::to_string(m_policy.version)}});
+  m_failing.insert(job.spec.id);
+  AddRecord(out, JobFailedRecord{job.spec.id});
+  return true;
+}
+
+void Scheduler::StopFinal() {
+  for (const auto& [id, job] : m_table.jobs()) {
+    if (!IsFinal(job.state)) {
+      continue;
+    }
+    for (size_t s = 0; s < job.steps.size(); ++s) {
+      const auto count = static_cast<int32_t>(job.steps[s].tasks.size());
+      for (int32_t i = 0; i < count; ++i) {
+        m_fleet.WantStop({id, static_cast<int32_t>(s), i});
+      }
+    }
+  }
+}
+
+// A gang that lost a member can't end; its other members are stopped so that
+// all start together again.
+void Scheduler::RepairGangs() {
+  for (const auto& [id, job] : m_table.jobs()) {
+    for (size_t s = 0; s < job.steps.size(); ++s) {
+      if (!job.spec.steps[s].gang || !IsGangWithGap(job.steps[s])) {
+        continue;
+      }
+      const auto count = static_cast<int32_t>(job.steps[s].tasks.size());
+      for (int32_t i = 0; i < count; ++i) {
+        m_fleet.WantStop({id, static_cast<int32_t>(s), i});
+      }
+    }
+  }
+}
+
+void Scheduler::DropOldState(base::MonoTime now) {
+  if (now < m_next_drop) {
+    return;
+  }
+  m_next_drop = now + kDropInterval;
+  const JobTable& table = m_table;
+  m_advice.ForgetGoneJobs(table);
+  std::erase_if(m_last_failed_on, [&table](const auto& entry) {
+    return table.Find(entry.first.job) == nullptr;
+  });
+  std::erase_if(m_failing,
+                [&table](JobId id) { return table.Find(id) == nullptr; });
+}
+
+}  // namespace azurespur::jobs
--- a/packages/platform/include/platform/executor_client.h
+++ b/packages/services/include/services/executor_client.h
@@ -1,7 +1,7 @@
 // The request verb of an executor. Answers come on the HTTP client's thread.
 
-#ifndef PLATFORM_EXECUTOR_CLIENT_H_
-#define PLATFORM_EXECUTOR_CLIENT_H_
+#ifndef SERVICES_EXECUTOR_CLIENT_H_
+#define SERVICES_EXECUTOR_CLIENT_H_
 
 #include <functional>
 #include <memory>
@@ -15,7 +15,7 @@
 class HttpClient;
 }
 
-namespace azurespur::platform {
+namespace azurespur::services {
 
 enum class ExecutorVerdict {
   kRan,         // A whole answer that names this request.
@@ -53,6 +53,6 @@
 std::unique_ptr<ExecutorClient> MakeHttpExecutorClient(
     http::HttpClient& client);
 
-}  // namespace azurespur::platform
+}  // namespace azurespur::services
 
-#endif  // PLATFORM_EXECUTOR_CLIENT_H_
+#endif  // SERVICES_EXECUTOR_CLIENT_H_
--- a/packages/platform/include/platform/log_service.h
+++ b/packages/services/include/services/log_service.h
@@ -1,7 +1,7 @@
 // The platform's append-only log service.
 
-#ifndef PLATFORM_LOG_SERVICE_H_
-#define PLATFORM_LOG_SERVICE_H_
+#ifndef SERVICES_LOG_SERVICE_H_
+#define SERVICES_LOG_SERVICE_H_
 
 #include <cstdint>
 #include <memory>
@@ -16,7 +16,7 @@
 class HttpClient;
 }
 
-namespace azurespur::platform {
+namespace azurespur::services {
 
 struct LogRecord {
   uint64_t offset = 0;
@@ -53,6 +53,6 @@
                                                std::string url,
                                                base::Millis timeout);
 
-}  // namespace azurespur::platform
+}  // namespace azurespur::services
 
-#endif  // PLATFORM_LOG_SERVICE_H_
+#endif  // SERVICES_LOG_SERVICE_H_
--- a/packages/platform/include/platform/vm_list.h
+++ b/packages/services/include/services/vm_list.h
@@ -1,7 +1,7 @@
 // The platform's list of live and leaving VMs. It lags.
 
-#ifndef PLATFORM_VM_LIST_H_
-#define PLATFORM_VM_LIST_H_
+#ifndef SERVICES_VM_LIST_H_
+#define SERVICES_VM_LIST_H_
 
 #include <cstdint>
 #include <memory>
@@ -14,7 +14,7 @@
 class HttpClient;
 }
 
-namespace azurespur::platform {
+namespace azurespur::services {
 
 enum class VmKind { kEntry, kWorker, kExecutor };
 
@@ -51,6 +51,6 @@
 std::unique_ptr<VmList> MakeHttpVmList(http::HttpClient& client,
                                        std::string url);
 
-}  // namespace azurespur::platform
+}  // namespace azurespur::services
 
-#endif  // PLATFORM_VM_LIST_H_
+#endif  // SERVICES_VM_LIST_H_
--- a/packages/platform/include/platform/worker_client.h
+++ b/packages/services/include/services/worker_client.h
@@ -1,7 +1,7 @@
 // The verbs of a worker. Answers come on the HTTP client's thread.
 
-#ifndef PLATFORM_WORKER_CLIENT_H_
-#define PLATFORM_WORKER_CLIENT_H_
+#ifndef SERVICES_WORKER_CLIENT_H_
+#define SERVICES_WORKER_CLIENT_H_
 
 #include <cstdint>
 #include <functional>
@@ -17,7 +17,7 @@
 class HttpClient;
 }
 
-namespace azurespur::platform {
+namespace azurespur::services {
 
 struct WorkerStart {
   std::string id;
@@ -99,6 +99,6 @@
 std::unique_ptr<WorkerClient> MakeHttpWorkerClient(http::HttpClient& client,
                                                    base::Millis timeout);
 
-}  // namespace azurespur::platform
+}  // namespace azurespur::services
 
-#endif  // PLATFORM_WORKER_CLIENT_H_
+#endif  // SERVICES_WORKER_CLIENT_H_
--- a/packages/platform/src/executor_client.cc
+++ b/packages/services/src/executor_client.cc
@@ -1,10 +1,10 @@
-#include "platform/executor_client.h"
+#include "services/executor_client.h"
 
 #include <utility>
 
 #include "http/http_client.h"
 
-namespace azurespur::platform {
+namespace azurespur::services {
 
 namespace {
 
@@ -89,4 +89,4 @@
   return std::make_unique<HttpExecutorClient>(client);
 }
 
-}  // namespace azurespur::platform
+}  // namespace azurespur::services
--- a/packages/platform/src/http_log_service.cc
+++ b/packages/services/src/http_log_service.cc
@@ -3,9 +3,9 @@
 
 #include "http/http_client.h"
 #include "json_fields.h"
-#include "platform/log_service.h"
+#include "services/log_service.h"
 
-namespace azurespur::platform {
+namespace azurespur::services {
 
 namespace {
 
@@ -126,4 +126,4 @@
   return std::make_unique<HttpLogService>(client, std::move(url), timeout);
 }
 
-}  // namespace azurespur::platform
+}  // namespace azurespur::services
--- a/packages/platform/src/http_vm_list.cc
+++ b/packages/services/src/http_vm_list.cc
@@ -3,9 +3,9 @@
 
 #include "http/http_client.h"
 #include "json_fields.h"
-#include "platform/vm_list.h"
+#include "services/vm_list.h"
 
-namespace azurespur::platform {
+namespace azurespur::services {
 
 namespace {
 
@@ -117,4 +117,4 @@
   return std::make_unique<HttpVmList>(client, std::move(url));
 }
 
-}  // namespace azurespur::platform
+}  // namespace azurespur::services
--- a/packages/platform/src/json_fields.cc
+++ b/packages/services/src/json_fields.cc
@@ -1,6 +1,6 @@
 #include "json_fields.h"
 
-namespace azurespur::platform {
+namespace azurespur::services {
 
 base::Outcome<nlohmann::json> ParseObject(std::string_view body,
                                           std::string_view source) {
@@ -32,4 +32,4 @@
   return it != object.end() && it->is_boolean() ? it->get<bool>() : fallback;
 }
 
-}  // namespace azurespur::platform
+}  // namespace azurespur::services
--- a/packages/platform/src/json_fields.h
+++ b/packages/services/src/json_fields.h
@@ -1,7 +1,7 @@
 // Reads typed fields of JSON answers.
 
-#ifndef PLATFORM_SRC_JSON_FIELDS_H_
-#define PLATFORM_SRC_JSON_FIELDS_H_
+#ifndef SERVICES_SRC_JSON_FIELDS_H_
+#define SERVICES_SRC_JSON_FIELDS_H_
 
 #include <cstdint>
 #include <nlohmann/json.hpp>
@@ -10,7 +10,7 @@
 
 #include "base/outcome.h"
 
-namespace azurespur::platform {
+namespace azurespur::services {
 
 // Errors: kUnknown if `body` is not a JSON object; `source` names the answer.
 base::Outcome<nlohmann::json> ParseObject(std::string_view body,
@@ -27,6 +27,6 @@
                const char* name,
                bool fallback = false);
 
-}  // namespace azurespur::platform
+}  // namespace azurespur::services
 
-#endif  // PLATFORM_SRC_JSON_FIELDS_H_
+#endif  // SERVICES_SRC_JSON_FIELDS_H_
--- a/packages/platform/src/worker_client.cc
+++ b/packages/services/src/worker_client.cc
@@ -1,4 +1,4 @@
-#include "platform/worker_client.h"
+#include "services/worker_client.h"
 
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -6,7 +6,7 @@
 
 #include "http/http_client.h"
 
-namespace azurespur::platform {
+namespace azurespur::services {
 
 namespace {
 
@@ -225,4 +225,4 @@
   return std::make_unique<HttpWorkerClient>(client, timeout);
 }
 
-}  // namespace azurespur::platform
+}  // namespace azurespur::services
--- a/packages/platform/tests/executor_client_test.cc
+++ b/packages/services/tests/executor_client_test.cc
@@ -1,4 +1,4 @@
-#include "platform/executor_client.h"
+#include "services/executor_client.h"
 
 #include <arpa/inet.h>
 #include <doctest/doctest.h>
@@ -16,7 +16,7 @@
 
 #include "http/http_client.h"
 
-namespace azurespur::platform {
+namespace azurespur::services {
 
 namespace {
 
@@ -211,4 +211,4 @@
         ExecutorVerdict::kMayHaveRun);
 }
 
-}  // namespace azurespur::platform
+}  // namespace azurespur::services
--- a/packages/platform/tests/vm_list_test.cc
+++ b/packages/services/tests/vm_list_test.cc
@@ -6,9 +6,9 @@
 
 #include "http/http_client.h"
 #include "http/http_server.h"
-#include "platform/vm_list.h"
+#include "services/vm_list.h"
 
-namespace azurespur::platform {
+namespace azurespur::services {
 
 TEST_CASE("an unchanged VM list is not sent again") {
   std::atomic<int> whole{0};
@@ -39,4 +39,4 @@
   CHECK(whole == 1);
 }
 
-}  // namespace azurespur::platform
+}  // namespace azurespur::services
--- a/packages/platform/tests/worker_client_test.cc
+++ b/packages/services/tests/worker_client_test.cc
@@ -1,4 +1,4 @@
-#include "platform/worker_client.h"
+#include "services/worker_client.h"
 
 #include <doctest/doctest.h>
 
@@ -8,7 +8,7 @@
 #include "http/http_client.h"
 #include "http/http_server.h"
 
-namespace azurespur::platform {
+namespace azurespur::services {
 
 namespace {
 
@@ -124,4 +124,4 @@
   CHECK(base::Value(result) == std::vector<std::string>{"u"});
 }
 
-}  // namespace azurespur::platform
+}  // namespace azurespur::services
