Tell begun jobs from bound ones; keep bindings that are read after a cancellation

Ruled out: a start under an old fence (the worker lists none). Now a cancelled job stays until a mark of the leader is past its cancellation, and a job counts as begun when a worker said so (BegunRecord).

--- a/packages/cell/src/cell_node.cc
+++ b/packages/cell/src/cell_node.cc
@@ -336,7 +336,7 @@
                     {"reason", base::GetError(record).message}});
     return true;
   }
-  m_table.Apply(base::Value(record), m_clock.Now());
+  m_table.Apply(base::Value(record), m_intake.next(), m_clock.Now());
   m_plan_wanted = true;
   return true;
 }
--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -58,10 +58,10 @@
   // Returns false if the job is known already.
   bool Submit(const JobSpec& spec, base::MonoTime now);
 
-  // Returns false if the job is unknown.
-  bool Cancel(JobId id, base::MonoTime now);
+  // Returns false if the job is unknown. `offset` is that of the record.
+  bool Cancel(JobId id, int64_t offset, base::MonoTime now);
 
-  void Apply(const IntakeRecord& record, base::MonoTime now);
+  void Apply(const IntakeRecord& record, int64_t offset, base::MonoTime now);
   void Apply(const WorkRecord& record, base::MonoTime now);
 
   // Null if unknown or reduced to its state.
@@ -70,7 +70,7 @@
   // Empty if the job is unknown.
   std::optional<JobState> StateOf(JobId id) const;
 
-  // Accepted jobs of `queue` of which no task has been bound.
+  // Accepted jobs of `queue` of which no task has begun.
   int64_t CountPending(std::string_view queue) const;
 
   // Drops the states of jobs that have been final for `keep`.
@@ -95,12 +95,16 @@
   void ApplyOne(const BindRecord& record, base::MonoTime now);
   void ApplyOne(const EndRecord& record, base::MonoTime now);
   void ApplyOne(const JobFailedRecord& record, base::MonoTime now);
+  void ApplyOne(const BegunRecord& record, base::MonoTime now);
   void SetState(Job& job, JobState state, base::MonoTime now);
   // Keeps only the state of a final job once nothing of it is bound.
   void ReduceIfOver(JobId id);
 
   std::map<JobId, Job> m_jobs;
   std::unordered_map<JobId, FinalState> m_final;
+  // Cancelled jobs whose bindings may still come: a binding that was recorded
+  // before the leader knew of the cancellation may be read after it.
+  std::map<JobId, int64_t> m_cancel_offsets;
   std::map<std::string, int64_t, std::less<>> m_pending;  // By queue.
   LeadRecord m_lead;
   bool m_yielded = false;
--- a/packages/jobs/include/jobs/records.h
+++ b/packages/jobs/include/jobs/records.h
@@ -77,6 +77,16 @@
   }
 };
 
+// A task of the job runs, for the first time.
+struct BegunRecord {
+  JobId job = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(job);
+  }
+};
+
 enum class EndKind : uint8_t {
   kDone,
   kFailed,    // Counts as an attempt.
@@ -111,7 +121,8 @@
                                 MarkRecord,
                                 BindRecord,
                                 EndRecord,
-                                JobFailedRecord>;
+                                JobFailedRecord,
+                                BegunRecord>;
 
 std::string EncodeIntake(const IntakeRecord& record);
 std::string EncodeWork(const WorkRecord& record);
--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -161,6 +161,7 @@
                   base::MonoTime now,
                   SchedulerOutput& out);
   void RepairGangs();
+  void RecordBegun(JobId id, SchedulerOutput& out);
   void DropOldState(base::MonoTime now);
 
   const SchedulerOptions m_options;
@@ -170,6 +171,7 @@
   AdviceBook m_advice;
   std::map<StepRef, Reservation> m_reservations;
   std::set<JobId> m_failing;  // Their failure is being stored.
+  std::set<JobId> m_begun;    // That they have begun is being stored.
   std::map<TaskRef, std::string> m_last_failed_on;  // Worker id.
   base::MonoTime m_next_drop{};
 };
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -96,23 +96,25 @@
   return true;
 }
 
-bool JobTable::Cancel(JobId id, base::MonoTime now) {
+bool JobTable::Cancel(JobId id, int64_t offset, base::MonoTime now) {
   const auto found = m_jobs.find(id);
   if (found == m_jobs.end()) {
     return m_final.count(id) > 0;
   }
   if (!IsFinal(found->second.state)) {
     SetState(found->second, JobState::kCancelled, now);
-    ReduceIfOver(id);
+    m_cancel_offsets.emplace(id, offset);
   }
   return true;
 }
 
-void JobTable::Apply(const IntakeRecord& record, base::MonoTime now) {
+void JobTable::Apply(const IntakeRecord& record,
+                     int64_t offset,
+                     base::MonoTime now) {
   if (const auto* spec = std::get_if<JobSpec>(&record)) {
     Submit(*spec, now);
   } else {
-    Cancel(std::get<CancelRecord>(record).job, now);
+    Cancel(std::get<CancelRecord>(record).job, offset, now);
   }
 }
 
@@ -129,9 +131,20 @@
   m_yielded = m_yielded || record.epoch == m_lead.epoch;
 }
 
-void JobTable::ApplyOne(const MarkRecord& /*record*/, base::MonoTime /*now*/) {}
+// The leader knew of all cancellations before `intake_end`, so no bindings of
+// those jobs follow.
+void JobTable::ApplyOne(const MarkRecord& record, base::MonoTime /*now*/) {
+  for (auto it = m_cancel_offsets.begin(); it != m_cancel_offsets.end();) {
+    const JobId id = it->first;
+    const bool known = it->second < record.intake_end;
+    it = known ? m_cancel_offsets.erase(it) : std::next(it);
+    if (known) {
+      ReduceIfOver(id);
+    }
+  }
+}
 
-void JobTable::ApplyOne(const BindRecord& record, base::MonoTime now) {
+void JobTable::ApplyOne(const BindRecord& record, base::MonoTime /*now*/) {
   const auto found = m_jobs.find(record.task.job);
   if (found == m_jobs.end()) {
     return;
@@ -147,8 +160,12 @@
   task->phase = TaskPhase::kBound;
   task->run = std::max(task->run, record.run);
   task->worker = record.worker;
-  if (job.state == JobState::kQueued) {
-    SetState(job, JobState::kRunning, now);
+}
+
+void JobTable::ApplyOne(const BegunRecord& record, base::MonoTime now) {
+  const auto found = m_jobs.find(record.job);
+  if (found != m_jobs.end() && found->second.state == JobState::kQueued) {
+    SetState(found->second, JobState::kRunning, now);
   }
 }
 
@@ -181,6 +198,9 @@
   if (record.kind == EndKind::kFailed) {
     CountFailure(step, *task, record.run);
   }
+  if (job.state == JobState::kQueued && record.kind != EndKind::kReleased) {
+    SetState(job, JobState::kRunning, now);
+  }
   if (!IsFinal(job.state) && AllDone(job)) {
     SetState(job, JobState::kCompleted, now);
   }
@@ -207,7 +227,7 @@
 void JobTable::ReduceIfOver(JobId id) {
   const auto found = m_jobs.find(id);
   if (found == m_jobs.end() || !IsFinal(found->second.state) ||
-      AnyBound(found->second)) {
+      AnyBound(found->second) || m_cancel_offsets.count(id) > 0) {
     return;
   }
   m_final[id] = {found->second.state, found->second.state_since};
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -114,6 +114,17 @@
     m_advice.DropTicket(order.task.StepOf(), order.worker.id);
   }
   m_fleet.OnStarted(order.task, order.run, outcome, now, out);
+  if (outcome == OrderOutcome::kAccepted) {
+    RecordBegun(order.task.job, out);
+  }
+}
+
+void Scheduler::RecordBegun(JobId id, SchedulerOutput& out) {
+  const Job* job = m_table.Find(id);
+  if (job != nullptr && job->state == JobState::kQueued &&
+      m_begun.insert(id).second) {
+    AddRecord(out, BegunRecord{id});
+  }
 }
 
 void Scheduler::OnStopped(const StopOrder& order,
@@ -128,6 +139,9 @@
                          base::MonoTime now,
                          SchedulerOutput& out) {
   m_fleet.OnReport(order.worker, report, order.sent_at, now, out);
+  for (const RunningTask& running : report.running) {
+    RecordBegun(running.task.job, out);
+  }
 }
 
 void Scheduler::OnHoldFailed(const HoldOrder& order,
@@ -283,8 +297,9 @@
   std::erase_if(m_last_failed_on, [&table](const auto& entry) {
     return table.Find(entry.first.job) == nullptr;
   });
-  std::erase_if(m_failing,
-                [&table](JobId id) { return table.Find(id) == nullptr; });
+  const auto is_gone = [&table](JobId id) { return table.Find(id) == nullptr; };
+  std::erase_if(m_failing, is_gone);
+  std::erase_if(m_begun, is_gone);
 }
 
 }  // namespace azurespur::jobs
