Keep room for waiting gangs in the order of the plan

Each waiting gang reserved what was free and saw the others' reservations of the plan before: several held parts for ever. Ruled out: advice (calls were answered), room (half of it was free).

--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -170,6 +170,7 @@
   Fleet m_fleet;
   AdviceBook m_advice;
   std::map<StepRef, Reservation> m_reservations;
+  int32_t m_waiting_gangs = 0;  // With a reservation in the current plan.
   std::set<JobId> m_failing;  // Their failure is being stored.
   std::set<JobId> m_begun;    // That they have begun is being stored.
   std::map<TaskRef, std::string> m_last_failed_on;  // Worker id.
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -168,9 +168,12 @@
   m_advice.Tick(now);
   StopFinal();
   RepairGangs();
+  // Those that wait for room are made anew in each plan, in the order of the
+  // steps: two gangs that each kept a part would both wait for ever.
   std::erase_if(m_reservations, [now](const auto& entry) {
-    return entry.second.expires <= now;
+    return !entry.second.firm || entry.second.expires <= now;
   });
+  m_waiting_gangs = 0;
   for (const ReadyStep& step : FindReady(unix_ms, out)) {
     PlaceStep(step, now, out);
   }
--- a/packages/jobs/src/scheduler_place.cc
+++ b/packages/jobs/src/scheduler_place.cc
@@ -13,7 +13,8 @@
 
 // Ask about so many times the slots that are needed, by the share of good ones.
 constexpr double kAskMargin = 1.3;
-constexpr base::Millis kSoftReservation{200};
+// More gangs than this don't keep room for which they wait.
+constexpr int32_t kMaxWaitingGangs = 3;
 constexpr base::Millis kFirmReservation{1600};
 
 int64_t TasksOfStep(const Worker& worker, const StepRef& step) {
@@ -278,7 +279,10 @@
     Ask(step, std::move(workers), now, out);
     return;
   }
-  Reserve(step, room, /*firm=*/false, now + kSoftReservation);
+  if (m_waiting_gangs < kMaxWaitingGangs) {
+    ++m_waiting_gangs;
+    Reserve(step, room, /*firm=*/false, now);
+  }
   if (step.policy->advice) {
     AskForGang(step, room, now, out);
   }
--- /dev/null
+++ b/packages/jobs/tests/scheduler_fixture.h
@@ -0,0 +1,221 @@
+// A scheduler over workers and a log in memory. Orders are answered at once;
+// what is bound runs until the test ends it.
+
+#ifndef JOBS_TESTS_SCHEDULER_FIXTURE_H_
+#define JOBS_TESTS_SCHEDULER_FIXTURE_H_
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jobs/scheduler.h"
+
+namespace azurespur::jobs {
+
+struct FakeRun {
+  int32_t run = 0;
+  int32_t percent = 0;
+};
+
+struct SchedulerFixture {
+  explicit SchedulerFixture(SchedulerOptions with = {})
+      : options(with), scheduler(options, table) {
+    options.fence = 7;
+  }
+
+  // A queue; gangs and singles of it need no advice.
+  QueuePolicy& AddQueue(const std::string& name, int32_t priority) {
+    QueuePolicy queue;
+    queue.name = name;
+    queue.service = "s";
+    queue.priority = priority;
+    queue.max_attempts = 3;
+    queue.stretch = 2;
+    queue.target_ms = 1000;
+    policy.queues[name] = queue;
+    return policy.queues[name];
+  }
+
+  void AddWorkers(int count, int64_t cpu) {
+    for (int i = 0; i < count; ++i) {
+      WorkerEntry entry;
+      entry.boot = {"w" + std::to_string(entries.size()), 1};
+      entry.service = "s";
+      entry.address = "addr";
+      entry.rack = "r" + std::to_string(entries.size() / 8);
+      entry.capacity = {cpu, 1000000, 0};
+      entries.push_back(entry);
+    }
+  }
+
+  JobSpec& Submit(JobId id,
+                  const std::string& queue,
+                  int32_t count,
+                  int64_t cpu,
+                  bool gang = false,
+                  int64_t estimate_ms = 1000) {
+    JobSpec& spec = specs[id];
+    spec.id = id;
+    spec.queue = queue;
+    spec.submitted_unix_ms = UnixMs();
+    StepSpec step;
+    step.count = count;
+    step.demand = {cpu, 1, 0};
+    step.gang = gang;
+    step.estimate_ms = estimate_ms;
+    spec.steps = {step};
+    table.Submit(spec, now);
+    return spec;
+  }
+
+  int64_t UnixMs() const { return base::MillisBetween(base::MonoTime{}, now); }
+
+  // Plans, and carries out what is wanted, until nothing more happens.
+  void Step(base::Millis by = base::Millis{20}) {
+    now += by;
+    scheduler.SetPolicy(policy);
+    scheduler.SetWorkers(entries, now, out);
+    scheduler.SetAdviceVms(vms);
+    scheduler.Tick(now, UnixMs(), now, out);
+    while (CarryOut()) {
+    }
+  }
+
+  void Run(base::Millis time) {
+    const base::MonoTime end = now + time;
+    while (now < end) {
+      Step();
+    }
+  }
+
+  // The worker lists an end of the task's run.
+  void End(const TaskRef& task, EndCause cause) {
+    for (auto& [worker, runs] : running) {
+      const auto found = runs.find(task);
+      if (found != runs.end()) {
+        EndedTask ended;
+        ended.number = ++end_numbers[worker];
+        ended.task = task;
+        ended.run = found->second.run;
+        ended.cause = cause;
+        ends[worker].push_back(ended);
+        runs.erase(found);
+        return;
+      }
+    }
+  }
+
+  bool IsRunning(const TaskRef& task) const { return !WorkerOf(task).empty(); }
+
+  std::string WorkerOf(const TaskRef& task) const {
+    for (const auto& [worker, runs] : running) {
+      if (runs.count(task) > 0) {
+        return worker;
+      }
+    }
+    return {};
+  }
+
+  int64_t CountRunning(JobId job) const {
+    int64_t count = 0;
+    for (const auto& [worker, runs] : running) {
+      count += std::count_if(runs.begin(), runs.end(), [job](const auto& run) {
+        return run.first.job == job;
+      });
+    }
+    return count;
+  }
+
+  SchedulerOptions options;
+  JobTable table;
+  CellPolicy policy;
+  Scheduler scheduler;
+  SchedulerOutput out;
+  base::MonoTime now{base::Millis{1000000}};
+  std::vector<WorkerEntry> entries;
+  std::vector<std::string> vms = {"a"};
+  std::map<JobId, JobSpec> specs;
+  std::map<std::string, std::map<TaskRef, FakeRun>> running;  // By worker.
+  std::map<std::string, std::vector<EndedTask>> ends;
+  std::map<std::string, int64_t> end_numbers;
+  std::map<std::string, OrderOutcome> start_outcomes;  // Instead of accepted.
+  std::map<std::string, bool> silent;                  // Workers.
+  std::vector<AdviceQuery> asked;
+  std::vector<StartOrder> started;
+  std::vector<StopOrder> stopped;
+
+ private:
+  bool CarryOut() {
+    SchedulerOutput wanted = std::exchange(out, {});
+    for (const PendingRecord& pending : wanted.records) {
+      table.Apply(pending.record, now);
+    }
+    for (const PendingRecord& pending : wanted.records) {
+      scheduler.OnStored(pending, now, now, out);
+    }
+    for (const StartOrder& order : wanted.starts) {
+      Start(order);
+    }
+    for (const StopOrder& order : wanted.stops) {
+      Stop(order);
+    }
+    for (const HoldOrder& order : wanted.holds) {
+      Hold(order);
+    }
+    asked.insert(asked.end(), wanted.queries.begin(), wanted.queries.end());
+    return !out.records.empty() || !out.starts.empty() || !out.stops.empty();
+  }
+
+  void Start(const StartOrder& order) {
+    started.push_back(order);
+    OrderOutcome outcome = OrderOutcome::kAccepted;
+    const auto other = start_outcomes.find(order.worker.id);
+    if (other != start_outcomes.end()) {
+      outcome = other->second;
+    }
+    if (silent[order.worker.id]) {
+      outcome = OrderOutcome::kUnknown;
+    }
+    if (outcome == OrderOutcome::kAccepted) {
+      running[order.worker.id][order.task] = {order.run, 0};
+    }
+    scheduler.OnStarted(order, outcome, now, out);
+  }
+
+  void Stop(const StopOrder& order) {
+    stopped.push_back(order);
+    if (silent[order.worker.id]) {
+      scheduler.OnStopped(order, OrderOutcome::kUnknown, now, out);
+      return;
+    }
+    if (running[order.worker.id].count(order.task) > 0) {
+      End(order.task, EndCause::kStopped);
+    }
+    scheduler.OnStopped(order, OrderOutcome::kAccepted, now, out);
+  }
+
+  void Hold(const HoldOrder& order) {
+    const std::string& id = order.worker.id;
+    if (silent[id]) {
+      scheduler.OnHoldFailed(order, OrderOutcome::kUnknown, now, out);
+      return;
+    }
+    WorkerReport report;
+    report.clock_ms = UnixMs();
+    report.born_unix_ms = order.worker.born_unix_ms;
+    for (const auto& [task, run] : running[id]) {
+      report.running.push_back({task, run.run, "", run.percent});
+    }
+    std::erase_if(ends[id], [&order](const EndedTask& end) {
+      return end.number <= order.ended_seen;
+    });
+    report.ended = ends[id];
+    scheduler.OnReport(order, report, now, out);
+  }
+};
+
+}  // namespace azurespur::jobs
+
+#endif  // JOBS_TESTS_SCHEDULER_FIXTURE_H_
