Ask once about all workers for a gang that waits; try failing workers with one task at a time

Tests name the patterns: a worker that fails all, one that hangs, is silent, denies room, or was started again.

--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -93,7 +93,10 @@
              base::MonoTime now);
 
   // Takes room for a run whose binding is being stored.
-  void Bind(const TaskRef& task, const Run& run, std::string_view worker_id);
+  void Bind(const TaskRef& task,
+            const Run& run,
+            std::string_view worker_id,
+            base::MonoTime now);
 
   // The binding is stored: returns the worker if the start may be sent.
   const Worker* BeginStart(const TaskRef& task, int32_t run);
--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -118,15 +118,19 @@
                  base::MonoTime now,
                  SchedulerOutput& out);
   GangRoom FindGangRoom(const ReadyStep& step, base::MonoTime now) const;
+  void LogWaitingGang(const ReadyStep& step,
+                      const GangRoom& room,
+                      base::MonoTime now);
   void BindGang(const ReadyStep& step,
                 const GangRoom& room,
+                base::MonoTime now,
                 SchedulerOutput& out);
   void Reserve(const ReadyStep& step,
                const GangRoom& room,
                bool firm,
                base::MonoTime expires);
   void AskForGang(const ReadyStep& step,
-                  GangRoom room,
+                  const GangRoom& room,
                   base::MonoTime now,
                   SchedulerOutput& out);
   void PlaceSingles(const ReadyStep& step,
@@ -155,6 +159,7 @@
                 int32_t index,
                 int32_t run,
                 const Worker& worker,
+                base::MonoTime now,
                 SchedulerOutput& out);
   void StartBound(const BindRecord& bind,
                   base::MonoTime stored_at,
@@ -170,6 +175,7 @@
   Fleet m_fleet;
   AdviceBook m_advice;
   std::map<StepRef, Reservation> m_reservations;
+  std::map<StepRef, base::MonoTime> m_next_wait_log;
   int32_t m_waiting_gangs = 0;  // With a reservation in the current plan.
   std::set<JobId> m_failing;  // Their failure is being stored.
   std::set<JobId> m_begun;    // That they have begun is being stored.
--- a/packages/jobs/src/advice_book.cc
+++ b/packages/jobs/src/advice_book.cc
@@ -20,7 +20,7 @@
 constexpr double kStatsDecay = 0.98;
 constexpr double kLeastGoodShare = 0.1;
 // Long queries use at most this share of the VMs.
-constexpr double kLongShare = 0.6;
+constexpr double kLongShare = 0.7;
 
 }  // namespace
 
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -180,8 +180,12 @@
 
 void Fleet::Bind(const TaskRef& task,
                  const Run& run,
-                 std::string_view worker_id) {
+                 std::string_view worker_id,
+                 base::MonoTime now) {
   Worker* worker = FindWorker(worker_id);
+  if (worker->failures_in_row >= m_options.failures_to_avoid) {
+    worker->avoid_until = now + m_options.avoid_worker;
+  }
   worker->used = placement::Add(worker->used, run.demand);
   worker->runs[task] = run;
   m_index[task] = std::string(worker_id);
@@ -370,6 +374,9 @@
 
 void Fleet::CountEnd(Worker& worker, EndCause cause, base::MonoTime now) {
   if (cause == EndCause::kDone) {
+    if (worker.failures_in_row >= m_options.failures_to_avoid) {
+      worker.avoid_until = now;
+    }
     worker.failures_in_row = 0;
   } else if (cause == EndCause::kFailed) {
     ++worker.failures_in_row;
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -297,6 +297,9 @@
   m_next_drop = now + kDropInterval;
   const JobTable& table = m_table;
   m_advice.ForgetGoneJobs(table);
+  std::erase_if(m_next_wait_log, [&table](const auto& entry) {
+    return table.Find(entry.first.job) == nullptr;
+  });
   std::erase_if(m_last_failed_on, [&table](const auto& entry) {
     return table.Find(entry.first.job) == nullptr;
   });
--- a/packages/jobs/src/scheduler_place.cc
+++ b/packages/jobs/src/scheduler_place.cc
@@ -15,6 +15,7 @@
 constexpr double kAskMargin = 1.3;
 // More gangs than this don't keep room for which they wait.
 constexpr int32_t kMaxWaitingGangs = 3;
+constexpr base::Millis kWaitLogInterval{1000};  // Of one gang.
 constexpr base::Millis kFirmReservation{1600};
 
 int64_t TasksOfStep(const Worker& worker, const StepRef& step) {
@@ -127,6 +128,7 @@
                          int32_t index,
                          int32_t run_number,
                          const Worker& worker,
+                         base::MonoTime now,
                          SchedulerOutput& out) {
   const TaskRef task{step.ref.job, step.ref.step, index};
   Run run;
@@ -139,7 +141,7 @@
                   {"worker", worker.entry.boot.id},
                   {"free_cpu", std::to_string(FreeRoom(worker).cpu_millis)},
                   {"slack_ms", std::to_string(step.slack_ms)}});
-  m_fleet.Bind(task, run, worker.entry.boot.id);
+  m_fleet.Bind(task, run, worker.entry.boot.id, now);
   AddRecord(out, BindRecord{task, run_number, worker.entry.boot});
 }
 
@@ -155,7 +157,7 @@
       break;
     }
     const int32_t run = progress.tasks[static_cast<size_t>(index)].run + 1;
-    BindTask(step, index, run, *worker, out);
+    BindTask(step, index, run, *worker, now, out);
     ++placed;
   }
   if (placed < step.waiting.size() && step.policy->advice &&
@@ -263,9 +265,10 @@
       step.job->spec.steps[static_cast<size_t>(step.ref.step)].count;
   const GangRoom room = FindGangRoom(step, now);
   if (room.good_slots >= count) {
-    BindGang(step, room, out);
+    BindGang(step, room, now, out);
     return;
   }
+  LogWaitingGang(step, room, now);
   if (room.possible_slots < count ||
       (step.policy->advice && m_advice.Asking(step.ref))) {
     return;
@@ -288,8 +291,30 @@
   }
 }
 
+void Scheduler::LogWaitingGang(const ReadyStep& step,
+                               const GangRoom& room,
+                               base::MonoTime now) {
+  base::MonoTime& next = m_next_wait_log[step.ref];
+  if (now < next) {
+    return;
+  }
+  next = now + kWaitLogInterval;
+  base::LogEvent(
+      base::Severity::kInfo, "AZ8114", "gang waits",
+      {{"step", ToString(step.ref)},
+       {"members", std::to_string(step.waiting.size())},
+       {"slots_with_ticket", std::to_string(room.good_slots)},
+       {"slots_allowed", std::to_string(room.allowed_slots)},
+       {"slots_if_empty", std::to_string(room.possible_slots)},
+       {"workers_unknown", std::to_string(room.unknown.size())},
+       {"asking", m_advice.Asking(step.ref) ? "true" : "false"},
+       {"reservations", std::to_string(m_reservations.size())},
+       {"slack_ms", std::to_string(step.slack_ms)}});
+}
+
 void Scheduler::BindGang(const ReadyStep& step,
                          const GangRoom& room,
+                         base::MonoTime now,
                          SchedulerOutput& out) {
   const StepProgress& progress =
       step.job->steps[static_cast<size_t>(step.ref.step)];
@@ -301,7 +326,7 @@
   size_t next = 0;
   for (const auto& [worker, slots] : room.good) {
     for (int64_t i = 0; i < slots && next < step.waiting.size(); ++i) {
-      BindTask(step, step.waiting[next], run, *worker, out);
+      BindTask(step, step.waiting[next], run, *worker, now, out);
       ++next;
     }
   }
@@ -331,8 +356,11 @@
   m_reservations[step.ref] = std::move(reservation);
 }
 
+// Where the room that is free now should do, asks about as many workers as the
+// share of good ones suggests. Otherwise the gang has to wait for room, and asks
+// once about all, so that it knows which room to wait for.
 void Scheduler::AskForGang(const ReadyStep& step,
-                           GangRoom room,
+                           const GangRoom& room,
                            base::MonoTime now,
                            SchedulerOutput& out) {
   const StepSpec& spec =
@@ -340,15 +368,20 @@
   const double share = m_advice.GoodShare(step.policy->name);
   const double wanted = static_cast<double>(spec.count) * kAskMargin;
   auto expected = static_cast<double>(room.allowed_slots);
-  std::vector<WorkerBoot> workers;
+  std::vector<WorkerBoot> enough;
+  std::vector<WorkerBoot> all;
   for (const auto& [worker, slots] : room.unknown) {
-    if (expected >= wanted || workers.size() >= m_options.max_advice_workers) {
+    if (all.size() >= m_options.max_advice_workers) {
       break;
     }
-    workers.push_back(worker->entry.boot);
-    expected += share * static_cast<double>(std::max<int64_t>(slots, 1));
+    all.push_back(worker->entry.boot);
+    if (expected < wanted && slots > 0) {
+      enough.push_back(worker->entry.boot);
+      expected += share * static_cast<double>(slots);
+    }
   }
-  Ask(step, std::move(workers), now, out);
+  const bool fits_now = expected >= wanted;
+  Ask(step, std::move(fits_now ? enough : all), now, out);
 }
 
 }  // namespace azurespur::jobs
--- /dev/null
+++ b/packages/jobs/tests/failing_worker_test.cc
@@ -0,0 +1,140 @@
+// Load patterns with workers that fail, hang or vanish.
+
+#include <doctest/doctest.h>
+
+#include "scheduler_fixture.h"
+
+namespace azurespur::jobs {
+
+using base::Millis;
+
+// Pattern: a worker fails all that it starts at once, so that it is always the
+// emptiest; jobs may fail twice at most.
+TEST_CASE("a worker that fails all costs few jobs their attempts") {
+  SchedulerFixture f;
+  f.AddQueue("urgent", 0).max_attempts = 2;
+  f.AddWorkers(4, 100);
+  int failed_starts = 0;
+  for (JobId job = 1; job <= 200; ++job) {
+    f.Submit(job, "urgent", 1, 10);
+    f.Step();
+    const auto runs = f.running["w0"];
+    for (const auto& [task, run] : runs) {
+      f.End(task, EndCause::kFailed);
+      ++failed_starts;
+    }
+    for (JobId old = 1; old + 20 < job; ++old) {
+      f.End({old, 0, 0}, EndCause::kDone);
+    }
+  }
+  f.Run(Millis{500});
+  CHECK(failed_starts <= 5);
+  for (JobId job = 1; job <= 200; ++job) {
+    CHECK(f.table.StateOf(job) != JobState::kFailed);
+  }
+}
+
+TEST_CASE("a worker that works again gets its share again") {
+  SchedulerFixture f;
+  f.AddQueue("batch", 1).max_attempts = 9;
+  f.AddWorkers(1, 10);
+  f.Submit(1, "batch", 1, 10);
+  for (int i = 0; i < 2; ++i) {
+    f.Run(Millis{400});
+    f.End({1, 0, 0}, EndCause::kFailed);
+  }
+  f.Submit(2, "batch", 2, 5);
+  f.Run(Millis{3500});
+  CHECK(f.CountRunning(1) + f.CountRunning(2) == 1);
+  f.End({1, 0, 0}, EndCause::kDone);
+  f.End({2, 0, 0}, EndCause::kDone);
+  f.Run(Millis{400});
+  CHECK(f.CountRunning(1) + f.CountRunning(2) >= 1);
+}
+
+TEST_CASE("a run without progress is stopped and starts elsewhere") {
+  SchedulerFixture f;
+  f.AddQueue("batch", 1);
+  f.AddWorkers(2, 10);
+  f.stalled["w0"] = true;
+  f.Submit(1, "batch", 1, 10);
+  f.Run(Millis{4000});
+  REQUIRE(f.started.size() >= 2);
+  CHECK(f.started[0].worker.id != f.started[1].worker.id);
+  CHECK(f.stopped.front().run == 1);
+}
+
+TEST_CASE("work of a silent worker starts elsewhere only after its lease") {
+  SchedulerFixture f;
+  f.AddQueue("batch", 1);
+  f.AddWorkers(2, 10);
+  f.Submit(1, "batch", 1, 10);
+  f.Run(Millis{100});
+  const std::string first = f.WorkerOf({1, 0, 0});
+  REQUIRE_FALSE(first.empty());
+  f.silent[first] = true;
+  f.Run(Millis{3000});
+  CHECK(f.started.size() == 1);
+  f.Run(Millis{3000});
+  REQUIRE(f.started.size() == 2);
+  CHECK(f.started[1].worker.id != first);
+  CHECK(f.started[1].run == 2);
+}
+
+TEST_CASE("a start without an answer is stopped before it is sent elsewhere") {
+  SchedulerFixture f;
+  f.AddQueue("batch", 1);
+  f.AddWorkers(2, 10);
+  f.start_outcomes["w0"] = OrderOutcome::kUnknown;
+  f.start_outcomes["w1"] = OrderOutcome::kUnknown;
+  f.Submit(1, "batch", 1, 10);
+  f.Step();
+  f.Step();
+  REQUIRE(f.started.size() == 1);
+  f.start_outcomes.clear();
+  f.Run(Millis{1000});
+  REQUIRE_FALSE(f.stopped.empty());
+  CHECK(f.stopped.front().run == 1);
+  REQUIRE(f.started.size() == 2);
+  CHECK(f.started[1].run == 2);
+}
+
+TEST_CASE("room that a worker denies is asked for later or elsewhere") {
+  SchedulerFixture f;
+  f.AddQueue("batch", 1);
+  f.AddWorkers(2, 10);
+  f.start_outcomes["w0"] = OrderOutcome::kNoRoom;
+  f.Submit(1, "batch", 1, 10);
+  f.Run(Millis{400});
+  CHECK(f.WorkerOf({1, 0, 0}) == "w1");
+}
+
+TEST_CASE("a worker that was started again runs nothing of before") {
+  SchedulerFixture f;
+  f.AddQueue("batch", 1);
+  f.AddWorkers(1, 10);
+  f.Submit(1, "batch", 1, 10);
+  f.Run(Millis{100});
+  REQUIRE(f.IsRunning({1, 0, 0}));
+  f.running["w0"].clear();
+  f.entries[0].boot.born_unix_ms = 2;
+  f.Run(Millis{400});
+  REQUIRE(f.started.size() == 2);
+  CHECK(f.started[1].worker.born_unix_ms == 2);
+  CHECK(f.IsRunning({1, 0, 0}));
+}
+
+TEST_CASE("a cancelled job's runs are stopped") {
+  SchedulerFixture f;
+  f.AddQueue("batch", 1);
+  f.AddWorkers(1, 10);
+  f.Submit(1, "batch", 2, 5);
+  f.Run(Millis{100});
+  REQUIRE(f.CountRunning(1) == 2);
+  f.table.Cancel(1, 0, f.now);
+  f.Run(Millis{600});
+  CHECK(f.CountRunning(1) == 0);
+  CHECK(f.stopped.size() == 2);
+}
+
+}  // namespace azurespur::jobs
--- a/packages/jobs/tests/scheduler_fixture.h
+++ b/packages/jobs/tests/scheduler_fixture.h
@@ -141,7 +141,8 @@
   std::map<std::string, std::vector<EndedTask>> ends;
   std::map<std::string, int64_t> end_numbers;
   std::map<std::string, OrderOutcome> start_outcomes;  // Instead of accepted.
-  std::map<std::string, bool> silent;                  // Workers.
+  std::map<std::string, bool> silent;   // Workers that answer nothing.
+  std::map<std::string, bool> stalled;  // Workers whose tasks stand still.
   std::vector<AdviceQuery> asked;
   std::vector<StartOrder> started;
   std::vector<StopOrder> stopped;
@@ -205,7 +206,8 @@
     WorkerReport report;
     report.clock_ms = UnixMs();
     report.born_unix_ms = order.worker.born_unix_ms;
-    for (const auto& [task, run] : running[id]) {
+    for (auto& [task, run] : running[id]) {
+      run.percent += stalled[id] ? 0 : 1;
       report.running.push_back({task, run.run, "", run.percent});
     }
     std::erase_if(ends[id], [&order](const EndedTask& end) {
