--- a/packages/base/src/json_event_writer.cc
+++ b/packages/base/src/json_event_writer.cc
@@ -141,7 +141,7 @@
   }
   const int64_t omitted = m_omitted.exchange(0);
   if (omitted > 0) {
-    text += FormatLine(Severity::kWarning, "AZ1002", "log lines were left out",
+    text += FormatLine(Severity::kWarning, "AZ1006", "log lines were left out",
                        {{"lines", std::to_string(omitted)}});
   }
   WriteAll(text);
--- a/packages/cell/src/cell_node.cc
+++ b/packages/cell/src/cell_node.cc
@@ -333,7 +333,7 @@
                      m_intake.caught_up() && m_work.caught_up() && contact &&
                      !m_writer.failing();
   if (ready != m_ready.exchange(ready)) {
-    base::LogEvent(base::Severity::kInfo, ready ? "AZ8002" : "AZ8003",
+    base::LogEvent(base::Severity::kInfo, ready ? "AZ9002" : "AZ9003",
                    ready ? "ready" : "not ready",
                    {{"draining", m_draining ? "true" : "false"},
                     {"contact", contact ? "true" : "false"},
@@ -347,7 +347,7 @@
 bool Node::ApplyIntake(std::string_view bytes) {
   const auto record = jobs::DecodeIntake(bytes);
   if (!base::Ok(record)) {
-    base::LogEvent(base::Severity::kError, "AZ8207",
+    base::LogEvent(base::Severity::kError, "AZ9207",
                    "record can't be read; it is skipped",
                    {{"stream", std::string(kIntakeTopic)},
                     {"offset", std::to_string(m_intake.next())},
@@ -362,7 +362,7 @@
 bool Node::ApplyWork(std::string_view bytes) {
   const auto record = jobs::DecodeWork(bytes);
   if (!base::Ok(record)) {
-    base::LogEvent(base::Severity::kError, "AZ8207",
+    base::LogEvent(base::Severity::kError, "AZ9207",
                    "record can't be read; it is skipped",
                    {{"stream", std::string(kWorkTopic)},
                     {"offset", std::to_string(m_work.next())},
@@ -383,7 +383,7 @@
   m_table.Apply(base::Value(record), m_clock.Now());
   m_plan_wanted = true;
   if (const auto* lead = std::get_if<jobs::LeadRecord>(&base::Value(record))) {
-    base::LogEvent(base::Severity::kInfo, "AZ8301", "a VM leads",
+    base::LogEvent(base::Severity::kInfo, "AZ9301", "a VM leads",
                    {{"vm", lead->vm},
                     {"epoch", std::to_string(lead->epoch)},
                     {"offset", std::to_string(m_work.next())}});
@@ -451,7 +451,7 @@
 void Node::OnDatagram(std::string_view bytes) {
   const auto message = wire::Decode<Message>(bytes);
   if (!base::Ok(message)) {
-    base::LogEvent(base::Severity::kWarning, "AZ8401", "datagram is malformed",
+    base::LogEvent(base::Severity::kWarning, "AZ9401", "datagram is malformed",
                    {{"bytes", std::to_string(bytes.size())},
                     {"reason", base::GetError(message).message}});
     return;
@@ -488,7 +488,7 @@
   peer.heard = now;
   peer.work_micros = hello.work_micros;
   if (!known) {
-    base::LogEvent(base::Severity::kInfo, "AZ8402", "follower is here",
+    base::LogEvent(base::Severity::kInfo, "AZ9402", "follower is here",
                    {{"vm", hello.vm}, {"address", hello.address}});
   }
 }
@@ -551,8 +551,7 @@
   view.yielded = m_table.leader_yielded();
   view.was_me = m_table.leader().vm == m_options.vm;
   // While the log was away its leader could not record either.
-  view.last_advance =
-      std::max(m_work.last_advance(), m_work.reachable_since());
+  view.last_advance = std::max(m_work.last_advance(), m_work.reachable_since());
   view.last_read = m_work.last_read();
   view.leader_heard = m_leader_heard;
   ElectionTiming timing;
@@ -565,7 +564,7 @@
   m_standing = true;
   m_stood_epoch = NextEpoch(m_table.epoch(), m_nonce);
   const uint64_t epoch = m_stood_epoch;
-  base::LogEvent(base::Severity::kInfo, "AZ8302", "stands for leader",
+  base::LogEvent(base::Severity::kInfo, "AZ9302", "stands for leader",
                  {{"epoch", std::to_string(epoch)},
                   {"work_end", std::to_string(m_work.next())},
                   {"silent_ms",
@@ -589,7 +588,7 @@
                       int64_t offset,
                       const AppendResult& result) {
   m_standing = false;
-  base::LogEvent(base::Severity::kInfo, "AZ8303", "election is over",
+  base::LogEvent(base::Severity::kInfo, "AZ9303", "election is over",
                  {{"epoch", std::to_string(epoch)},
                   {"status", std::string(AppendStatusName(result.status))},
                   {"offset", std::to_string(result.offset)}});
@@ -626,7 +625,7 @@
   if (!m_lead) {
     return;
   }
-  base::LogEvent(base::Severity::kWarning, "AZ8304", "no longer the leader",
+  base::LogEvent(base::Severity::kWarning, "AZ9304", "no longer the leader",
                  {{"epoch", std::to_string(m_lead->epoch())},
                   {"reason", std::string(reason)}});
   m_leading.Set(0);
@@ -682,7 +681,7 @@
       !SomeoneIsMuchFaster(m_speed.WorkMicros(), others)) {
     return;
   }
-  base::LogEvent(base::Severity::kWarning, "AZ8305",
+  base::LogEvent(base::Severity::kWarning, "AZ9305",
                  "leader is much slower than another VM; it yields",
                  {{"epoch", std::to_string(m_lead->epoch())},
                   {"work_micros", std::to_string(m_speed.WorkMicros())}});
@@ -730,7 +729,7 @@
                                    jobs::OrderOutcome outcome) {
     // That a start was accepted shows in the record that the task was placed.
     if (outcome != jobs::OrderOutcome::kAccepted) {
-      base::LogEvent(base::Severity::kWarning, "AZ8111", "start failed",
+      base::LogEvent(base::Severity::kWarning, "AZ9111", "start failed",
                      {{"task", jobs::ToString(order.task)},
                       {"run", std::to_string(order.run)},
                       {"worker", order.worker.id},
@@ -746,7 +745,7 @@
 void Node::SendStop(const jobs::StopOrder& order) {
   m_ports.workers.Stop(order, [this, order, epoch = m_lead->epoch()](
                                   jobs::OrderOutcome outcome) {
-    base::LogEvent(base::Severity::kInfo, "AZ8112", "stop is answered",
+    base::LogEvent(base::Severity::kInfo, "AZ9112", "stop is answered",
                    {{"task", jobs::ToString(order.task)},
                     {"run", std::to_string(order.run)},
                     {"worker", order.worker.id},
@@ -829,7 +828,7 @@
       std::lock_guard<std::mutex> lock(m_policy_mutex);
       const auto& fresh = base::Value(outcome);
       if (!m_policy || fresh->version > m_policy->version) {
-        base::LogEvent(base::Severity::kInfo, "AZ8004", "policy is in force",
+        base::LogEvent(base::Severity::kInfo, "AZ9004", "policy is in force",
                        {{"version", std::to_string(fresh->version)},
                         {"queues", std::to_string(fresh->queues.size())}});
         m_policy = fresh;
--- a/packages/cell/src/intake_writer.cc
+++ b/packages/cell/src/intake_writer.cc
@@ -112,7 +112,7 @@
     return;
   }
   ++m_failures;
-  base::LogEvent(base::Severity::kWarning, "AZ8204",
+  base::LogEvent(base::Severity::kWarning, "AZ9204",
                  "append of submissions failed",
                  {{"status", std::string(AppendStatusName(result.status))},
                   {"records", std::to_string(items.size())},
--- a/packages/cell/src/leadership.cc
+++ b/packages/cell/src/leadership.cc
@@ -107,14 +107,14 @@
     case AppendStatus::kUnknown:
       // The same sequence number again has no second effect.
       m_resend_at = now + kResendAfterRefusal;
-      base::LogEvent(base::Severity::kWarning, "AZ8205",
+      base::LogEvent(base::Severity::kWarning, "AZ9205",
                      "append of work failed; it is repeated",
                      {{"status", std::string(AppendStatusName(result.status))},
                       {"epoch", std::to_string(m_epoch)},
                       {"sequence", std::to_string(m_batch.sequence)}});
       return;
     default:
-      base::LogEvent(base::Severity::kWarning, "AZ8206", "leadership lost",
+      base::LogEvent(base::Severity::kWarning, "AZ9206", "leadership lost",
                      {{"status", std::string(AppendStatusName(result.status))},
                       {"epoch", std::to_string(m_epoch)}});
       m_lost = true;
--- a/packages/cell/src/log_tail.cc
+++ b/packages/cell/src/log_tail.cc
@@ -52,7 +52,7 @@
     m_failing = !ok;
     m_reachable_since = ok ? sent_at : m_reachable_since;
     base::LogEvent(ok ? base::Severity::kInfo : base::Severity::kWarning,
-                   ok ? "AZ8202" : "AZ8201",
+                   ok ? "AZ9202" : "AZ9201",
                    ok ? "log stream is reachable" : "log stream is unreachable",
                    {{"stream", m_topic}, {"next", std::to_string(m_next)}});
   }
@@ -63,7 +63,7 @@
     applied = ApplyFrom(from, result.records);
     m_caught_up = m_caught_up || m_next >= result.end;
   } else if (result.status == ReadStatus::kTrimmed) {
-    base::LogEvent(base::Severity::kError, "AZ8203",
+    base::LogEvent(base::Severity::kError, "AZ9203",
                    "log stream has lost records that were not read",
                    {{"stream", m_topic},
                     {"next", std::to_string(m_next)},
--- a/packages/cell/src/udp_port.cc
+++ b/packages/cell/src/udp_port.cc
@@ -39,7 +39,7 @@
   void Send(std::string_view address, std::string_view bytes) override {
     ACE_INET_Addr to;
     if (to.set(std::string(address).c_str(), AF_INET) != 0) {
-      base::LogEvent(base::Severity::kWarning, "AZ8403",
+      base::LogEvent(base::Severity::kWarning, "AZ9403",
                      "peer address can't be read",
                      {{"address", std::string(address)}});
       return;
--- a/packages/cli/tests/events_test.cc
+++ b/packages/cli/tests/events_test.cc
@@ -9,6 +9,7 @@
 #include <regex>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace azurespur::cli {
@@ -33,11 +34,11 @@
   return found;
 }
 
-std::set<std::string> IdsInSources(const fs::path& root) {
+void AddIdsInSources(const fs::path& root,
+                     std::string_view folder,
+                     std::set<std::string>& ids) {
   static const std::regex id_pattern("\"(AZ[0-9]{4})\"");
-  std::set<std::string> ids;
-  for (const auto& entry :
-       fs::recursive_directory_iterator(root / "packages")) {
+  for (const auto& entry : fs::recursive_directory_iterator(root / folder)) {
     const std::string path = entry.path().string();
     const bool is_source = path.find("/src/") != std::string::npos ||
                            path.find("/programs/") != std::string::npos;
@@ -47,6 +48,12 @@
       }
     }
   }
+}
+
+std::set<std::string> IdsInSources(const fs::path& root) {
+  std::set<std::string> ids;
+  AddIdsInSources(root, "packages", ids);
+  AddIdsInSources(root, "platform", ids);
   return ids;
 }
 
--- a/packages/jobs/src/advice_book.cc
+++ b/packages/jobs/src/advice_book.cc
@@ -178,7 +178,7 @@
     return;
   }
   base::LogEvent(
-      base::Severity::kWarning, "AZ8110", "advice query failed",
+      base::Severity::kWarning, "AZ9110", "advice query failed",
       {{"step", ToString(found->second.step)}, {"vm", found->second.vm}});
   const auto vm = m_vms.find(found->second.vm);
   if (vm != m_vms.end()) {
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -49,7 +49,7 @@
 }
 
 void LogRelease(const Worker& worker, const TaskRef& task, const Run& run) {
-  base::LogEvent(base::Severity::kInfo, "AZ8105", "run is over without an end",
+  base::LogEvent(base::Severity::kInfo, "AZ9105", "run is over without an end",
                  {{"task", ToString(task)},
                   {"run", std::to_string(run.run)},
                   {"worker", worker.entry.boot.id},
@@ -121,7 +121,7 @@
 void Fleet::Restart(Worker& worker,
                     const WorkerEntry& entry,
                     SchedulerOutput& out) {
-  base::LogEvent(base::Severity::kWarning, "AZ8106", "worker was started again",
+  base::LogEvent(base::Severity::kWarning, "AZ9106", "worker was started again",
                  {{"worker", entry.boot.id},
                   {"born", std::to_string(entry.boot.born_unix_ms)},
                   {"runs", std::to_string(worker.runs.size())}});
@@ -320,7 +320,7 @@
     CountEnd(worker, end.cause, now);
     Forget(worker, end.task);
   }
-  base::LogEvent(base::Severity::kInfo, "AZ8104", "task ended",
+  base::LogEvent(base::Severity::kInfo, "AZ9104", "task ended",
                  {{"task", ToString(end.task)},
                   {"run", std::to_string(end.run)},
                   {"worker", worker.entry.boot.id},
@@ -382,7 +382,7 @@
     ++worker.failures_in_row;
     if (worker.failures_in_row >= m_options.failures_to_avoid) {
       worker.avoid_until = now + m_options.avoid_worker;
-      base::LogEvent(base::Severity::kWarning, "AZ8107",
+      base::LogEvent(base::Severity::kWarning, "AZ9107",
                      "worker fails what it starts; it gets nothing for a while",
                      {{"worker", worker.entry.boot.id},
                       {"failures", std::to_string(worker.failures_in_row)}});
@@ -403,7 +403,7 @@
   worker->next_hold = now + m_options.silent_retry;
   if (worker->fresh) {
     worker->fresh = false;
-    base::LogEvent(base::Severity::kWarning, "AZ8108", "worker lost",
+    base::LogEvent(base::Severity::kWarning, "AZ9108", "worker lost",
                    {{"worker", boot.id},
                     {"outcome", std::string(OrderOutcomeName(outcome))},
                     {"runs", std::to_string(worker->runs.size())}});
@@ -493,7 +493,7 @@
     }
     run.stop_wanted = true;
     worker.avoid_until = now + m_options.avoid_worker;
-    base::LogEvent(base::Severity::kWarning, "AZ8109",
+    base::LogEvent(base::Severity::kWarning, "AZ9109",
                    "run makes no progress; it is stopped",
                    {{"task", ToString(task)},
                     {"run", std::to_string(run.run)},
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -249,7 +249,7 @@
   if (failures < policy.max_attempts) {
     return false;
   }
-  base::LogEvent(base::Severity::kInfo, "AZ8103", "job failed",
+  base::LogEvent(base::Severity::kInfo, "AZ9103", "job failed",
                  {{"job", FormatJobId(job.spec.id)},
                   {"step", std::to_string(s)},
                   {"failed_runs", std::to_string(failures)},
--- a/packages/jobs/src/scheduler_place.cc
+++ b/packages/jobs/src/scheduler_place.cc
@@ -137,7 +137,7 @@
   run.run = run_number;
   run.demand = step.job->spec.steps[static_cast<size_t>(step.ref.step)].demand;
   run.urgent = step.policy->priority == 0;
-  base::LogEvent(base::Severity::kInfo, "AZ8102", "task is placed",
+  base::LogEvent(base::Severity::kInfo, "AZ9102", "task is placed",
                  {{"task", ToString(task)},
                   {"run", std::to_string(run_number)},
                   {"worker", worker.entry.boot.id},
@@ -308,7 +308,7 @@
     return;
   }
   next = now + kWaitLogInterval;
-  base::LogEvent(base::Severity::kInfo, "AZ8114", "gang waits",
+  base::LogEvent(base::Severity::kInfo, "AZ9114", "gang waits",
                  {{"step", ToString(step.ref)},
                   {"members", std::to_string(step.waiting.size())},
                   {"slots_with_ticket", std::to_string(room.good_slots)},
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -5,6 +5,12 @@
 
 tools/install.sh
 git ls-files -z '*.cc' '*.h' | xargs -0 clang-format --dry-run --Werror
+# Only platform/ knows the names of the users' wire.
+if grep -rnE '"(untilMs|lastSeen|fencingToken|maxPerServer|dependsOn|decideMs|estimateMs|memMb)"|/run-start|/run-stop|/log-append|/log-read|/machine-move' \
+  --include='*.cc' --include='*.h' packages testing bench; then
+  echo "names of the users' wire outside platform/" >&2
+  exit 1
+fi
 cmake --preset release >/dev/null
 findings=build/release/lint.txt
 if ! run-clang-tidy -quiet -p build/release -j "${BUILD_JOBS:-4}" \
