--- a/packages/cell/src/cell_node.cc
+++ b/packages/cell/src/cell_node.cc
@@ -154,6 +154,7 @@
 
   // Node's thread only.
   jobs::JobTable m_table;
+  LogTiming m_timing;
   LogTail m_intake;
   LogTail m_work;
   IntakeWriter m_writer;
@@ -196,21 +197,24 @@
       m_starts(metrics.GetCounter("azurespur_task_starts_total")),
       m_mail_refused(metrics.GetCounter("azurespur_mail_refused_total")),
       m_store_time(metrics.GetDistribution("azurespur_store_ms")),
+      m_timing(options.append_timeout),
       m_intake(ports.log,
                m_mailbox,
                clock,
                std::string(kIntakeTopic),
+               m_timing,
                [this](std::string_view bytes) { return ApplyIntake(bytes); }),
       m_work(ports.log,
              m_mailbox,
              clock,
              std::string(kWorkTopic),
+             m_timing,
              [this](std::string_view bytes) { return ApplyWork(bytes); }),
       m_writer(ports.log,
                m_mailbox,
                clock,
                std::string(kIntakeTopic),
-               options.append_timeout,
+               m_timing,
                [this](int64_t offset, const std::vector<std::string>& records) {
                  OnIntakeStored(offset, records);
                }) {
@@ -576,7 +580,7 @@
       jobs::LeadRecord{epoch, m_options.vm, m_options.peer_address})};
   call.expected_end = m_work.next();
   call.producer = Producer{std::string(kLeaderProducer), epoch, 0};
-  call.timeout = m_options.append_timeout;
+  call.timeout = m_timing.AppendTimeout();
   const int64_t offset = m_work.next();
   m_ports.log.Append(std::move(call), [this, epoch,
                                        offset](AppendResult result) {
@@ -611,7 +615,7 @@
 void Node::Lead(uint64_t epoch) {
   m_leading.Set(1);
   m_lead = std::make_shared<Leadership>(
-      m_options, m_ports.log, m_mailbox, m_clock, m_table, epoch, 0,
+      m_options, m_ports.log, m_mailbox, m_clock, m_table, m_timing, epoch, 0,
       [this](int64_t offset, const std::vector<std::string>& records) {
         OnWorkStored(offset, records);
       });
--- a/packages/cell/src/intake_writer.cc
+++ b/packages/cell/src/intake_writer.cc
@@ -26,13 +26,13 @@
                            Mailbox& mailbox,
                            const base::Clock& clock,
                            std::string topic,
-                           base::Millis timeout,
+                           const LogTiming& timing,
                            OnStored on_stored)
     : m_log(log),
       m_mailbox(mailbox),
       m_clock(clock),
       m_topic(std::move(topic)),
-      m_timeout(timeout),
+      m_timing(timing),
       m_on_stored(std::move(on_stored)) {}
 
 void IntakeWriter::Store(std::string record,
@@ -73,7 +73,7 @@
     auto items = std::make_shared<std::vector<Item>>();
     AppendCall call;
     call.topic = m_topic;
-    call.timeout = m_timeout;
+    call.timeout = m_timing.AppendTimeout();
     size_t bytes = 0;
     while (!m_waiting.empty() && items->size() < kMaxBatchRecords &&
            bytes < kMaxBatchBytes) {
--- a/packages/cell/src/intake_writer.h
+++ b/packages/cell/src/intake_writer.h
@@ -13,6 +13,7 @@
 #include "base/clock.h"
 #include "cell/fenced_log.h"
 #include "cell/mailbox.h"
+#include "log_timing.h"
 
 namespace azurespur::cell {
 
@@ -33,7 +34,7 @@
                Mailbox& mailbox,
                const base::Clock& clock,
                std::string topic,
-               base::Millis timeout,
+               const LogTiming& timing,
                OnStored on_stored);
 
   // `done` runs once, at the latest soon after `deadline`. While appends fail,
@@ -69,7 +70,7 @@
   Mailbox& m_mailbox;
   const base::Clock& m_clock;
   const std::string m_topic;
-  const base::Millis m_timeout;
+  const LogTiming& m_timing;
   const OnStored m_on_stored;
   std::deque<Item> m_waiting;
   int m_in_flight = 0;
--- a/packages/cell/src/leadership.cc
+++ b/packages/cell/src/leadership.cc
@@ -25,6 +25,7 @@
                        Mailbox& mailbox,
                        const base::Clock& clock,
                        const jobs::JobTable& table,
+                       const LogTiming& timing,
                        uint64_t epoch,
                        uint64_t sequence,
                        OnStored on_stored)
@@ -32,6 +33,7 @@
       m_log(log),
       m_mailbox(mailbox),
       m_clock(clock),
+      m_timing(timing),
       m_epoch(epoch),
       m_on_stored(std::move(on_stored)),
       m_scheduler(WithFence(options.scheduler, epoch), table),
@@ -82,7 +84,7 @@
   call.records = m_batch.records;
   call.producer =
       Producer{std::string(kLeaderProducer), m_epoch, m_batch.sequence};
-  call.timeout = m_options.append_timeout;
+  call.timeout = m_timing.AppendTimeout();
   auto self = weak_from_this();
   Mailbox& mailbox = m_mailbox;
   m_log.Append(std::move(call), [&mailbox, self, now](AppendResult result) {
--- a/packages/cell/src/leadership.h
+++ b/packages/cell/src/leadership.h
@@ -18,6 +18,7 @@
 #include "cell/topics.h"
 #include "jobs/job_table.h"
 #include "jobs/scheduler.h"
+#include "log_timing.h"
 
 namespace azurespur::cell {
 
@@ -33,6 +34,7 @@
              Mailbox& mailbox,
              const base::Clock& clock,
              const jobs::JobTable& table,
+             const LogTiming& timing,
              uint64_t epoch,
              uint64_t sequence,
              OnStored on_stored);
@@ -69,6 +71,7 @@
   FencedLog& m_log;
   Mailbox& m_mailbox;
   const base::Clock& m_clock;
+  const LogTiming& m_timing;
   const uint64_t m_epoch;
   const OnStored m_on_stored;
   jobs::Scheduler m_scheduler;
--- a/packages/cell/src/log_tail.cc
+++ b/packages/cell/src/log_tail.cc
@@ -11,11 +11,13 @@
                  Mailbox& mailbox,
                  const base::Clock& clock,
                  std::string topic,
+                 LogTiming& timing,
                  Apply apply)
     : m_log(log),
       m_mailbox(mailbox),
       m_clock(clock),
       m_topic(std::move(topic)),
+      m_timing(timing),
       m_apply(std::move(apply)) {}
 
 void LogTail::Poll(std::function<void(bool)> done) {
@@ -60,6 +62,8 @@
   if (result.status == ReadStatus::kRead) {
     m_last_read = sent_at;
     m_seen_end = result.end;
+    m_timing.AddAnswer(
+        base::Millis{base::MillisBetween(sent_at, m_clock.Now())});
     applied = ApplyFrom(from, result.records);
     m_caught_up = m_caught_up || m_next >= result.end;
   } else if (result.status == ReadStatus::kTrimmed) {
--- a/packages/cell/src/log_tail.h
+++ b/packages/cell/src/log_tail.h
@@ -14,6 +14,7 @@
 #include "base/clock.h"
 #include "cell/fenced_log.h"
 #include "cell/mailbox.h"
+#include "log_timing.h"
 
 namespace azurespur::cell {
 
@@ -26,6 +27,7 @@
           Mailbox& mailbox,
           const base::Clock& clock,
           std::string topic,
+          LogTiming& timing,
           Apply apply);
 
   // Reads on from next(), unless a read is in flight. `done`, if any, runs
@@ -62,6 +64,7 @@
   Mailbox& m_mailbox;
   const base::Clock& m_clock;
   const std::string m_topic;
+  LogTiming& m_timing;
   const Apply m_apply;
   int64_t m_next = 0;
   int64_t m_seen_end = 0;  // As of the last read.
--- /dev/null
+++ b/packages/cell/src/log_timing.h
@@ -0,0 +1,28 @@
+// How long the log takes to answer now, and so how long to wait for it.
+
+#ifndef CELL_SRC_LOG_TIMING_H_
+#define CELL_SRC_LOG_TIMING_H_
+
+#include "base/clock.h"
+
+namespace azurespur::cell {
+
+class LogTiming {
+ public:
+  // `least`: an append is never given up sooner.
+  explicit LogTiming(base::Millis least) : m_least(least) {}
+
+  // The log answered a read after `elapsed`.
+  void AddAnswer(base::Millis elapsed) { m_last = elapsed; }
+
+  // A slow log gets more time, so that it isn't taken for a lost answer.
+  base::Millis AppendTimeout() const;
+
+ private:
+  const base::Millis m_least;
+  base::Millis m_last{0};
+};
+
+}  // namespace azurespur::cell
+
+#endif  // CELL_SRC_LOG_TIMING_H_
--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -140,6 +140,8 @@
   const std::map<std::string, Worker, std::less<>>& workers() const {
     return m_workers;
   }
+  // The run's start was sent and not answered, and it is still wanted.
+  bool AwaitsStart(const TaskRef& task, int32_t run) const;
   // Null if the task has no run.
   const Run* FindRun(const TaskRef& task) const;
   const std::map<TaskRef, std::string>& run_index() const { return m_index; }
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -91,6 +91,12 @@
   return &m_workers.find(found->second)->second.runs.at(task);
 }
 
+bool Fleet::AwaitsStart(const TaskRef& task, int32_t run_number) const {
+  const Run* run = FindRun(task);
+  return run != nullptr && run->run == run_number &&
+         run->phase == RunPhase::kStarting && !run->stop_wanted;
+}
+
 void Fleet::SetEntries(std::span<const WorkerEntry> entries,
                        base::MonoTime now,
                        SchedulerOutput& out) {
