--- a/packages/cell/src/log_timing.h
+++ b/packages/cell/src/log_timing.h
@@ -18,6 +18,9 @@
   // A slow log gets more time, so that it isn't taken for a lost answer.
   base::Millis AppendTimeout() const;
 
+  // The log is so slow that appends queue up there.
+  bool IsSlow() const { return AppendTimeout() > m_least; }
+
  private:
   const base::Millis m_least;
   base::Millis m_last{0};
--- a/packages/cell/tests/intake_writer_test.cc
+++ b/packages/cell/tests/intake_writer_test.cc
@@ -57,6 +57,19 @@
   CHECK(f.outcomes == std::vector<StoreOutcome>(10, StoreOutcome::kStored));
 }
 
+// Pattern: the log takes a tenth of a second for each append, one at a time.
+TEST_CASE("a slow log gets one append at a time, with all that waits") {
+  WriterFixture f;
+  f.timing.AddAnswer(Millis{240});
+  for (int i = 0; i < 10; ++i) {
+    f.Store("r");
+  }
+  CHECK(f.log.appends == 1);
+  f.Settle();
+  CHECK(f.stored == 10);
+  CHECK(f.log.appends == 2);
+}
+
 // Pattern: the log loses some answers and gives others.
 TEST_CASE("a lost answer is tried again while the log answers others") {
   WriterFixture f;
