Settle a repeated start that is refused: an earlier one may have run

A start was not answered, ran and was done in 266 ms; its repeat was refused as stale, and the refusal was taken for 'never ran'. Likewise a repeat that finds the room taken by its own first run. Ruled out: fences and leases (one leader all the while). A refusal of a repeat now leads to a stop and a look, which tell. Test: a repeated start that comes after the end does not run again (fails before).

--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -110,8 +110,11 @@
   // The task's run is to be stopped.
   void WantStop(const TaskRef& task);
 
+  // `tries` counts how often this run's start was sent: once it was repeated, a
+  // refusal says nothing about the earlier ones.
   void OnStarted(const TaskRef& task,
                  int32_t run,
+                 int32_t tries,
                  OrderOutcome outcome,
                  base::MonoTime now,
                  SchedulerOutput& out);
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -230,6 +230,7 @@
 
 void Fleet::OnStarted(const TaskRef& task,
                       int32_t run_number,
+                      int32_t tries,
                       OrderOutcome outcome,
                       base::MonoTime now,
                       SchedulerOutput& out) {
@@ -239,6 +240,10 @@
   if (run == nullptr || run->phase != RunPhase::kStarting) {
     return;
   }
+  if (tries > 1 && outcome != OrderOutcome::kAccepted) {
+    run->phase = RunPhase::kSettling;
+    return;
+  }
   switch (outcome) {
     case OrderOutcome::kAccepted:
       run->phase = RunPhase::kRunning;
@@ -246,6 +251,7 @@
       run->progress_at = now;
       return;
     case OrderOutcome::kUnknown:
+    case OrderOutcome::kStaleRun:
       run->phase = RunPhase::kSettling;
       return;
     case OrderOutcome::kNoRoom:
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -113,14 +113,15 @@
   if (outcome == OrderOutcome::kBadTicket) {
     m_advice.DropTicket(order.task.StepOf(), order.worker.id);
   }
-  if (outcome == OrderOutcome::kUnknown && order.tries < m_options.start_tries &&
+  if (outcome == OrderOutcome::kUnknown &&
+      order.tries < m_options.start_tries &&
       m_fleet.AwaitsStart(order.task, order.run)) {
     StartOrder again = order;
     ++again.tries;
     out.starts.push_back(std::move(again));
     return;
   }
-  m_fleet.OnStarted(order.task, order.run, outcome, now, out);
+  m_fleet.OnStarted(order.task, order.run, order.tries, outcome, now, out);
   if (outcome == OrderOutcome::kAccepted) {
     RecordBegun(order.task.job, out);
   }
--- a/packages/jobs/tests/failing_worker_test.cc
+++ b/packages/jobs/tests/failing_worker_test.cc
@@ -97,6 +97,22 @@
   }
 }
 
+// Pattern: the answer of a start is lost, the task is short and done before the
+// start is sent again.
+TEST_CASE("a repeated start that comes after the end does not run again") {
+  SchedulerFixture f;
+  f.AddQueue("urgent", 0);
+  f.AddWorkers(2, 10);
+  f.unanswered_starts = 1;
+  f.run_unanswered = true;
+  f.Submit(1, "urgent", 1, 10);
+  f.Run(Millis{1500});
+  CHECK(f.table.StateOf(1) == JobState::kCompleted);
+  for (const StartOrder& order : f.started) {
+    CHECK(order.run == 1);
+  }
+}
+
 TEST_CASE("a start that is never answered is stopped before another run") {
   SchedulerFixture f;
   f.AddQueue("batch", 1);
--- a/packages/jobs/tests/scheduler_fixture.h
+++ b/packages/jobs/tests/scheduler_fixture.h
@@ -6,6 +6,7 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -101,6 +102,7 @@
         ended.run = found->second.run;
         ended.cause = cause;
         ends[worker].push_back(ended);
+        ended_runs.insert({task, ended.run});
         runs.erase(found);
         return;
       }
@@ -143,6 +145,8 @@
   std::map<std::string, OrderOutcome> start_outcomes;  // Instead of accepted.
   std::map<std::string, bool> silent;   // Workers that answer nothing.
   std::map<std::string, bool> stalled;  // Workers whose tasks stand still.
+  bool run_unanswered = false;  // Such a start runs, and is done at once.
+  std::set<std::pair<TaskRef, int32_t>> ended_runs;
   int unanswered_starts = 0;  // The next ones get no answer.
   std::vector<AdviceQuery> asked;
   std::vector<StartOrder> started;
@@ -181,6 +185,15 @@
       outcome = OrderOutcome::kUnknown;
       unanswered_starts = std::max(0, unanswered_starts - 1);
     }
+    // A worker starts no run again that has ended there.
+    if (outcome == OrderOutcome::kAccepted &&
+        ended_runs.count({order.task, order.run}) > 0) {
+      outcome = OrderOutcome::kStaleRun;
+    }
+    if (outcome == OrderOutcome::kUnknown && run_unanswered) {
+      running[order.worker.id][order.task] = {order.run, 0};
+      End(order.task, EndCause::kDone);
+    }
     if (outcome == OrderOutcome::kAccepted) {
       running[order.worker.id][order.task] = {order.run, 0};
     }
