--- /dev/null
+++ b/packages/cell/src/node.h
@@ -0,0 +1,175 @@
+// State and duties of one VM of a cell. All but the public methods runs on the
+// node's thread.
+
+#ifndef CELL_SRC_NODE_H_
+#define CELL_SRC_NODE_H_
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include "base/metrics.h"
+#include "cell/cell_node.h"
+#include "cell/mailbox.h"
+#include "cell/messages.h"
+#include "intake_writer.h"
+#include "leadership.h"
+#include "log_tail.h"
+#include "log_timing.h"
+#include "speed_probe.h"
+
+namespace azurespur::cell {
+
+inline constexpr size_t kMailboxSize = 16384;
+
+struct PeerState {
+  std::string address;
+  double work_micros = 0;
+  base::MonoTime heard{};
+};
+
+class Node : public CellNode {
+ public:
+  Node(const NodeOptions& options,
+       const NodePorts& ports,
+       const base::Clock& clock,
+       base::Metrics& metrics);
+  Node(const Node&) = delete;
+  Node& operator=(const Node&) = delete;
+  ~Node() override { Stop(); }
+
+  void Start();
+  void Drain(base::Millis timeout) override;
+  void Stop() override;
+
+  void Submit(jobs::JobSpec spec,
+              base::MonoTime deadline,
+              std::function<void(IntakeOutcome)> done) override;
+  void Cancel(jobs::JobId job,
+              base::MonoTime deadline,
+              std::function<void(IntakeOutcome)> done) override;
+  void FindState(jobs::JobId job,
+                 std::function<void(StateAnswer)> done) override;
+  void CountPending(std::string queue,
+                    std::function<void(int64_t)> done) override;
+  std::shared_ptr<const jobs::CellPolicy> policy() const override;
+  bool ready() const override { return m_ready.load(); }
+  void Dump(std::function<void(std::string)> done) override;
+
+ private:
+  bool Post(Mail mail);
+  void Run();
+  void Tick();
+  void PollStreams(base::MonoTime now);
+  void SayHello(base::MonoTime now);
+  void UpdateReady(base::MonoTime now);
+
+  // Streams.
+  bool ApplyIntake(std::string_view bytes);
+  bool ApplyWork(std::string_view bytes);
+  void OnIntakeStored(int64_t offset, const std::vector<std::string>& records);
+  void OnWorkStored(int64_t offset, const std::vector<std::string>& records);
+
+  // Peers.
+  void OnDatagram(std::string_view bytes);
+  void OnMessage(const RecordsNotice& notice);
+  void OnMessage(const Alive& alive);
+  void OnMessage(const Hello& hello);
+  void OnMessage(const AdviceRequest& request);
+  void OnMessage(const AdviceReply& reply);
+  void SendTo(const std::string& address, const Message& message);
+  void Notify(const std::string& address,
+              Stream stream,
+              int64_t offset,
+              const std::vector<std::string>& records);
+  void NotifyPeers(Stream stream,
+                   int64_t offset,
+                   const std::vector<std::string>& records);
+
+  // Leading.
+  void StandIfDue(base::MonoTime now);
+  void OnElection(uint64_t epoch, int64_t offset, const AppendResult& result);
+  void LeadIfElected();
+  void Lead(uint64_t epoch);
+  void StepDown(std::string_view reason);
+  void LeadTick(base::MonoTime now);
+  void SayAlive(base::MonoTime now);
+  void YieldIfSlow(base::MonoTime now);
+  void PollDirectory(base::MonoTime now);
+  void CarryOut();
+  void SendStart(const jobs::StartOrder& order);
+  void SendStop(const jobs::StopOrder& order);
+  void SendHold(const jobs::HoldOrder& order);
+  void SendQuery(const jobs::AdviceQuery& query);
+  // Runs `call` on the node's thread if this term still lasts.
+  void PostInTerm(uint64_t epoch, std::function<void(Leadership&)> call);
+
+  void PollPolicy();
+  void StoreIntake(const jobs::IntakeRecord& record,
+                   base::MonoTime deadline,
+                   std::function<void(IntakeOutcome)> done);
+  void CancelKnown(jobs::JobId job,
+                   base::MonoTime deadline,
+                   std::function<void(IntakeOutcome)> done);
+
+  const NodeOptions m_options;
+  const NodePorts m_ports;
+  const base::Clock& m_clock;
+  base::Counter& m_accepted;
+  base::Counter& m_not_accepted;
+  base::Counter& m_uncertain;
+  base::Counter& m_leading;
+  base::Counter& m_starts;
+  base::Counter& m_mail_refused;
+  base::Distribution& m_store_time;
+  Mailbox m_mailbox{kMailboxSize};
+  std::thread m_thread;
+  std::atomic<bool> m_stopping{false};
+  std::atomic<bool> m_ready{false};
+  std::atomic<bool> m_yielded{false};
+
+  mutable std::mutex m_policy_mutex;
+  std::shared_ptr<const jobs::CellPolicy> m_policy;
+
+  // Node's thread only.
+  jobs::JobTable m_table;
+  LogTiming m_timing;
+  LogTail m_intake;
+  LogTail m_work;
+  IntakeWriter m_writer;
+  std::shared_ptr<Leadership> m_lead;
+  std::map<std::string, PeerState> m_peers;  // By VM; known while leading.
+  base::MonoTime m_started{};
+  base::MonoTime m_last_hello{};
+  base::MonoTime m_lead_since{};
+  base::MonoTime m_leader_heard{};
+  base::MonoTime m_next_alive{};
+  base::MonoTime m_stand_after{};
+  SpeedProbe m_speed;
+  base::MonoTime m_next_speed{};
+  base::MonoTime m_next_directory{};
+  base::MonoTime m_next_plan{};
+  base::MonoTime m_next_sweep{};
+  base::MonoTime m_policy_retry =
+      base::MonoTime::max();  // While no poll is in flight.
+  bool m_directory_read = false;
+  bool m_directory_busy = false;
+  bool m_plan_wanted = true;
+  bool m_standing = false;
+  bool m_draining = false;
+  bool m_waits_for_intake = false;
+  base::Millis m_jitter{0};
+  uint64_t m_nonce = 0;
+  uint64_t m_stood_epoch = 0;  // Of the last election that it stood in.
+};
+
+}  // namespace azurespur::cell
+
+#endif  // CELL_SRC_NODE_H_
--- /dev/null
+++ b/packages/cell/src/node_callers.cc
@@ -0,0 +1,174 @@
+#include "node.h"
+
+#include <utility>
+
+#include "base/event_log.h"
+#include "jobs/records.h"
+#include "node_dump.h"
+
+namespace azurespur::cell {
+
+using base::Millis;
+using base::MonoTime;
+
+namespace {
+
+constexpr Millis kPolicyRetry{200};
+
+}  // namespace
+
+void Node::PollPolicy() {
+  m_policy_retry = MonoTime::max();
+  m_ports.policy.Poll([this](base::Outcome<PolicySource::Policy> outcome) {
+    const bool ok = base::Ok(outcome) && base::Value(outcome) != nullptr;
+    if (ok) {
+      std::lock_guard<std::mutex> lock(m_policy_mutex);
+      const auto& fresh = base::Value(outcome);
+      if (!m_policy || fresh->version > m_policy->version) {
+        base::LogEvent(base::Severity::kInfo, "AZ9004", "policy is in force",
+                       {{"version", std::to_string(fresh->version)},
+                        {"queues", std::to_string(fresh->queues.size())}});
+        m_policy = fresh;
+      }
+    }
+    Post([this, ok] {
+      if (m_stopping.load()) {
+        return;
+      }
+      if (ok && m_lead) {
+        m_lead->scheduler().SetPolicy(*policy());
+        m_plan_wanted = true;
+      }
+      if (ok) {
+        PollPolicy();
+      } else {
+        m_policy_retry = m_clock.Now() + kPolicyRetry;
+      }
+    });
+  });
+}
+
+std::shared_ptr<const jobs::CellPolicy> Node::policy() const {
+  std::lock_guard<std::mutex> lock(m_policy_mutex);
+  return m_policy;
+}
+
+void Node::Submit(jobs::JobSpec spec,
+                  MonoTime deadline,
+                  std::function<void(IntakeOutcome)> done) {
+  const bool posted = Post([this, spec = std::move(spec), deadline, done] {
+    if (m_table.StateOf(spec.id)) {
+      done(IntakeOutcome::kAccepted);
+      return;
+    }
+    if (m_draining) {
+      done(IntakeOutcome::kNotAccepted);
+      return;
+    }
+    StoreIntake(spec, deadline, done);
+  });
+  if (!posted) {
+    done(IntakeOutcome::kNotAccepted);
+  }
+}
+
+void Node::StoreIntake(const jobs::IntakeRecord& record,
+                       MonoTime deadline,
+                       std::function<void(IntakeOutcome)> done) {
+  const MonoTime began = m_clock.Now();
+  m_writer.Store(jobs::EncodeIntake(record), deadline,
+                 [this, began, done = std::move(done)](StoreOutcome outcome) {
+                   m_store_time.Observe(static_cast<double>(
+                       base::MillisBetween(began, m_clock.Now())));
+                   switch (outcome) {
+                     case StoreOutcome::kStored:
+                       m_accepted.Add(1);
+                       done(IntakeOutcome::kAccepted);
+                       return;
+                     case StoreOutcome::kNotStored:
+                       m_not_accepted.Add(1);
+                       done(IntakeOutcome::kNotAccepted);
+                       return;
+                     case StoreOutcome::kUnknown:
+                       m_uncertain.Add(1);
+                       done(IntakeOutcome::kUnknown);
+                       return;
+                   }
+                 });
+}
+
+void Node::Cancel(jobs::JobId job,
+                  MonoTime deadline,
+                  std::function<void(IntakeOutcome)> done) {
+  const bool posted = Post([this, job, deadline, done] {
+    if (m_table.StateOf(job)) {
+      CancelKnown(job, deadline, done);
+      return;
+    }
+    m_intake.Poll([this, job, deadline, done](bool read) {
+      if (m_table.StateOf(job)) {
+        CancelKnown(job, deadline, done);
+      } else {
+        done(read ? IntakeOutcome::kNoSuchJob : IntakeOutcome::kNotAccepted);
+      }
+    });
+  });
+  if (!posted) {
+    done(IntakeOutcome::kNotAccepted);
+  }
+}
+
+void Node::CancelKnown(jobs::JobId job,
+                       MonoTime deadline,
+                       std::function<void(IntakeOutcome)> done) {
+  if (jobs::IsFinal(*m_table.StateOf(job))) {
+    done(IntakeOutcome::kAccepted);
+    return;
+  }
+  StoreIntake(jobs::CancelRecord{job}, deadline, std::move(done));
+}
+
+void Node::FindState(jobs::JobId job, std::function<void(StateAnswer)> done) {
+  const bool posted = Post([this, job, done] {
+    if (const auto state = m_table.StateOf(job)) {
+      done({true, state});
+      return;
+    }
+    m_intake.Poll([this, job, done](bool read) {
+      const auto state = m_table.StateOf(job);
+      done({read || state.has_value(), state});
+    });
+  });
+  if (!posted) {
+    done({});
+  }
+}
+
+void Node::CountPending(std::string queue, std::function<void(int64_t)> done) {
+  const bool posted =
+      Post([this, queue, done] { done(m_table.CountPending(queue)); });
+  if (!posted) {
+    done(0);
+  }
+}
+
+void Node::Dump(std::function<void(std::string)> done) {
+  const bool posted = Post([this, done] {
+    NodeView view;
+    view.vm = m_options.vm;
+    view.leader = m_table.leader();
+    view.leading = m_lead != nullptr;
+    view.ready = m_ready.load();
+    view.intake_next = m_intake.next();
+    view.work_next = m_work.next();
+    view.policy_version = policy() ? policy()->version : 0;
+    done(DumpNode(view, m_table,
+                  m_lead ? &m_lead->scheduler().fleet() : nullptr,
+                  m_clock.Now()));
+  });
+  if (!posted) {
+    done("{}");
+  }
+}
+
+}  // namespace azurespur::cell
--- /dev/null
+++ b/packages/cell/src/node_streams.cc
@@ -0,0 +1,87 @@
+#include "node.h"
+
+#include <utility>
+
+#include "base/event_log.h"
+#include "cell/topics.h"
+#include "jobs/records.h"
+
+namespace azurespur::cell {
+
+using base::Millis;
+using base::MonoTime;
+
+bool Node::ApplyIntake(std::string_view bytes) {
+  const auto record = jobs::DecodeIntake(bytes);
+  if (!base::Ok(record)) {
+    base::LogEvent(base::Severity::kError, "AZ9207",
+                   "record can't be read; it is skipped",
+                   {{"stream", std::string(kIntakeTopic)},
+                    {"offset", std::to_string(m_intake.next())},
+                    {"reason", base::GetError(record).message}});
+    return true;
+  }
+  m_table.Apply(base::Value(record), m_intake.next(), m_clock.Now());
+  m_plan_wanted = true;
+  return true;
+}
+
+bool Node::ApplyWork(std::string_view bytes) {
+  const auto record = jobs::DecodeWork(bytes);
+  if (!base::Ok(record)) {
+    base::LogEvent(base::Severity::kError, "AZ9207",
+                   "record can't be read; it is skipped",
+                   {{"stream", std::string(kWorkTopic)},
+                    {"offset", std::to_string(m_work.next())},
+                    {"reason", base::GetError(record).message}});
+    return true;
+  }
+  const auto* mark = std::get_if<jobs::MarkRecord>(&base::Value(record));
+  if (mark != nullptr && mark->intake_end > m_intake.next()) {
+    if (!m_waits_for_intake) {
+      m_waits_for_intake = true;
+      m_intake.Poll([this](bool) {
+        m_waits_for_intake = false;
+        m_work.Poll();
+      });
+    }
+    return false;
+  }
+  m_table.Apply(base::Value(record), m_clock.Now());
+  m_plan_wanted = true;
+  if (const auto* lead = std::get_if<jobs::LeadRecord>(&base::Value(record))) {
+    base::LogEvent(base::Severity::kInfo, "AZ9301", "a VM leads",
+                   {{"vm", lead->vm},
+                    {"epoch", std::to_string(lead->epoch)},
+                    {"offset", std::to_string(m_work.next())}});
+    m_last_hello = {};
+    if (m_lead && lead->epoch > m_lead->epoch()) {
+      StepDown("another VM leads");
+    }
+  }
+  return true;
+}
+
+void Node::OnIntakeStored(int64_t offset,
+                          const std::vector<std::string>& records) {
+  m_intake.Offer(offset, records);
+  if (m_lead) {
+    NotifyPeers(Stream::kIntake, offset, records);
+  } else if (!m_table.leader().address.empty()) {
+    Notify(m_table.leader().address, Stream::kIntake, offset, records);
+  }
+}
+
+void Node::OnWorkStored(int64_t offset,
+                        const std::vector<std::string>& records) {
+  m_work.Offer(offset, records);
+  if (m_work.next() < offset + static_cast<int64_t>(records.size())) {
+    // Can't happen while this VM is the only writer of its epoch.
+    StepDown("work stream has records of another writer");
+    return;
+  }
+  NotifyPeers(Stream::kWork, offset, records);
+  m_next_alive = m_clock.Now() + m_options.alive_interval;
+}
+
+}  // namespace azurespur::cell
