--- a/packages/cell/src/intake_writer.cc
+++ b/packages/cell/src/intake_writer.cc
@@ -70,8 +70,7 @@
   const base::MonoTime now = m_clock.Now();
   // A slow log takes few appends a second, so they must be large ones.
   const int allowed = m_timing.IsSlow() ? 1 : kMaxInFlight;
-  while (!m_waiting.empty() && m_in_flight < allowed &&
-         now >= m_pause_until) {
+  while (!m_waiting.empty() && m_in_flight < allowed && now >= m_pause_until) {
     auto items = std::make_shared<std::vector<Item>>();
     AppendCall call;
     call.topic = m_topic;
--- a/packages/cell/tests/log_tail_test.cc
+++ b/packages/cell/tests/log_tail_test.cc
@@ -32,7 +32,12 @@
   std::vector<std::string> applied;
   bool blocked = false;
   LogTiming timing{base::Millis{500}};
-  LogTail tail{log, mailbox, clock, "t", timing, [this](std::string_view record) {
+  LogTail tail{log,
+               mailbox,
+               clock,
+               "t",
+               timing,
+               [this](std::string_view record) {
                  if (blocked) {
                    return false;
                  }
--- a/packages/jobs/include/jobs/orders.h
+++ b/packages/jobs/include/jobs/orders.h
@@ -24,7 +24,7 @@
   uint64_t fence = 0;
   std::string checkpoint;  // Empty: from the beginning.
   std::string ticket;      // Empty: the queue needs none.
-  int32_t tries = 1;        // Of this run; a repeat has no second effect.
+  int32_t tries = 1;       // Of this run; a repeat has no second effect.
 };
 
 struct StopOrder {
--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -177,8 +177,8 @@
   std::map<StepRef, Reservation> m_reservations;
   std::map<StepRef, base::MonoTime> m_next_wait_log;
   int32_t m_waiting_gangs = 0;  // With a reservation in the current plan.
-  std::set<JobId> m_failing;  // Their failure is being stored.
-  std::set<JobId> m_begun;    // That they have begun is being stored.
+  std::set<JobId> m_failing;    // Their failure is being stored.
+  std::set<JobId> m_begun;      // That they have begun is being stored.
   std::map<TaskRef, std::string> m_last_failed_on;  // Worker id.
   base::MonoTime m_next_drop{};
 };
--- a/packages/jobs/include/jobs/scheduler_options.h
+++ b/packages/jobs/include/jobs/scheduler_options.h
@@ -23,7 +23,7 @@
   base::Millis silent_retry{250};     // Between looks at a silent worker.
   base::Millis stop_retry{500};       // Between repeats of a stop.
   base::Millis start_after_append{1000};  // Oldest binding that is started.
-  int32_t start_tries = 3;  // Then the run is stopped, in place of started.
+  int32_t start_tries = 3;      // Then the run is stopped, in place of started.
   base::Millis end_retry{300};  // Look again while ends are not yet stored.
   // No progress for so long: the run is stopped and started elsewhere.
   base::Millis stalled_after{2500};
