A yielding leader plans nothing; marks each 250 ms

Marks were meant each 250 ms for the silence of 650 ms and stood at 500: one late append, and a live leader could be replaced.

--- a/packages/cell/include/cell/node_options.h
+++ b/packages/cell/include/cell/node_options.h
@@ -20,7 +20,7 @@
   base::Millis leader_silence{1500};
   base::Millis quiet_leader_silence{650};
   base::Millis alive_interval{150};       // Of the leader's datagrams.
-  base::Millis mark_interval{500};        // A leader appends at least so often.
+  base::Millis mark_interval{250};        // A leader appends at least so often.
   base::Millis poll_interval{1000};       // Of both streams, by a follower.
   base::Millis alert_poll_interval{150};  // While the leader is silent.
   base::Millis leader_poll_interval{400};  // Of the intake, by the leader.
--- a/packages/cell/src/node_leader.cc
+++ b/packages/cell/src/node_leader.cc
@@ -126,7 +126,8 @@
   SayAlive(now);
   YieldIfSlow(now);
   PollDirectory(now);
-  if (m_plan_wanted && now >= m_next_plan && m_directory_read && !m_draining) {
+  if (m_plan_wanted && now >= m_next_plan && m_directory_read &&
+      !m_lead->yielding()) {
     m_plan_wanted = false;
     m_next_plan = now + m_options.plan_interval;
     std::vector<std::string> vms = {m_options.vm};
--- /dev/null
+++ b/packages/cell/tests/leadership_test.cc
@@ -0,0 +1,131 @@
+#include "leadership.h"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "cell/topics.h"
+#include "fake_log.h"
+#include "jobs/records.h"
+
+namespace azurespur::cell {
+
+namespace {
+
+using base::Millis;
+
+constexpr uint64_t kEpoch = 9;
+
+struct TermFixture {
+  TermFixture() {
+    // The append that began the term.
+    AppendCall call;
+    call.topic = std::string(kWorkTopic);
+    call.records = {jobs::EncodeWork(jobs::LeadRecord{kEpoch, "a", "b"})};
+    call.producer = Producer{std::string(kLeaderProducer), kEpoch, 0};
+    log.Append(call, [](const AppendResult&) {});
+    log.Answer();
+  }
+
+  void Add(jobs::JobId job) {
+    jobs::AddRecord(term->output(), jobs::JobFailedRecord{job});
+  }
+
+  // Pumps, and lets all answers arrive, for some time.
+  void Run(Millis time) {
+    for (Millis spent{0}; spent < time; spent += Millis{20}) {
+      clock.now += Millis{20};
+      term->Pump(clock.now, 0);
+      log.Answer();
+      while (auto mail = mailbox.Pop()) {
+        (*mail)();
+      }
+    }
+  }
+
+  // The jobs named by stored records, in order; 0 stands for a yield.
+  std::vector<jobs::JobId> Stored() {
+    std::vector<jobs::JobId> stored;
+    for (const std::string& bytes :
+         log.topics[std::string(kWorkTopic)].records) {
+      const auto record = jobs::DecodeWork(bytes);
+      const jobs::WorkRecord& work = base::Value(record);
+      if (const auto* failed = std::get_if<jobs::JobFailedRecord>(&work)) {
+        stored.push_back(failed->job);
+      } else if (std::holds_alternative<jobs::YieldRecord>(work)) {
+        stored.push_back(0);
+      }
+    }
+    return stored;
+  }
+
+  NodeOptions options;
+  FakeLog log;
+  Mailbox mailbox{64};
+  FakeClock clock;
+  jobs::JobTable table;
+  LogTiming timing{Millis{500}};
+  std::shared_ptr<Leadership> term = std::make_shared<Leadership>(
+      options,
+      log,
+      mailbox,
+      clock,
+      table,
+      timing,
+      kEpoch,
+      0,
+      [](int64_t, const std::vector<std::string>&) {});
+};
+
+}  // namespace
+
+// Pattern: the log loses answers, some with the append and some without it.
+TEST_CASE("a record is stored once, whatever answers are lost") {
+  TermFixture f;
+  f.log.Fail(AppendFault::kLoseAnswer);
+  f.log.Fail(AppendFault::kLoseCall);
+  f.log.Fail(AppendFault::kRefuse);
+  f.Add(1);
+  f.Run(Millis{400});
+  f.Add(2);
+  f.Run(Millis{400});
+  CHECK(f.Stored() == std::vector<jobs::JobId>{1, 2});
+  CHECK_FALSE(f.term->lost());
+}
+
+TEST_CASE("a yield is stored after all that waits") {
+  TermFixture f;
+  f.Add(1);
+  f.Add(2);
+  f.term->Yield();
+  CHECK(f.term->yielding());
+  f.Run(Millis{200});
+  CHECK(f.term->yielded());
+  CHECK(f.Stored() == std::vector<jobs::JobId>{1, 2, 0});
+}
+
+TEST_CASE("a leader that was fenced stores nothing more") {
+  TermFixture f;
+  AppendCall later;
+  later.topic = std::string(kWorkTopic);
+  later.records = {jobs::EncodeWork(jobs::LeadRecord{kEpoch + 1, "c", "d"})};
+  later.producer = Producer{std::string(kLeaderProducer), kEpoch + 1, 0};
+  f.log.Append(later, [](const AppendResult&) {});
+  f.Add(1);
+  f.Run(Millis{200});
+  CHECK(f.term->lost());
+  CHECK(f.Stored().empty());
+}
+
+TEST_CASE("a leader with nothing to record proves that it lives") {
+  TermFixture f;
+  const size_t before = f.log.topics[std::string(kWorkTopic)].records.size();
+  f.Run(Millis{1000});
+  const size_t after = f.log.topics[std::string(kWorkTopic)].records.size();
+  CHECK(after - before >= 3);
+  CHECK(after - before <= 5);
+}
+
+}  // namespace azurespur::cell
