One copy of mailbox, endpoint and setting names; plan as soon as advice comes

Cause: cell and control each had a Mailbox; daemon and platform each parsed IPv4:PORT and named environment variables. A local advice answer marked the plan as wanted twice, a peer's once, by different code. What nothing used went.

--- a/packages/cell/include/cell/ports.h
+++ b/packages/cell/include/cell/ports.h
@@ -6,7 +6,6 @@
 
 #include <functional>
 #include <memory>
-#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
--- a/packages/cell/src/intake_writer.cc
+++ b/packages/cell/src/intake_writer.cc
@@ -23,7 +23,7 @@
 }  // namespace
 
 IntakeWriter::IntakeWriter(FencedLog& log,
-                           Mailbox& mailbox,
+                           base::Mailbox& mailbox,
                            const base::Clock& clock,
                            std::string topic,
                            const LogTiming& timing,
--- a/packages/cell/src/intake_writer.h
+++ b/packages/cell/src/intake_writer.h
@@ -11,8 +11,8 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/mailbox.h"
 #include "cell/fenced_log.h"
-#include "cell/mailbox.h"
 #include "log_timing.h"
 
 namespace azurespur::cell {
@@ -31,7 +31,7 @@
       std::function<void(int64_t offset, const std::vector<std::string>&)>;
 
   IntakeWriter(FencedLog& log,
-               Mailbox& mailbox,
+               base::Mailbox& mailbox,
                const base::Clock& clock,
                std::string topic,
                const LogTiming& timing,
@@ -49,7 +49,6 @@
 
   // True while appends fail.
   bool failing() const { return m_failures >= 2; }
-  size_t waiting() const { return m_waiting.size(); }
 
  private:
   struct Item {
@@ -67,7 +66,7 @@
   void Retry(Item item, base::MonoTime sent_at, base::MonoTime now);
 
   FencedLog& m_log;
-  Mailbox& m_mailbox;
+  base::Mailbox& m_mailbox;
   const base::Clock& m_clock;
   const std::string m_topic;
   const LogTiming& m_timing;
--- a/packages/cell/src/leadership.cc
+++ b/packages/cell/src/leadership.cc
@@ -22,7 +22,7 @@
 
 Leadership::Leadership(const NodeOptions& options,
                        FencedLog& log,
-                       Mailbox& mailbox,
+                       base::Mailbox& mailbox,
                        const base::Clock& clock,
                        const jobs::JobTable& table,
                        const LogTiming& timing,
@@ -86,7 +86,7 @@
       Producer{std::string(kLeaderProducer), m_epoch, m_batch.sequence};
   call.timeout = m_timing.AppendTimeout();
   auto self = weak_from_this();
-  Mailbox& mailbox = m_mailbox;
+  base::Mailbox& mailbox = m_mailbox;
   m_log.Append(std::move(call), [&mailbox, self, now](AppendResult result) {
     mailbox.Push([self, now, result] {
       if (const auto term = self.lock()) {
--- a/packages/cell/src/leadership.h
+++ b/packages/cell/src/leadership.h
@@ -12,8 +12,8 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/mailbox.h"
 #include "cell/fenced_log.h"
-#include "cell/mailbox.h"
 #include "cell/node_options.h"
 #include "cell/topics.h"
 #include "jobs/job_table.h"
@@ -31,7 +31,7 @@
   // `sequence` is that of the append that began the term.
   Leadership(const NodeOptions& options,
              FencedLog& log,
-             Mailbox& mailbox,
+             base::Mailbox& mailbox,
              const base::Clock& clock,
              const jobs::JobTable& table,
              const LogTiming& timing,
@@ -54,9 +54,6 @@
   bool yielding() const { return m_yielding; }
   bool yielded() const { return m_yield_stored; }
 
-  // No record is waiting or in flight.
-  bool Idle() const { return m_waiting.empty() && !m_in_flight; }
-
  private:
   struct Batch {
     std::vector<jobs::PendingRecord> pending;
@@ -69,7 +66,7 @@
 
   const NodeOptions& m_options;
   FencedLog& m_log;
-  Mailbox& m_mailbox;
+  base::Mailbox& m_mailbox;
   const base::Clock& m_clock;
   const LogTiming& m_timing;
   const uint64_t m_epoch;
--- a/packages/cell/src/log_tail.cc
+++ b/packages/cell/src/log_tail.cc
@@ -8,7 +8,7 @@
 namespace azurespur::cell {
 
 LogTail::LogTail(FencedLog& log,
-                 Mailbox& mailbox,
+                 base::Mailbox& mailbox,
                  const base::Clock& clock,
                  std::string topic,
                  LogTiming& timing,
--- a/packages/cell/src/log_tail.h
+++ b/packages/cell/src/log_tail.h
@@ -12,8 +12,8 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/mailbox.h"
 #include "cell/fenced_log.h"
-#include "cell/mailbox.h"
 #include "log_timing.h"
 
 namespace azurespur::cell {
@@ -24,7 +24,7 @@
   using Apply = std::function<bool(std::string_view record)>;
 
   LogTail(FencedLog& log,
-          Mailbox& mailbox,
+          base::Mailbox& mailbox,
           const base::Clock& clock,
           std::string topic,
           LogTiming& timing,
@@ -38,7 +38,6 @@
   // a gap a read is started.
   void Offer(int64_t offset, std::span<const std::string> records);
 
-  const std::string& topic() const { return m_topic; }
   int64_t next() const { return m_next; }
   bool reading() const { return m_reading; }
   // True once a read found no more records.
@@ -61,7 +60,7 @@
   bool ApplyFrom(int64_t offset, std::span<const std::string> records);
 
   FencedLog& m_log;
-  Mailbox& m_mailbox;
+  base::Mailbox& m_mailbox;
   const base::Clock& m_clock;
   const std::string m_topic;
   LogTiming& m_timing;
--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -99,7 +99,7 @@
   }
 }
 
-bool Node::Post(Mail mail) {
+bool Node::Post(base::Mail mail) {
   if (m_mailbox.Push(std::move(mail))) {
     return true;
   }
@@ -110,7 +110,7 @@
 void Node::Run() {
   while (!m_stopping.load()) {
     const Millis wait = m_lead ? kBusyTick : kIdleTick;
-    std::optional<Mail> mail = m_mailbox.PopWait(wait);
+    std::optional<base::Mail> mail = m_mailbox.PopWait(wait);
     while (mail) {
       (*mail)();
       mail = m_mailbox.Pop();
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -15,9 +15,9 @@
 #include <thread>
 #include <vector>
 
+#include "base/mailbox.h"
 #include "base/metrics.h"
 #include "cell/cell_node.h"
-#include "cell/mailbox.h"
 #include "cell/messages.h"
 #include "intake_writer.h"
 #include "leadership.h"
@@ -64,7 +64,7 @@
   void Dump(std::function<void(std::string)> done) override;
 
  private:
-  bool Post(Mail mail);
+  bool Post(base::Mail mail);
   void Run();
   void Tick();
   void PollStreams(base::MonoTime now);
@@ -108,6 +108,10 @@
   void SendStop(const jobs::StopOrder& order);
   void SendHold(const jobs::HoldOrder& order);
   void SendQuery(const jobs::AdviceQuery& query);
+  void TakeAdvice(
+      Leadership& lead,
+      uint64_t query_id,
+      const base::Outcome<std::vector<jobs::AdviceTicket>>& outcome);
   // Runs `call` on the node's thread if this term still lasts.
   void PostInTerm(uint64_t epoch, std::function<void(Leadership&)> call);
 
@@ -129,7 +133,7 @@
   base::Counter& m_starts;
   base::Counter& m_mail_refused;
   base::Distribution& m_store_time;
-  Mailbox m_mailbox{kMailboxSize};
+  base::Mailbox m_mailbox{kMailboxSize};
   std::thread m_thread;
   std::atomic<bool> m_stopping{false};
   std::atomic<bool> m_ready{false};
--- a/packages/cell/src/node_leader.cc
+++ b/packages/cell/src/node_leader.cc
@@ -97,6 +97,9 @@
       [this](int64_t offset, const std::vector<std::string>& records) {
         OnWorkStored(offset, records);
       });
+  if (const auto current = policy()) {
+    m_lead->scheduler().SetPolicy(*current);
+  }
   m_lead_since = m_clock.Now();
   m_next_directory = {};
   m_directory_read = false;
@@ -268,17 +271,25 @@
   m_ports.advice.Ask(
       query, [this, epoch, id = query.id](
                  base::Outcome<std::vector<jobs::AdviceTicket>> outcome) {
-        PostInTerm(epoch, [this, id,
-                           outcome = std::move(outcome)](Leadership& lead) {
-          if (base::Ok(outcome)) {
-            lead.scheduler().OnAdvice(id, base::Value(outcome), m_clock.Now());
-          } else {
-            lead.scheduler().OnAdviceFailed(id, m_clock.Now());
-          }
-        });
+        PostInTerm(epoch,
+                   [this, id, outcome = std::move(outcome)](Leadership& lead) {
+                     TakeAdvice(lead, id, outcome);
+                   });
       });
 }
 
+void Node::TakeAdvice(
+    Leadership& lead,
+    uint64_t query_id,
+    const base::Outcome<std::vector<jobs::AdviceTicket>>& outcome) {
+  if (base::Ok(outcome)) {
+    lead.scheduler().OnAdvice(query_id, base::Value(outcome), m_clock.Now());
+  } else {
+    lead.scheduler().OnAdviceFailed(query_id, m_clock.Now());
+  }
+  m_plan_wanted = true;
+}
+
 void Node::PollDirectory(MonoTime now) {
   if (m_directory_busy || now < m_next_directory) {
     return;
@@ -291,8 +302,6 @@
           m_directory_busy = false;
           if (m_lead && base::Ok(outcome)) {
             m_directory_read = true;
-            m_lead->scheduler().SetPolicy(policy() ? *policy()
-                                                   : jobs::CellPolicy{});
             m_lead->scheduler().SetWorkers(base::Value(outcome), now,
                                            m_lead->output());
             m_plan_wanted = true;
--- a/packages/cell/src/node_peers.cc
+++ b/packages/cell/src/node_peers.cc
@@ -118,11 +118,11 @@
     return;
   }
   if (reply.ok) {
-    m_lead->scheduler().OnAdvice(reply.query_id, reply.tickets, m_clock.Now());
+    TakeAdvice(*m_lead, reply.query_id, reply.tickets);
   } else {
-    m_lead->scheduler().OnAdviceFailed(reply.query_id, m_clock.Now());
+    TakeAdvice(*m_lead, reply.query_id,
+               base::Error{base::ErrorCode::kUnavailable, "peer has none"});
   }
-  m_plan_wanted = true;
 }
 
 void Node::SayHello(MonoTime now) {
--- a/packages/cell/src/speed_probe.cc
+++ b/packages/cell/src/speed_probe.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <chrono>
 #include <cstdint>
 
 namespace azurespur::cell {
--- a/packages/cell/tests/intake_writer_test.cc
+++ b/packages/cell/tests/intake_writer_test.cc
@@ -29,7 +29,7 @@
   }
 
   FakeLog log;
-  Mailbox mailbox{64};
+  base::Mailbox mailbox{64};
   FakeClock clock;
   std::vector<StoreOutcome> outcomes;
   int64_t stored = 0;
--- a/packages/cell/tests/leadership_test.cc
+++ b/packages/cell/tests/leadership_test.cc
@@ -63,7 +63,7 @@
 
   NodeOptions options;
   FakeLog log;
-  Mailbox mailbox{64};
+  base::Mailbox mailbox{64};
   FakeClock clock;
   jobs::JobTable table;
   LogTiming timing{Millis{500}};
--- a/packages/cell/tests/log_tail_test.cc
+++ b/packages/cell/tests/log_tail_test.cc
@@ -27,7 +27,7 @@
   }
 
   FakeLog log;
-  Mailbox mailbox{64};
+  base::Mailbox mailbox{64};
   FakeClock clock;
   std::vector<std::string> applied;
   bool blocked = false;
--- a/packages/control/include/control/placement_controller.h
+++ b/packages/control/include/control/placement_controller.h
@@ -13,7 +13,7 @@
 #include <unordered_set>
 
 #include "base/clock.h"
-#include "control/mailbox.h"
+#include "base/mailbox.h"
 #include "control/run_listener.h"
 #include "control/vm_identity.h"
 #include "placement/job_key.h"
@@ -72,7 +72,7 @@
   VmDirectory& directory;
   PeerBus& peers;
   WorkerFleet& fleet;
-  Mailbox& mailbox;
+  base::Mailbox& mailbox;
   const base::Clock& clock;
   base::Metrics& metrics;
   VmIdentity identity;
--- a/packages/control/include/control/run_controller.h
+++ b/packages/control/include/control/run_controller.h
@@ -12,8 +12,8 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/mailbox.h"
 #include "control/fleet_listener.h"
-#include "control/mailbox.h"
 #include "control/task_run.h"
 #include "control/vm_identity.h"
 #include "control/worker_fleet.h"
@@ -50,7 +50,7 @@
   TaskLedger& ledger;
   services::WorkerClient& workers;
   WorkerFleet& fleet;
-  Mailbox& mailbox;
+  base::Mailbox& mailbox;
   const base::Clock& clock;
   base::Metrics& metrics;
   VmIdentity identity;
--- a/packages/control/include/control/task_service.h
+++ b/packages/control/include/control/task_service.h
@@ -11,8 +11,8 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/mailbox.h"
 #include "base/outcome.h"
-#include "control/mailbox.h"
 #include "control/placement_controller.h"
 #include "control/run_controller.h"
 #include "control/task_state.h"
@@ -129,7 +129,7 @@
   std::string DumpNow() const;
 
   const TaskServiceDeps m_deps;
-  Mailbox m_mailbox;
+  base::Mailbox m_mailbox;
   PlacementController m_placement;
   RunController m_runs;
   WorkerFleet m_fleet;
--- a/packages/control/include/control/worker_fleet.h
+++ b/packages/control/include/control/worker_fleet.h
@@ -12,7 +12,7 @@
 #include <vector>
 
 #include "base/clock.h"
-#include "control/mailbox.h"
+#include "base/mailbox.h"
 #include "control/ownership.h"
 #include "control/task_state.h"
 #include "control/vm_identity.h"
@@ -64,7 +64,7 @@
   services::WorkerClient& workers;
   VmDirectory& directory;
   PeerBus& peers;
-  Mailbox& mailbox;
+  base::Mailbox& mailbox;
   const base::Clock& clock;
   base::Metrics& metrics;
   VmIdentity identity;
--- a/packages/daemon/include/daemon/settings.h
+++ b/packages/daemon/include/daemon/settings.h
@@ -9,20 +9,16 @@
 #include <variant>
 
 #include "base/clock.h"
+#include "base/endpoint.h"
 #include "base/outcome.h"
 
 namespace azurespur::daemon {
 
-struct Endpoint {
-  std::string address;  // IPv4 literal.
-  uint16_t port = 0;
-};
-
 struct Settings {
   std::string vm_id;
   std::string domain;
-  Endpoint listen;
-  Endpoint peer_listen;
+  base::Endpoint listen;
+  base::Endpoint peer_listen;
   std::string log_url;
   std::string vm_list_url;
   base::Millis log_retention{600000};
--- a/packages/daemon/src/settings.cc
+++ b/packages/daemon/src/settings.cc
@@ -1,33 +1,17 @@
 #include "daemon/settings.h"
 
-#include <arpa/inet.h>
-
 #include <CLI/CLI.hpp>
-#include <charconv>
 #include <string_view>
 
+#include "base/endpoint.h"
+#include "base/setting_name.h"
+
 namespace azurespur::daemon {
 
 namespace {
 
 constexpr int kExitUsage = 2;
 
-bool ParseEndpoint(std::string_view text, Endpoint& endpoint) {
-  const size_t colon = text.rfind(':');
-  if (colon == std::string_view::npos) {
-    return false;
-  }
-  endpoint.address = std::string(text.substr(0, colon));
-  in_addr parsed{};
-  if (inet_pton(AF_INET, endpoint.address.c_str(), &parsed) != 1) {
-    return false;
-  }
-  const std::string_view port = text.substr(colon + 1);
-  const char* end = port.data() + port.size();
-  const auto [rest, error] = std::from_chars(port.data(), end, endpoint.port);
-  return error == std::errc() && rest == end && !port.empty();
-}
-
 // Names of VMs and failure domains stand in paths and ids.
 const CLI::Validator kName(
     [](const std::string& text) -> std::string {
@@ -43,8 +27,7 @@
 
 const CLI::Validator kEndpoint(
     [](const std::string& text) -> std::string {
-      Endpoint endpoint;
-      return ParseEndpoint(text, endpoint)
+      return base::ParseEndpoint(text)
                  ? std::string()
                  : "\"" + text +
                        "\" is not allowed: IPv4:PORT, PORT 0 to 65535";
@@ -63,15 +46,6 @@
     },
     "URL");
 
-// Environment variable of a flag: --log-url is AZURESPUR_LOG_URL.
-std::string EnvironmentName(std::string_view flag) {
-  std::string name = "AZURESPUR_";
-  for (char c : flag.substr(2)) {
-    name += c == '-' ? '_' : static_cast<char>(std::toupper(c));
-  }
-  return name;
-}
-
 // Defines the flags over one Settings value.
 class Parser {
  public:
@@ -95,8 +69,9 @@
     } catch (const CLI::ParseError& error) {
       return EarlyExit{kExitUsage, std::string("azurespurd: ") + error.what()};
     }
-    ParseEndpoint(m_listen, m_settings.listen);
-    ParseEndpoint(m_peer_listen, m_settings.peer_listen);
+    // The validators have parsed both before.
+    m_settings.listen = *base::ParseEndpoint(m_listen);
+    m_settings.peer_listen = *base::ParseEndpoint(m_peer_listen);
     return CheckTogether();
   }
 
@@ -104,7 +79,7 @@
   template <typename T>
   CLI::Option* Add(const std::string& flag, T& value, const std::string& help) {
     return m_app.add_option(flag, value, help)
-        ->envname(EnvironmentName(flag))
+        ->envname(base::EnvironmentName(flag))
         ->capture_default_str();
   }
 
@@ -116,7 +91,7 @@
     m_app
         .add_option_function<int64_t>(
             flag, [&value](int64_t ms) { value = base::Millis{ms}; }, help)
-        ->envname(EnvironmentName(flag))
+        ->envname(base::EnvironmentName(flag))
         ->check(CLI::Range(low, high))
         ->default_str(std::to_string(value.count()));
   }
--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -10,8 +10,6 @@
 
 #include <cstdint>
 #include <map>
-#include <optional>
-#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -147,7 +145,6 @@
   bool AwaitsStart(const TaskRef& task, int32_t run) const;
   // Null if the task has no run.
   const Run* FindRun(const TaskRef& task) const;
-  const std::map<TaskRef, std::string>& run_index() const { return m_index; }
 
  private:
   Worker* FindWorker(std::string_view id);
--- a/packages/jobs/include/jobs/queue_policy.h
+++ b/packages/jobs/include/jobs/queue_policy.h
@@ -32,8 +32,6 @@
 struct CellPolicy {
   int64_t version = 0;                                     // 0: none read yet.
   std::map<std::string, QueuePolicy, std::less<>> queues;  // By name.
-  std::map<std::string, bool, std::less<>> guarded;  // Services whose workers
-                                                     // refuse what can't fit.
 };
 
 }  // namespace azurespur::jobs
--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -110,6 +110,8 @@
               size_t step,
               const QueuePolicy& policy,
               SchedulerOutput& out);
+  // Asks for a stop of all runs of the step.
+  void StopStep(const Job& job, size_t s);
   void StopFinal();
   void PlaceStep(const ReadyStep& step,
                  base::MonoTime now,
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -1,6 +1,7 @@
 #include "jobs/fleet.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 #include <vector>
 
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -268,16 +268,20 @@
   return true;
 }
 
+void Scheduler::StopStep(const Job& job, size_t s) {
+  const auto count = static_cast<int32_t>(job.steps[s].tasks.size());
+  for (int32_t i = 0; i < count; ++i) {
+    m_fleet.WantStop({job.spec.id, static_cast<int32_t>(s), i});
+  }
+}
+
 void Scheduler::StopFinal() {
   for (const auto& [id, job] : m_table.jobs()) {
     if (!IsFinal(job.state)) {
       continue;
     }
     for (size_t s = 0; s < job.steps.size(); ++s) {
-      const auto count = static_cast<int32_t>(job.steps[s].tasks.size());
-      for (int32_t i = 0; i < count; ++i) {
-        m_fleet.WantStop({id, static_cast<int32_t>(s), i});
-      }
+      StopStep(job, s);
     }
   }
 }
@@ -290,10 +294,7 @@
       if (!job.spec.steps[s].gang || !IsGangWithGap(job.steps[s])) {
         continue;
       }
-      const auto count = static_cast<int32_t>(job.steps[s].tasks.size());
-      for (int32_t i = 0; i < count; ++i) {
-        m_fleet.WantStop({id, static_cast<int32_t>(s), i});
-      }
+      StopStep(job, s);
     }
   }
 }
--- a/packages/jobs/src/scheduler_place.cc
+++ b/packages/jobs/src/scheduler_place.cc
@@ -18,6 +18,14 @@
 constexpr base::Millis kWaitLogInterval{1000};  // Of one gang.
 constexpr base::Millis kFirmReservation{1600};
 
+const StepSpec& SpecOf(const ReadyStep& step) {
+  return step.job->spec.steps[static_cast<size_t>(step.ref.step)];
+}
+
+const StepProgress& ProgressOf(const ReadyStep& step) {
+  return step.job->steps[static_cast<size_t>(step.ref.step)];
+}
+
 int64_t TasksOfStep(const Worker& worker, const StepRef& step) {
   return std::count_if(
       worker.runs.begin(), worker.runs.end(),
@@ -40,7 +48,7 @@
 void Scheduler::PlaceStep(const ReadyStep& step,
                           base::MonoTime now,
                           SchedulerOutput& out) {
-  if (step.job->spec.steps[static_cast<size_t>(step.ref.step)].gang) {
+  if (SpecOf(step).gang) {
     PlaceGang(step, now, out);
   } else {
     PlaceSingles(step, now, out);
@@ -48,8 +56,7 @@
 }
 
 bool Scheduler::Suits(const ReadyStep& step, const Worker& worker) const {
-  const StepSpec& spec =
-      step.job->spec.steps[static_cast<size_t>(step.ref.step)];
+  const StepSpec& spec = SpecOf(step);
   return worker.entry.service == step.policy->service &&
          HasLabel(worker.entry, spec.required_label) &&
          placement::Fits(spec.demand, worker.entry.capacity);
@@ -72,8 +79,7 @@
 }
 
 int64_t Scheduler::SlotsFor(const ReadyStep& step, const Worker& worker) const {
-  const StepSpec& spec =
-      step.job->spec.steps[static_cast<size_t>(step.ref.step)];
+  const StepSpec& spec = SpecOf(step);
   int64_t limit = spec.count;
   if (spec.max_per_worker > 0) {
     limit = spec.max_per_worker - TasksOfStep(worker, step.ref);
@@ -96,8 +102,7 @@
 const Worker* Scheduler::BestWorker(const ReadyStep& step,
                                     int32_t index,
                                     base::MonoTime now) const {
-  const StepSpec& spec =
-      step.job->spec.steps[static_cast<size_t>(step.ref.step)];
+  const StepSpec& spec = SpecOf(step);
   const auto failed =
       m_last_failed_on.find({step.ref.job, step.ref.step, index});
   const Worker* best = nullptr;
@@ -135,7 +140,7 @@
   const TaskRef task{step.ref.job, step.ref.step, index};
   Run run;
   run.run = run_number;
-  run.demand = step.job->spec.steps[static_cast<size_t>(step.ref.step)].demand;
+  run.demand = SpecOf(step).demand;
   run.urgent = step.policy->priority == 0;
   base::LogEvent(base::Severity::kInfo, "AZ9102", "task is placed",
                  {{"task", ToString(task)},
@@ -150,8 +155,7 @@
 void Scheduler::PlaceSingles(const ReadyStep& step,
                              base::MonoTime now,
                              SchedulerOutput& out) {
-  const StepProgress& progress =
-      step.job->steps[static_cast<size_t>(step.ref.step)];
+  const StepProgress& progress = ProgressOf(step);
   size_t placed = 0;
   for (int32_t index : step.waiting) {
     const Worker* worker = BestWorker(step, index, now);
@@ -176,8 +180,7 @@
                               SchedulerOutput& out) {
   std::vector<std::pair<const Worker*, int64_t>> good;
   std::vector<std::pair<const Worker*, int64_t>> unknown;
-  const placement::Resources& demand =
-      step.job->spec.steps[static_cast<size_t>(step.ref.step)].demand;
+  const placement::Resources& demand = SpecOf(step).demand;
   for (const auto& [id, worker] : m_fleet.workers()) {
     if (!placement::Fits(demand, FreeRoom(worker)) ||
         !TakesTasks(worker, now) || !Suits(step, worker)) {
@@ -232,8 +235,7 @@
 
 Scheduler::GangRoom Scheduler::FindGangRoom(const ReadyStep& step,
                                             base::MonoTime now) const {
-  const StepSpec& spec =
-      step.job->spec.steps[static_cast<size_t>(step.ref.step)];
+  const StepSpec& spec = SpecOf(step);
   GangRoom room;
   for (const auto& [id, worker] : m_fleet.workers()) {
     if (!TakesTasks(worker, now) || !Suits(step, worker)) {
@@ -270,8 +272,7 @@
 void Scheduler::PlaceGang(const ReadyStep& step,
                           base::MonoTime now,
                           SchedulerOutput& out) {
-  const int64_t count =
-      step.job->spec.steps[static_cast<size_t>(step.ref.step)].count;
+  const int64_t count = SpecOf(step).count;
   const GangRoom room = FindGangRoom(step, now);
   if (room.good_slots >= count) {
     BindGang(step, room, now, out);
@@ -324,8 +325,7 @@
                          const GangRoom& room,
                          base::MonoTime now,
                          SchedulerOutput& out) {
-  const StepProgress& progress =
-      step.job->steps[static_cast<size_t>(step.ref.step)];
+  const StepProgress& progress = ProgressOf(step);
   int32_t run = 0;
   for (const TaskProgress& task : progress.tasks) {
     run = std::max(run, task.run);
@@ -346,8 +346,7 @@
                         const GangRoom& room,
                         bool firm,
                         base::MonoTime expires) {
-  const StepSpec& spec =
-      step.job->spec.steps[static_cast<size_t>(step.ref.step)];
+  const StepSpec& spec = SpecOf(step);
   Reservation reservation;
   reservation.firm = firm;
   reservation.expires = expires;
@@ -371,8 +370,7 @@
                            const GangRoom& room,
                            base::MonoTime now,
                            SchedulerOutput& out) {
-  const StepSpec& spec =
-      step.job->spec.steps[static_cast<size_t>(step.ref.step)];
+  const StepSpec& spec = SpecOf(step);
   const double share = m_advice.GoodShare(step.policy->name);
   const double wanted = static_cast<double>(spec.count) * kAskMargin;
   auto expected = static_cast<double>(room.allowed_slots);
