Replace a leader that can't append after 0.4 s; ask for advice in turn

The successor then placed nothing for 0.2 to 0.3 s: it read the list of workers first, knew only followers that happened to say hello, and asked for advice with one query a VM, each 25 ms under way and 10 ms at the service. Ruled out: new connections and looks (48 answers within 40 ms of the election).

--- a/packages/cell/include/cell/messages.h
+++ b/packages/cell/include/cell/messages.h
@@ -33,11 +33,12 @@
 // The leader lives; sent when it has no records to tell of.
 struct Alive {
   uint64_t epoch = 0;
-  bool log_ok = false;  // Its appends are answered.
+  bool log_ok = false;             // Its appends are answered.
+  std::vector<std::string> peers;  // "IP:PORT" of each VM that it hears.
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(epoch, log_ok);
+    archive(epoch, log_ok, peers);
   }
 };
 
--- a/packages/cell/src/election.h
+++ b/packages/cell/src/election.h
@@ -22,8 +22,8 @@
 
 struct ElectionTiming {
   base::Millis leader_silence{1500};
-  base::Millis quiet_leader_silence{650};
-  base::Millis datagram_age{400};  // One proves that the leader lives so long.
+  base::Millis quiet_leader_silence{400};
+  base::Millis datagram_age{300};  // One proves that the leader lives so long.
   base::Millis jitter{0};      // Differs between VMs, so that one stands first.
   base::Millis read_age{400};  // A read is proof of silence for so long.
 };
--- a/packages/cell/src/leadership.cc
+++ b/packages/cell/src/leadership.cc
@@ -109,6 +109,7 @@
     case AppendStatus::kUnknown:
       // The same sequence number again has no second effect.
       m_resend_at = now + kResendAfterRefusal;
+      ++m_failures;
       base::LogEvent(base::Severity::kWarning, "AZ9205",
                      "append of work failed; it is repeated",
                      {{"status", std::string(AppendStatusName(result.status))},
@@ -124,6 +125,7 @@
   }
   m_last_append = std::max(m_last_append, sent_at);
   m_last_success = now;
+  m_failures = 0;
   m_in_flight = false;
   const Batch batch = std::exchange(m_batch, {});
   m_on_stored(result.offset, batch.records);
--- a/packages/cell/src/leadership.h
+++ b/packages/cell/src/leadership.h
@@ -42,6 +42,8 @@
   uint64_t epoch() const { return m_epoch; }
   bool lost() const { return m_lost; }
   base::MonoTime last_append() const { return m_last_append; }
+  // False once several appends in a row have failed.
+  bool log_ok() const { return m_failures < kFailuresToDoubt; }
   jobs::Scheduler& scheduler() { return m_scheduler; }
   // Filled by calls to the scheduler; Pump() takes the records out of it.
   jobs::SchedulerOutput& output() { return m_output; }
@@ -55,6 +57,9 @@
   bool yielded() const { return m_yield_stored; }
 
  private:
+  // One lost answer says nothing about the log.
+  static constexpr int kFailuresToDoubt = 2;
+
   struct Batch {
     std::vector<jobs::PendingRecord> pending;
     std::vector<std::string> records;
@@ -78,6 +83,7 @@
   bool m_in_flight = false;  // The batch is sent, or is to be repeated.
   base::MonoTime m_resend_at{};
   bool m_sent = false;
+  int m_failures = 0;  // Appends in a row.
   uint64_t m_next_sequence;
   int64_t m_marked_intake_end = -1;
   base::MonoTime m_last_append;
--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -124,6 +124,7 @@
   m_writer.NoteContact(std::max(m_intake.last_read(), m_work.last_read()));
   m_writer.Tick(now);
   PollStreams(now);
+  PollDirectory(now);
   if (m_lead) {
     LeadTick(now);
   } else {
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -102,7 +102,9 @@
   void LeadTick(base::MonoTime now);
   void SayAlive(base::MonoTime now);
   void YieldIfSlow(base::MonoTime now);
+  void TellPeersOfTerm(uint64_t epoch, int64_t offset);
   void PollDirectory(base::MonoTime now);
+  void TakeEntries(const WorkerDirectory::Entries& entries, base::MonoTime now);
   void CarryOut();
   void SendStart(const jobs::StartOrder& order);
   void SendStop(const jobs::StopOrder& order);
@@ -150,6 +152,8 @@
   IntakeWriter m_writer;
   std::shared_ptr<Leadership> m_lead;
   std::map<std::string, PeerState> m_peers;  // By VM; known while leading.
+  std::vector<std::string> m_leader_peers;   // Addresses that the leader knows.
+  WorkerDirectory::Entries m_entries;        // As read last.
   base::MonoTime m_started{};
   base::MonoTime m_last_hello{};
   base::MonoTime m_lead_since{};
@@ -159,6 +163,7 @@
   SpeedProbe m_speed;
   base::MonoTime m_next_speed{};
   base::MonoTime m_next_directory{};
+  base::MonoTime m_entries_at{};  // When `m_entries` was read.
   base::MonoTime m_next_plan{};
   base::MonoTime m_next_sweep{};
   base::MonoTime m_policy_retry =
--- a/packages/cell/src/node_leader.cc
+++ b/packages/cell/src/node_leader.cc
@@ -19,6 +19,8 @@
 // Taking over is work too.
 constexpr Millis kShortestTerm{1500};
 constexpr Millis kRestAfterSlowTerm{3000};
+// A follower's list of workers does for the start of its term.
+constexpr Millis kEntriesFresh{1500};
 
 }  // namespace
 
@@ -78,11 +80,23 @@
     const std::vector<std::string> records = {jobs::EncodeWork(
         jobs::LeadRecord{epoch, m_options.vm, m_options.peer_address})};
     m_work.Offer(result.offset, records);
+    TellPeersOfTerm(epoch, result.offset);
   } else {
     m_work.Poll();
   }
 }
 
+// Followers then report to this VM at once, not after their next read.
+void Node::TellPeersOfTerm(uint64_t epoch, int64_t offset) {
+  const std::vector<std::string> records = {jobs::EncodeWork(
+      jobs::LeadRecord{epoch, m_options.vm, m_options.peer_address})};
+  for (const std::string& address : m_leader_peers) {
+    if (address != m_options.peer_address) {
+      Notify(address, Stream::kWork, offset, records);
+    }
+  }
+}
+
 // The record decides, also where the answer to its append was lost.
 void Node::LeadIfElected() {
   if (m_stood_epoch != 0 && m_table.epoch() == m_stood_epoch && !m_draining) {
@@ -102,7 +116,10 @@
   }
   m_lead_since = m_clock.Now();
   m_next_directory = {};
-  m_directory_read = false;
+  m_directory_read = m_lead_since < m_entries_at + kEntriesFresh;
+  if (m_directory_read) {
+    m_lead->scheduler().SetWorkers(m_entries, m_lead_since, m_lead->output());
+  }
   m_plan_wanted = true;
 }
 
@@ -128,7 +145,6 @@
   });
   SayAlive(now);
   YieldIfSlow(now);
-  PollDirectory(now);
   if (m_plan_wanted && now >= m_next_plan && m_directory_read &&
       !m_lead->yielding()) {
     m_plan_wanted = false;
@@ -151,9 +167,14 @@
     return;
   }
   m_next_alive = now + m_options.alive_interval;
-  const bool log_ok = now <= m_lead->last_append() + m_options.leader_silence;
+  Alive alive;
+  alive.epoch = m_lead->epoch();
+  alive.log_ok = m_lead->log_ok();
   for (const auto& [vm, peer] : m_peers) {
-    SendTo(peer.address, Alive{m_lead->epoch(), log_ok});
+    alive.peers.push_back(peer.address);
+  }
+  for (const std::string& address : alive.peers) {
+    SendTo(address, alive);
   }
 }
 
@@ -295,19 +316,27 @@
     return;
   }
   m_directory_busy = true;
-  m_next_directory = now + m_options.directory_interval;
+  m_next_directory = now + (m_lead ? m_options.directory_interval
+                                   : m_options.follower_directory_interval);
   m_ports.directory.Poll(
       [this, now](base::Outcome<WorkerDirectory::Entries> outcome) {
         Post([this, now, outcome = std::move(outcome)] {
           m_directory_busy = false;
-          if (m_lead && base::Ok(outcome)) {
-            m_directory_read = true;
-            m_lead->scheduler().SetWorkers(base::Value(outcome), now,
-                                           m_lead->output());
-            m_plan_wanted = true;
+          if (base::Ok(outcome)) {
+            TakeEntries(base::Value(outcome), now);
           }
         });
       });
 }
 
+void Node::TakeEntries(const WorkerDirectory::Entries& entries, MonoTime now) {
+  m_entries = entries;
+  m_entries_at = now;
+  if (m_lead) {
+    m_directory_read = true;
+    m_lead->scheduler().SetWorkers(m_entries, now, m_lead->output());
+    m_plan_wanted = true;
+  }
+}
+
 }  // namespace azurespur::cell
--- a/packages/cell/src/node_peers.cc
+++ b/packages/cell/src/node_peers.cc
@@ -73,9 +73,12 @@
 }
 
 void Node::OnMessage(const Alive& alive) {
-  if (alive.log_ok && alive.epoch == m_table.epoch()) {
-    m_leader_heard = m_clock.Now();
+  if (alive.epoch != m_table.epoch()) {
+    return;
   }
+  m_leader_peers = alive.peers;
+  // A leader that can't append should be replaced as soon as one that is gone.
+  m_leader_heard = alive.log_ok ? m_clock.Now() : MonoTime{};
 }
 
 void Node::OnMessage(const Hello& hello) {
--- a/packages/jobs/include/jobs/advice_book.h
+++ b/packages/jobs/include/jobs/advice_book.h
@@ -80,10 +80,12 @@
     std::vector<WorkerBoot> workers;
     base::MonoTime deadline{};
     base::Millis valid{0};
-    bool is_long = false;
+    double expected_ms = 0;
   };
   struct VmState {
-    uint64_t query_id = 0;  // 0: free.
+    int32_t queries = 0;     // Not answered yet.
+    double expected_ms = 0;  // What these take.
+    bool has_long = false;
     base::MonoTime avoid_until{};
   };
   struct QueueStats {
@@ -91,7 +93,7 @@
     double good = 1;
   };
 
-  std::string FindFreeVm(bool is_long, base::MonoTime now) const;
+  std::string FindFreeVm(double expected_ms, base::MonoTime now) const;
   void EndQuery(uint64_t query_id);
 
   std::map<StepRef, std::map<std::string, Verdict, std::less<>>> m_verdicts;
--- a/packages/jobs/src/advice_book.cc
+++ b/packages/jobs/src/advice_book.cc
@@ -21,6 +21,9 @@
 constexpr double kLeastGoodShare = 0.1;
 // Long queries use at most this share of the VMs.
 constexpr double kLongShare = 0.7;
+// Queries of one VM that together take so long may be sent at a time: the next
+// one waits at the service, not for the answer's way to the leader and back.
+constexpr double kMostInTurnMs = 40;
 
 }  // namespace
 
@@ -83,27 +86,34 @@
   return std::clamp(stats.good / stats.asked, kLeastGoodShare, 1.0);
 }
 
-std::string AdviceBook::FindFreeVm(bool is_long, base::MonoTime now) const {
+std::string AdviceBook::FindFreeVm(double expected_ms,
+                                   base::MonoTime now) const {
+  const bool is_long = expected_ms > kLongQueryMs;
   size_t usable = 0;
   size_t with_long = 0;
-  std::string free;
-  for (const auto& [vm, state] : m_vms) {
+  const std::pair<const std::string, VmState>* best = nullptr;
+  for (const auto& entry : m_vms) {
+    const VmState& state = entry.second;
     if (state.avoid_until > now) {
       continue;
     }
     ++usable;
-    if (state.query_id == 0) {
-      // Long ones from the front of the list, short ones from its end.
-      if (free.empty() || !is_long) {
-        free = vm;
-      }
-    } else if (m_queries.at(state.query_id).is_long) {
-      ++with_long;
+    with_long += state.has_long ? 1 : 0;
+    const bool free =
+        state.queries == 0 || state.expected_ms + expected_ms <= kMostInTurnMs;
+    if (!free) {
+      continue;
+    }
+    // Long ones from the front of the list, short ones from its end.
+    if (best == nullptr ||
+        (!is_long && state.expected_ms <= best->second.expected_ms)) {
+      best = &entry;
     }
   }
   const auto most_long = std::max<size_t>(
       1, static_cast<size_t>(static_cast<double>(usable) * kLongShare));
-  return is_long && with_long >= most_long ? std::string() : free;
+  const bool too_many = is_long && with_long >= most_long;
+  return best == nullptr || too_many ? std::string() : best->first;
 }
 
 std::optional<AdviceQuery> AdviceBook::Ask(const StepRef& step,
@@ -114,8 +124,7 @@
   const double expected_ms =
       policy.base_ms +
       policy.per_worker_ms * static_cast<double>(workers.size());
-  const bool is_long = expected_ms > kLongQueryMs;
-  const std::string vm = FindFreeVm(is_long, now);
+  const std::string vm = FindFreeVm(expected_ms, now);
   if (vm.empty()) {
     return std::nullopt;
   }
@@ -123,8 +132,12 @@
   query.id = m_next_id++;
   query.vm = vm;
   query.step = step;
+  VmState& vm_state = m_vms[vm];
+  ++vm_state.queries;
+  vm_state.expected_ms += expected_ms;
+  vm_state.has_long = vm_state.has_long || expected_ms > kLongQueryMs;
   query.timeout =
-      base::Millis{static_cast<int64_t>(expected_ms)} + kAnswerSlack;
+      base::Millis{static_cast<int64_t>(vm_state.expected_ms)} + kAnswerSlack;
   for (const WorkerBoot& worker : workers) {
     query.workers.push_back(worker.id);
   }
@@ -135,10 +148,9 @@
   state.workers = std::move(workers);
   state.deadline = now + query.timeout;
   state.valid = base::Millis{policy.valid_ms};
-  state.is_long = is_long;
+  state.expected_ms = expected_ms;
   m_queries.emplace(query.id, std::move(state));
   m_asking[step] = query.id;
-  m_vms[vm].query_id = query.id;
   return query;
 }
 
@@ -209,8 +221,12 @@
   const Query& query = m_queries.at(query_id);
   m_asking.erase(query.step);
   const auto vm = m_vms.find(query.vm);
-  if (vm != m_vms.end() && vm->second.query_id == query_id) {
-    vm->second.query_id = 0;
+  if (vm != m_vms.end()) {
+    VmState& state = vm->second;
+    // A VM that was away meanwhile is here again with nothing to do.
+    state.queries = std::max(0, state.queries - 1);
+    state.expected_ms = std::max(0.0, state.expected_ms - query.expected_ms);
+    state.has_long = state.has_long && query.expected_ms <= kLongQueryMs;
   }
   m_queries.erase(query_id);
 }
