Write log lines in whole pieces; stand only where the log can be read

Ruled out: the rate limit (not reached), the queue (4,096 lines). A write that fails counts its lines into AZ1006. Now a VM stands only after a fresh read, and 100 ms after an append without effect.

--- a/packages/base/src/json_event_writer.cc
+++ b/packages/base/src/json_event_writer.cc
@@ -1,12 +1,16 @@
 #include "json_event_writer.h"
 
+#include <limits.h>
 #include <unistd.h>
 
+#include <algorithm>
+#include <cerrno>
 #include <chrono>
 #include <memory>
 #include <utility>
 
 #include "base/clock.h"
+#include "line_chunks.h"
 
 namespace azurespur::base {
 
@@ -68,14 +72,26 @@
   return line;
 }
 
-void WriteAll(std::string_view text) {
+// Larger writes to a pipe may be split or cut by who reads it.
+constexpr size_t kWriteBytes = PIPE_BUF;
+
+// Returns how many lines could not be written.
+int64_t WriteLines(std::string_view text) {
   while (!text.empty()) {
-    const ssize_t count = write(STDOUT_FILENO, text.data(), text.size());
-    if (count <= 0) {
-      return;  // Nobody reads the log; there is no other place to say so.
+    std::string_view lines = TakeLines(text, kWriteBytes);
+    while (!lines.empty()) {
+      const ssize_t count = write(STDOUT_FILENO, lines.data(), lines.size());
+      if (count < 0 && errno == EINTR) {
+        continue;
+      }
+      if (count <= 0) {
+        return std::count(lines.begin(), lines.end(), '\n') +
+               std::count(text.begin(), text.end(), '\n');
+      }
+      lines.remove_prefix(static_cast<size_t>(count));
     }
-    text.remove_prefix(static_cast<size_t>(count));
   }
+  return 0;
 }
 
 }  // namespace
@@ -144,7 +160,7 @@
     text += FormatLine(Severity::kWarning, "AZ1006", "log lines were left out",
                        {{"lines", std::to_string(omitted)}});
   }
-  WriteAll(text);
+  m_omitted.fetch_add(WriteLines(text));
 }
 
 }  // namespace azurespur::base
--- a/packages/cell/src/election.cc
+++ b/packages/cell/src/election.cc
@@ -31,6 +31,10 @@
   if (!view.caught_up || view.draining) {
     return false;
   }
+  // A VM that the log turns away could not become the leader.
+  if (now > view.last_read + timing.read_age) {
+    return false;
+  }
   const base::MonoTime since = std::max(view.last_advance, started);
   if (view.epoch == 0 || view.yielded || view.was_me) {
     return now >= since + timing.jitter;
@@ -40,8 +44,7 @@
       heard ? timing.leader_silence : timing.quiet_leader_silence;
   // Silence counts only if the log itself said so after the time was over.
   return now >= since + silence + timing.jitter &&
-         view.last_read >= since + silence &&
-         now <= view.last_read + timing.read_age;
+         view.last_read >= since + silence;
 }
 
 }  // namespace azurespur::cell
--- a/packages/cell/src/node_leader.cc
+++ b/packages/cell/src/node_leader.cc
@@ -19,6 +19,8 @@
 // Taking over is work too.
 constexpr Millis kShortestTerm{1500};
 constexpr Millis kRestAfterSlowTerm{3000};
+// Before a VM stands again whose append had no effect.
+constexpr Millis kStandAgain{100};
 // A follower's list of workers does for the start of its term.
 constexpr Millis kEntriesFresh{1500};
 
@@ -82,6 +84,7 @@
     m_work.Offer(result.offset, records);
     TellPeersOfTerm(epoch, result.offset);
   } else {
+    m_stand_after = std::max(m_stand_after, m_clock.Now() + kStandAgain);
     m_work.Poll();
   }
 }
--- a/packages/cell/tests/election_test.cc
+++ b/packages/cell/tests/election_test.cc
@@ -45,6 +45,16 @@
   CHECK(ShouldStand(view, {}, kStart, kStart + Millis{450}));
 }
 
+// Pattern: the log turns the leader's VM away; its term is over.
+TEST_CASE("a VM that can't read the log does not stand, whoever led") {
+  ElectionView view = Follower();
+  view.was_me = true;
+  CHECK(ShouldStand(view, {}, kStart, kStart + Millis{400}));
+  CHECK_FALSE(ShouldStand(view, {}, kStart, kStart + Millis{401}));
+  view.yielded = true;
+  CHECK_FALSE(ShouldStand(view, {}, kStart, kStart + Millis{401}));
+}
+
 TEST_CASE("a follower of a leader that records does not stand") {
   ElectionView view = Follower();
   view.last_advance = kStart + Millis{1000};
