Let the leader store and hand out records for a VM that can't reach the log

Ruled out: Retry-After 0 (the caller's next VM is often the other one that is turned away); asking peers for each state (a call for each question). A VM that can't read asks the leader for records; each VM keeps the newest 256 KB of both streams.

--- a/packages/cell/include/cell/messages.h
+++ b/packages/cell/include/cell/messages.h
@@ -12,33 +12,82 @@
 #include <variant>
 #include <vector>
 
+#include "cell/store_outcome.h"
 #include "jobs/orders.h"
 
 namespace azurespur::cell {
 
 enum class Stream : uint8_t { kIntake, kWork };
 
-// Records that were just appended. Without records: only that there are some.
+// Names the sender as the leader of a term. Epoch 0: the sender is none.
+struct LeaderSign {
+  uint64_t epoch = 0;
+  std::string address;  // "IP:PORT".
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(epoch, address);
+  }
+};
+
+// Records that stand in a stream. Without records: only that there are some.
 struct RecordsNotice {
   Stream stream = Stream::kIntake;
   int64_t offset = 0;
   std::vector<std::string> records;
+  LeaderSign leader;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(stream, offset, records, leader);
+  }
+};
+
+// A VM that can't read the log asks the leader for records.
+struct RecordsRequest {
+  Stream stream = Stream::kIntake;
+  int64_t from = 0;
+  std::string reply_to;  // "IP:PORT".
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(stream, offset, records);
+    archive(stream, from, reply_to);
+  }
+};
+
+// A VM that can't append asks the leader to append a record to the intake. A
+// repeat is harmless: the first record for a job counts.
+struct ForwardedIntake {
+  uint64_t id = 0;
+  std::string record;
+  int64_t wait_ms = 0;   // The answer is of use for so long.
+  std::string reply_to;  // "IP:PORT".
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, record, wait_ms, reply_to);
+  }
+};
+
+struct ForwardedOutcome {
+  uint64_t id = 0;
+  StoreOutcome outcome = StoreOutcome::kUnknown;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, outcome);
   }
 };
 
 // The leader lives; sent when it has no records to tell of.
 struct Alive {
-  uint64_t epoch = 0;
+  LeaderSign leader;
   bool log_ok = false;             // Its appends are answered.
   std::vector<std::string> peers;  // "IP:PORT" of each VM that it hears.
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(epoch, log_ok, peers);
+    archive(leader, log_ok, peers);
   }
 };
 
@@ -82,8 +131,14 @@
   }
 };
 
-using Message =
-    std::variant<RecordsNotice, Alive, Hello, AdviceRequest, AdviceReply>;
+using Message = std::variant<RecordsNotice,
+                             Alive,
+                             Hello,
+                             AdviceRequest,
+                             AdviceReply,
+                             RecordsRequest,
+                             ForwardedIntake,
+                             ForwardedOutcome>;
 
 }  // namespace azurespur::cell
 
--- /dev/null
+++ b/packages/cell/src/intake_forwards.h
@@ -0,0 +1,62 @@
+// Submissions and cancellations that another VM stores for this one, because
+// this one can't reach the log. No I/O, no clock.
+
+#ifndef CELL_SRC_INTAKE_FORWARDS_H_
+#define CELL_SRC_INTAKE_FORWARDS_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include "base/clock.h"
+#include "intake_writer.h"
+
+namespace azurespur::cell {
+
+class IntakeForwards {
+ public:
+  using Done = std::function<void(StoreOutcome)>;
+  // Sends the record to the VM that stores it; `wait` is how long its answer is
+  // of use. The message may be lost.
+  using Send = std::function<
+      void(uint64_t id, const std::string& record, base::Millis wait)>;
+
+  explicit IntakeForwards(Send send) : m_send(std::move(send)) {}
+
+  // True if a record of this size fits into a message.
+  static bool Fits(std::string_view record);
+
+  // `uncertain`: an earlier append of the record may have, or get, an effect.
+  void Start(std::string record,
+             bool uncertain,
+             base::MonoTime deadline,
+             base::MonoTime now,
+             Done done);
+
+  void OnOutcome(uint64_t id, StoreOutcome outcome);
+
+  // Repeats what is not answered, and ends what is out of time.
+  void Tick(base::MonoTime now);
+
+ private:
+  struct Item {
+    std::string record;
+    bool uncertain = false;
+    int tries = 1;
+    base::MonoTime sent_at{};
+    base::MonoTime deadline{};
+    Done done;
+  };
+
+  void Finish(uint64_t id, StoreOutcome outcome);
+
+  const Send m_send;
+  std::map<uint64_t, Item> m_items;
+  uint64_t m_next_id = 1;
+};
+
+}  // namespace azurespur::cell
+
+#endif  // CELL_SRC_INTAKE_FORWARDS_H_
--- a/packages/cell/src/intake_writer.h
+++ b/packages/cell/src/intake_writer.h
@@ -13,16 +13,11 @@
 #include "base/clock.h"
 #include "base/mailbox.h"
 #include "cell/fenced_log.h"
+#include "cell/store_outcome.h"
 #include "log_timing.h"
 
 namespace azurespur::cell {
 
-enum class StoreOutcome {
-  kStored,
-  kNotStored,  // And never will be.
-  kUnknown,    // May be stored, now or later.
-};
-
 class IntakeWriter {
  public:
   using Done = std::function<void(StoreOutcome)>;
--- a/packages/cell/src/log_tail.h
+++ b/packages/cell/src/log_tail.h
@@ -48,6 +48,8 @@
   base::MonoTime last_read() const { return m_last_read; }
   base::MonoTime last_advance() const { return m_last_advance; }
   base::MonoTime last_attempt() const { return m_last_attempt; }
+  // True if the last read failed.
+  bool failing() const { return m_failing; }
   // When the first good read after the last failed one was sent.
   base::MonoTime reachable_since() const { return m_reachable_since; }
 
--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -32,6 +32,7 @@
       m_accepted(metrics.GetCounter("azurespur_jobs_accepted_total")),
       m_not_accepted(metrics.GetCounter("azurespur_jobs_not_accepted_total")),
       m_uncertain(metrics.GetCounter("azurespur_jobs_uncertain_total")),
+      m_forwarded(metrics.GetCounter("azurespur_intake_forwarded_total")),
       m_leading(metrics.GetCounter("azurespur_leading")),
       m_starts(metrics.GetCounter("azurespur_task_starts_total")),
       m_mail_refused(metrics.GetCounter("azurespur_mail_refused_total")),
@@ -56,7 +57,10 @@
                m_timing,
                [this](int64_t offset, const std::vector<std::string>& records) {
                  OnIntakeStored(offset, records);
-               }) {
+               }),
+      m_forwards([this](uint64_t id, const std::string& record, Millis wait) {
+        SendForward(id, record, wait);
+      }) {
   std::random_device seed;
   std::mt19937_64 random(seed());
   m_nonce = random();
@@ -123,6 +127,7 @@
   const MonoTime now = m_clock.Now();
   m_writer.NoteContact(std::max(m_intake.last_read(), m_work.last_read()));
   m_writer.Tick(now);
+  m_forwards.Tick(now);
   PollStreams(now);
   PollDirectory(now);
   if (m_lead) {
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -19,15 +19,19 @@
 #include "base/metrics.h"
 #include "cell/cell_node.h"
 #include "cell/messages.h"
+#include "intake_forwards.h"
 #include "intake_writer.h"
 #include "leadership.h"
 #include "log_tail.h"
 #include "log_timing.h"
+#include "recent_records.h"
 #include "speed_probe.h"
 
 namespace azurespur::cell {
 
 inline constexpr size_t kMailboxSize = 16384;
+// Of each stream; some seconds of work.
+inline constexpr size_t kRecentBytes = 256 << 10;
 
 struct PeerState {
   std::string address;
@@ -84,11 +88,24 @@
   void OnMessage(const Hello& hello);
   void OnMessage(const AdviceRequest& request);
   void OnMessage(const AdviceReply& reply);
+  void OnMessage(const RecordsRequest& request);
+  void OnMessage(const ForwardedIntake& forward);
+  void OnMessage(const ForwardedOutcome& answer);
+  // A datagram names the leader: it may be known before its record is read.
+  void NoteLeader(const LeaderSign& sign);
+  LeaderSign OwnSign() const;
+  const std::string& LeaderAddress() const;
+  // The leader was just heard, and it can append.
+  bool LeaderCanAppend(base::MonoTime now) const;
+  void SendForward(uint64_t id, const std::string& record, base::Millis wait);
+  // Asks the leader for what this VM can't read, if it is behind.
+  void CatchUpFromLeader(LogTail& tail, Stream stream, int64_t known_end);
   void SendTo(const std::string& address, const Message& message);
   void Notify(const std::string& address,
               Stream stream,
               int64_t offset,
-              const std::vector<std::string>& records);
+              const std::vector<std::string>& records,
+              const LeaderSign& sign);
   void NotifyPeers(Stream stream,
                    int64_t offset,
                    const std::vector<std::string>& records);
@@ -102,7 +119,9 @@
   void LeadTick(base::MonoTime now);
   void SayAlive(base::MonoTime now);
   void YieldIfSlow(base::MonoTime now);
-  void TellPeersOfTerm(uint64_t epoch, int64_t offset);
+  void TellPeersOfTerm(uint64_t epoch,
+                       int64_t offset,
+                       const std::string& former_leader);
   void PollDirectory(base::MonoTime now);
   void TakeEntries(const WorkerDirectory::Entries& entries, base::MonoTime now);
   void CarryOut();
@@ -121,6 +140,7 @@
   void StoreIntake(const jobs::IntakeRecord& record,
                    base::MonoTime deadline,
                    std::function<void(IntakeOutcome)> done);
+  void CountStored(StoreOutcome outcome, base::MonoTime began);
   void CancelKnown(jobs::JobId job,
                    base::MonoTime deadline,
                    std::function<void(IntakeOutcome)> done);
@@ -131,6 +151,7 @@
   base::Counter& m_accepted;
   base::Counter& m_not_accepted;
   base::Counter& m_uncertain;
+  base::Counter& m_forwarded;
   base::Counter& m_leading;
   base::Counter& m_starts;
   base::Counter& m_mail_refused;
@@ -150,6 +171,10 @@
   LogTail m_intake;
   LogTail m_work;
   IntakeWriter m_writer;
+  IntakeForwards m_forwards;
+  RecentRecords m_recent_intake{kRecentBytes};
+  RecentRecords m_recent_work{kRecentBytes};
+  LeaderSign m_sign;  // Of the latest leader that was heard of.
   std::shared_ptr<Leadership> m_lead;
   std::map<std::string, PeerState> m_peers;  // By VM; known while leading.
   std::vector<std::string> m_leader_peers;   // Addresses that the leader knows.
@@ -158,6 +183,7 @@
   base::MonoTime m_last_hello{};
   base::MonoTime m_lead_since{};
   base::MonoTime m_leader_heard{};
+  base::MonoTime m_next_records_request{};
   base::MonoTime m_next_alive{};
   base::MonoTime m_stand_after{};
   SpeedProbe m_speed;
--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -15,6 +15,18 @@
 
 constexpr Millis kPolicyRetry{200};
 
+IntakeOutcome ToIntakeOutcome(StoreOutcome outcome) {
+  switch (outcome) {
+    case StoreOutcome::kStored:
+      return IntakeOutcome::kAccepted;
+    case StoreOutcome::kNotStored:
+      return IntakeOutcome::kNotAccepted;
+    case StoreOutcome::kUnknown:
+      return IntakeOutcome::kUnknown;
+  }
+  return IntakeOutcome::kUnknown;
+}
+
 }  // namespace
 
 void Node::PollPolicy() {
@@ -76,27 +88,42 @@
                        MonoTime deadline,
                        std::function<void(IntakeOutcome)> done) {
   const MonoTime began = m_clock.Now();
-  m_writer.Store(jobs::EncodeIntake(record), deadline,
-                 [this, began, done = std::move(done)](StoreOutcome outcome) {
-                   m_store_time.Observe(static_cast<double>(
-                       base::MillisBetween(began, m_clock.Now())));
-                   switch (outcome) {
-                     case StoreOutcome::kStored:
-                       m_accepted.Add(1);
-                       done(IntakeOutcome::kAccepted);
-                       return;
-                     case StoreOutcome::kNotStored:
-                       m_not_accepted.Add(1);
-                       done(IntakeOutcome::kNotAccepted);
-                       return;
-                     case StoreOutcome::kUnknown:
-                       m_uncertain.Add(1);
-                       done(IntakeOutcome::kUnknown);
-                       return;
+  std::string bytes = jobs::EncodeIntake(record);
+  auto finish = [this, began, done = std::move(done)](StoreOutcome outcome) {
+    CountStored(outcome, began);
+    done(ToIntakeOutcome(outcome));
+  };
+  m_writer.Store(bytes, deadline,
+                 [this, bytes, deadline,
+                  finish = std::move(finish)](StoreOutcome outcome) {
+                   const MonoTime now = m_clock.Now();
+                   if (outcome == StoreOutcome::kStored || now >= deadline ||
+                       !LeaderCanAppend(now) || !IntakeForwards::Fits(bytes)) {
+                     finish(outcome);
+                     return;
                    }
+                   m_forwarded.Add(1);
+                   const bool uncertain = outcome == StoreOutcome::kUnknown;
+                   m_forwards.Start(bytes, uncertain, deadline, now, finish);
                  });
 }
 
+void Node::CountStored(StoreOutcome outcome, MonoTime began) {
+  m_store_time.Observe(
+      static_cast<double>(base::MillisBetween(began, m_clock.Now())));
+  switch (outcome) {
+    case StoreOutcome::kStored:
+      m_accepted.Add(1);
+      return;
+    case StoreOutcome::kNotStored:
+      m_not_accepted.Add(1);
+      return;
+    case StoreOutcome::kUnknown:
+      m_uncertain.Add(1);
+      return;
+  }
+}
+
 void Node::Cancel(jobs::JobId job,
                   MonoTime deadline,
                   std::function<void(IntakeOutcome)> done) {
--- a/packages/cell/src/node_leader.cc
+++ b/packages/cell/src/node_leader.cc
@@ -1,6 +1,8 @@
 #include "node.h"
 
 #include <algorithm>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "base/event_log.h"
@@ -79,24 +81,31 @@
                   {"status", std::string(AppendStatusName(result.status))},
                   {"offset", std::to_string(result.offset)}});
   if (result.status == AppendStatus::kAppended && result.offset == offset) {
+    const std::string former_leader = LeaderAddress();
     const std::vector<std::string> records = {jobs::EncodeWork(
         jobs::LeadRecord{epoch, m_options.vm, m_options.peer_address})};
     m_work.Offer(result.offset, records);
-    TellPeersOfTerm(epoch, result.offset);
+    TellPeersOfTerm(epoch, result.offset, former_leader);
   } else {
     m_stand_after = std::max(m_stand_after, m_clock.Now() + kStandAgain);
     m_work.Poll();
   }
 }
 
-// Followers then report to this VM at once, not after their next read.
-void Node::TellPeersOfTerm(uint64_t epoch, int64_t offset) {
+// Followers then report to this VM at once, not after their next read. The
+// former leader may be unable to read at all.
+void Node::TellPeersOfTerm(uint64_t epoch,
+                           int64_t offset,
+                           const std::string& former_leader) {
   const std::vector<std::string> records = {jobs::EncodeWork(
       jobs::LeadRecord{epoch, m_options.vm, m_options.peer_address})};
-  for (const std::string& address : m_leader_peers) {
-    if (address != m_options.peer_address) {
-      Notify(address, Stream::kWork, offset, records);
-    }
+  std::set<std::string> addresses(m_leader_peers.begin(), m_leader_peers.end());
+  addresses.insert(former_leader);
+  addresses.erase(m_options.peer_address);
+  addresses.erase("");
+  for (const std::string& address : addresses) {
+    Notify(address, Stream::kWork, offset, records,
+           {epoch, m_options.peer_address});
   }
 }
 
@@ -171,7 +180,7 @@
   }
   m_next_alive = now + m_options.alive_interval;
   Alive alive;
-  alive.epoch = m_lead->epoch();
+  alive.leader = OwnSign();
   alive.log_ok = m_lead->log_ok();
   for (const auto& [vm, peer] : m_peers) {
     alive.peers.push_back(peer.address);
--- a/packages/cell/src/node_peers.cc
+++ b/packages/cell/src/node_peers.cc
@@ -24,7 +24,8 @@
 void Node::Notify(const std::string& address,
                   Stream stream,
                   int64_t offset,
-                  const std::vector<std::string>& records) {
+                  const std::vector<std::string>& records,
+                  const LeaderSign& sign) {
   size_t bytes = 0;
   for (const std::string& record : records) {
     bytes += record.size();
@@ -32,6 +33,7 @@
   RecordsNotice notice;
   notice.stream = stream;
   notice.offset = offset;
+  notice.leader = sign;
   if (bytes <= kMaxNoticeBytes) {
     notice.records = records;
   }
@@ -41,8 +43,9 @@
 void Node::NotifyPeers(Stream stream,
                        int64_t offset,
                        const std::vector<std::string>& records) {
+  const LeaderSign sign = OwnSign();
   for (const auto& [vm, peer] : m_peers) {
-    Notify(peer.address, stream, offset, records);
+    Notify(peer.address, stream, offset, records, sign);
   }
 }
 
@@ -58,10 +61,13 @@
 }
 
 void Node::OnMessage(const RecordsNotice& notice) {
+  NoteLeader(notice.leader);
+  const auto end = notice.offset + static_cast<int64_t>(notice.records.size());
   if (notice.stream == Stream::kWork) {
     if (!m_lead) {
       m_leader_heard = m_clock.Now();
       m_work.Offer(notice.offset, notice.records);
+      CatchUpFromLeader(m_work, Stream::kWork, end);
     }
     return;
   }
@@ -69,11 +75,14 @@
   m_intake.Offer(notice.offset, notice.records);
   if (m_lead && m_intake.next() > before) {
     NotifyPeers(Stream::kIntake, notice.offset, notice.records);
+  } else if (!m_lead) {
+    CatchUpFromLeader(m_intake, Stream::kIntake, end);
   }
 }
 
 void Node::OnMessage(const Alive& alive) {
-  if (alive.epoch != m_table.epoch()) {
+  NoteLeader(alive.leader);
+  if (m_lead || alive.leader.epoch < m_sign.epoch) {
     return;
   }
   m_leader_peers = alive.peers;
@@ -129,9 +138,9 @@
 }
 
 void Node::SayHello(MonoTime now) {
-  const std::string& leader = m_table.leader().address;
-  if (leader.empty() || now < m_last_hello + m_options.hello_interval ||
-      m_draining) {
+  const std::string& leader = LeaderAddress();
+  if (leader.empty() || leader == m_options.peer_address ||
+      now < m_last_hello + m_options.hello_interval || m_draining) {
     return;
   }
   m_last_hello = now;
--- a/packages/cell/src/node_streams.cc
+++ b/packages/cell/src/node_streams.cc
@@ -22,6 +22,7 @@
     return true;
   }
   m_table.Apply(base::Value(record), m_intake.next(), m_clock.Now());
+  m_recent_intake.Add(m_intake.next(), bytes);
   m_plan_wanted = true;
   return true;
 }
@@ -45,9 +46,11 @@
         m_work.Poll();
       });
     }
+    CatchUpFromLeader(m_intake, Stream::kIntake, mark->intake_end);
     return false;
   }
   m_table.Apply(base::Value(record), m_clock.Now());
+  m_recent_work.Add(m_work.next(), bytes);
   m_plan_wanted = true;
   if (const auto* lead = std::get_if<jobs::LeadRecord>(&base::Value(record))) {
     base::LogEvent(base::Severity::kInfo, "AZ9301", "a VM leads",
@@ -67,8 +70,8 @@
   m_intake.Offer(offset, records);
   if (m_lead) {
     NotifyPeers(Stream::kIntake, offset, records);
-  } else if (!m_table.leader().address.empty()) {
-    Notify(m_table.leader().address, Stream::kIntake, offset, records);
+  } else if (!LeaderAddress().empty()) {
+    Notify(LeaderAddress(), Stream::kIntake, offset, records, {});
   }
 }
 
