Look at workers in short steps while several leave orders unanswered

Ruled out: short looks always (looks are charged and the leader computes more). Now: once two workers have left orders unanswered within 3 s, looks wait 0.2 s in place of 1 s; a worker that was well is looked at again at once. Tests: failing_worker_test (two patterns, both failed before).

--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -155,6 +155,9 @@
             bool may_renew,
             SchedulerOutput& out);
   void SendStops(Worker& worker, base::MonoTime now, SchedulerOutput& out);
+  void NoteUnanswered(std::string_view worker_id, base::MonoTime now);
+  // Several workers have left orders unanswered lately.
+  bool Doubtful(base::MonoTime now) const;
   void StopStalled(Worker& worker, base::MonoTime now);
   // Frees the room and records the end of a run that never comes back.
   void Release(Worker& worker, const TaskRef& task, SchedulerOutput& out);
@@ -176,6 +179,8 @@
   const SchedulerOptions m_options;
   std::map<std::string, Worker, std::less<>> m_workers;  // By id.
   std::map<TaskRef, std::string> m_index;  // Worker id of each run.
+  // When each worker last left an order unanswered.
+  std::map<std::string, base::MonoTime, std::less<>> m_unanswered;
 };
 
 }  // namespace azurespur::jobs
--- a/packages/jobs/include/jobs/scheduler_options.h
+++ b/packages/jobs/include/jobs/scheduler_options.h
@@ -20,8 +20,11 @@
   base::Millis renew_after_append{7000};
   base::Millis busy_hold_wait{1000};  // Look at a worker that runs something.
   base::Millis idle_hold_wait{2000};  // Look at a worker that runs nothing.
-  base::Millis silent_retry{250};     // Between looks at a silent worker.
-  base::Millis stop_retry{500};       // Between repeats of a stop.
+  // As busy_hold_wait, while several workers leave orders unanswered: a lost
+  // look delays all that ends on its worker.
+  base::Millis doubtful_hold_wait{200};
+  base::Millis silent_retry{250};         // Between looks at a silent worker.
+  base::Millis stop_retry{500};           // Between repeats of a stop.
   base::Millis start_after_append{1000};  // Oldest binding that is started.
   int32_t start_tries = 3;      // Then the run is stopped, in place of started.
   base::Millis end_retry{300};  // Look again while ends are not yet stored.
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -234,6 +234,9 @@
   if (run == nullptr || run->phase != RunPhase::kStarting) {
     return;
   }
+  if (outcome == OrderOutcome::kUnknown) {
+    NoteUnanswered(worker->entry.boot.id, now);
+  }
   if (tries > 1 && outcome != OrderOutcome::kAccepted) {
     run->phase = RunPhase::kSettling;
     return;
--- a/packages/jobs/src/fleet_looks.cc
+++ b/packages/jobs/src/fleet_looks.cc
@@ -13,6 +13,10 @@
 // Urgent work is short, so it is missed sooner.
 constexpr base::Millis kUrgentStalledAfter{1300};
 
+// So many workers that left orders unanswered within so long make a pattern.
+constexpr int64_t kDoubtfulWorkers = 2;
+constexpr base::Millis kDoubtTime{3000};
+
 bool HasPhase(const Worker& worker, RunPhase phase) {
   return std::any_of(
       worker.runs.begin(), worker.runs.end(),
@@ -32,8 +36,12 @@
   }
   worker->holds_in_flight = std::max(0, worker->holds_in_flight - 1);
   worker->next_hold = now + m_options.silent_retry;
+  if (outcome == OrderOutcome::kUnknown) {
+    NoteUnanswered(boot.id, now);
+  }
   if (worker->fresh) {
     worker->fresh = false;
+    worker->next_hold = now;  // One lost answer is no reason to wait.
     base::LogEvent(base::Severity::kWarning, "AZ9108", "worker lost",
                    {{"worker", boot.id},
                     {"outcome", std::string(OrderOutcomeName(outcome))},
@@ -74,8 +82,9 @@
     }
     const bool unstored = worker.ends_read > worker.ends_stored;
     if (!settled && !unstored) {
-      order.wait = worker.runs.empty() ? m_options.idle_hold_wait
-                                       : m_options.busy_hold_wait;
+      const base::Millis busy = Doubtful(now) ? m_options.doubtful_hold_wait
+                                              : m_options.busy_hold_wait;
+      order.wait = worker.runs.empty() ? m_options.idle_hold_wait : busy;
     }
   }
   ++worker.holds_in_flight;
@@ -83,6 +92,20 @@
   out.holds.push_back(std::move(order));
 }
 
+void Fleet::NoteUnanswered(std::string_view worker_id, base::MonoTime now) {
+  m_unanswered[std::string(worker_id)] = now;
+  std::erase_if(m_unanswered, [now](const auto& entry) {
+    return entry.second + kDoubtTime < now;
+  });
+}
+
+bool Fleet::Doubtful(base::MonoTime now) const {
+  return std::count_if(m_unanswered.begin(), m_unanswered.end(),
+                       [now](const auto& entry) {
+                         return now <= entry.second + kDoubtTime;
+                       }) >= kDoubtfulWorkers;
+}
+
 void Fleet::SendStops(Worker& worker,
                       base::MonoTime now,
                       SchedulerOutput& out) {
--- a/packages/jobs/tests/failing_worker_test.cc
+++ b/packages/jobs/tests/failing_worker_test.cc
@@ -166,4 +166,53 @@
   CHECK(f.stopped.size() == 2);
 }
 
+// Pattern: workers leave some orders unanswered, each now and then another one,
+// while short tasks end everywhere.
+TEST_CASE("looks are short while several workers leave orders unanswered") {
+  SchedulerFixture f;
+  f.AddQueue("urgent", 0);
+  f.AddWorkers(4, 10);
+  f.Submit(1, "urgent", 4, 10);
+  f.Run(Millis{200});
+  REQUIRE(f.CountRunning(1) == 4);
+  const auto longest_wait = [&f](Millis time) {
+    f.held.clear();
+    f.Run(time);
+    Millis longest{0};
+    for (const HoldOrder& hold : f.held) {
+      longest = std::max(longest, hold.wait);
+    }
+    return longest;
+  };
+  CHECK(longest_wait(Millis{200}) == f.options.busy_hold_wait);
+  const auto miss_one = [&f](const std::string& worker) {
+    f.silent[worker] = true;
+    f.Run(Millis{40});
+    f.silent[worker] = false;
+    f.Run(Millis{40});
+  };
+  miss_one("w0");
+  CHECK(longest_wait(Millis{200}) == f.options.busy_hold_wait);
+  miss_one("w1");
+  CHECK(longest_wait(Millis{200}) == f.options.doubtful_hold_wait);
+  f.Run(Millis{3500});
+  CHECK(longest_wait(Millis{200}) == f.options.busy_hold_wait);
+}
+
+TEST_CASE("a worker that left one look unanswered is looked at again at once") {
+  SchedulerFixture f;
+  f.AddQueue("urgent", 0);
+  f.AddWorkers(1, 10);
+  f.Submit(1, "urgent", 1, 5);
+  f.Run(Millis{200});
+  f.silent["w0"] = true;
+  f.Step();
+  f.silent["w0"] = false;
+  f.Step();
+  f.Submit(2, "urgent", 1, 5);
+  f.Step();
+  f.Step();
+  CHECK(f.CountRunning(2) == 1);
+}
+
 }  // namespace azurespur::jobs
--- a/packages/jobs/tests/scheduler_fixture.h
+++ b/packages/jobs/tests/scheduler_fixture.h
@@ -151,6 +151,7 @@
   std::vector<AdviceQuery> asked;
   std::vector<StartOrder> started;
   std::vector<StopOrder> stopped;
+  std::vector<HoldOrder> held;
 
  private:
   bool CarryOut() {
@@ -214,6 +215,7 @@
 
   void Hold(const HoldOrder& order) {
     const std::string& id = order.worker.id;
+    held.push_back(order);
     if (silent[id]) {
       scheduler.OnHoldFailed(order, OrderOutcome::kUnknown, now, out);
       return;
