Stop batch tasks that save their work for a gang whose time runs out

Room that comes free piece by piece is taken by single tasks before a gang has it all. Now: a gang with less than 4 s to spare, and not late yet, stops runs of less urgent queues that save their progress, all that it needs or none; its room is kept for 1.6 s and advice on these workers is asked for meanwhile. Long advice queries leave two VMs to short ones (before: three of ten). Tests: gang_preemption_test.

--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -37,6 +37,8 @@
   RunPhase phase = RunPhase::kBinding;
   placement::Resources demand;
   bool urgent = false;
+  int32_t priority = 0;      // Of its queue; 0 is the most urgent.
+  bool preemptible = false;  // A stop loses none of its work.
   bool stop_wanted = false;
   base::MonoTime stop_sent_at{};
   base::MonoTime known_at{};  // When the worker answered start or stop.
--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -24,6 +24,8 @@
 
 namespace azurespur::jobs {
 
+struct SitePlan;
+
 // A step that could start now.
 struct ReadyStep {
   StepRef ref;
@@ -131,6 +133,12 @@
                const GangRoom& room,
                bool firm,
                base::MonoTime expires);
+  // Returns true if tasks were stopped for the gang.
+  bool Preempt(const ReadyStep& step, base::MonoTime now, SchedulerOutput& out);
+  void CarryOutPreemption(const ReadyStep& step,
+                          std::span<const SitePlan> plans,
+                          base::MonoTime now,
+                          SchedulerOutput& out);
   void AskForGang(const ReadyStep& step,
                   const GangRoom& room,
                   base::MonoTime now,
@@ -178,6 +186,7 @@
   AdviceBook m_advice;
   std::map<StepRef, Reservation> m_reservations;
   std::map<StepRef, base::MonoTime> m_next_wait_log;
+  std::map<StepRef, base::MonoTime> m_next_preemption;
   int32_t m_waiting_gangs = 0;  // With a reservation in the current plan.
   std::set<JobId> m_failing;    // Their failure is being stored.
   std::set<JobId> m_begun;      // That they have begun is being stored.
--- a/packages/jobs/src/advice_book.cc
+++ b/packages/jobs/src/advice_book.cc
@@ -19,8 +19,8 @@
 // Weight of older answers in the share of good workers.
 constexpr double kStatsDecay = 0.98;
 constexpr double kLeastGoodShare = 0.1;
-// Long queries use at most this share of the VMs.
-constexpr double kLongShare = 0.7;
+// So many VMs are left to short queries.
+constexpr size_t kShortVms = 2;
 // Queries of one VM that together take so long may be sent at a time: the next
 // one waits at the service, not for the answer's way to the leader and back.
 constexpr double kMostInTurnMs = 40;
@@ -110,8 +110,7 @@
       best = &entry;
     }
   }
-  const auto most_long = std::max<size_t>(
-      1, static_cast<size_t>(static_cast<double>(usable) * kLongShare));
+  const size_t most_long = usable > kShortVms ? usable - kShortVms : 1;
   const bool too_many = is_long && with_long >= most_long;
   return best == nullptr || too_many ? std::string() : best->first;
 }
--- /dev/null
+++ b/packages/jobs/src/ready_step.h
@@ -0,0 +1,31 @@
+// What placement of single tasks and of gangs share.
+
+#ifndef JOBS_SRC_READY_STEP_H_
+#define JOBS_SRC_READY_STEP_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+#include "jobs/scheduler.h"
+
+namespace azurespur::jobs {
+
+// Ask about so many times the slots that are needed, by the share of good ones.
+inline constexpr double kAskMargin = 1.3;
+
+inline const StepSpec& SpecOf(const ReadyStep& step) {
+  return step.job->spec.steps[static_cast<size_t>(step.ref.step)];
+}
+
+inline const StepProgress& ProgressOf(const ReadyStep& step) {
+  return step.job->steps[static_cast<size_t>(step.ref.step)];
+}
+
+// Workers with most slots first.
+void SortBySlots(std::vector<std::pair<const Worker*, int64_t>>& workers);
+
+}  // namespace azurespur::jobs
+
+#endif  // JOBS_SRC_READY_STEP_H_
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -309,6 +309,9 @@
   std::erase_if(m_next_wait_log, [&table](const auto& entry) {
     return table.Find(entry.first.job) == nullptr;
   });
+  std::erase_if(m_next_preemption, [&table](const auto& entry) {
+    return table.Find(entry.first.job) == nullptr;
+  });
   std::erase_if(m_last_failed_on, [&table](const auto& entry) {
     return table.Find(entry.first.job) == nullptr;
   });
--- a/packages/jobs/src/scheduler_place.cc
+++ b/packages/jobs/src/scheduler_place.cc
@@ -6,26 +6,12 @@
 
 #include "base/event_log.h"
 #include "jobs/scheduler.h"
+#include "ready_step.h"
 
 namespace azurespur::jobs {
 
 namespace {
 
-// Ask about so many times the slots that are needed, by the share of good ones.
-constexpr double kAskMargin = 1.3;
-// More gangs than this don't keep room for which they wait.
-constexpr int32_t kMaxWaitingGangs = 3;
-constexpr base::Millis kWaitLogInterval{1000};  // Of one gang.
-constexpr base::Millis kFirmReservation{1600};
-
-const StepSpec& SpecOf(const ReadyStep& step) {
-  return step.job->spec.steps[static_cast<size_t>(step.ref.step)];
-}
-
-const StepProgress& ProgressOf(const ReadyStep& step) {
-  return step.job->steps[static_cast<size_t>(step.ref.step)];
-}
-
 int64_t TasksOfStep(const Worker& worker, const StepRef& step) {
   return std::count_if(
       worker.runs.begin(), worker.runs.end(),
@@ -37,12 +23,6 @@
                                     label) != entry.labels.end();
 }
 
-void SortBySlots(std::vector<std::pair<const Worker*, int64_t>>& workers) {
-  std::stable_sort(
-      workers.begin(), workers.end(),
-      [](const auto& a, const auto& b) { return a.second > b.second; });
-}
-
 }  // namespace
 
 void Scheduler::PlaceStep(const ReadyStep& step,
@@ -141,7 +121,9 @@
   Run run;
   run.run = run_number;
   run.demand = SpecOf(step).demand;
-  run.urgent = step.policy->priority == 0;
+  run.priority = step.policy->priority;
+  run.urgent = run.priority == 0;
+  run.preemptible = SpecOf(step).checkpointing && !SpecOf(step).gang;
   base::LogEvent(base::Severity::kInfo, "AZ9102", "task is placed",
                  {{"task", ToString(task)},
                   {"run", std::to_string(run_number)},
@@ -233,161 +215,4 @@
   }
 }
 
-Scheduler::GangRoom Scheduler::FindGangRoom(const ReadyStep& step,
-                                            base::MonoTime now) const {
-  const StepSpec& spec = SpecOf(step);
-  GangRoom room;
-  for (const auto& [id, worker] : m_fleet.workers()) {
-    if (!TakesTasks(worker, now) || !Suits(step, worker)) {
-      continue;
-    }
-    const Standing standing = StandingOf(step, worker, now);
-    if (standing == Standing::kBad) {
-      continue;
-    }
-    room.possible_slots += placement::CountFitting(
-        spec.demand, worker.entry.capacity,
-        spec.max_per_worker > 0 ? spec.max_per_worker : spec.count);
-    const int64_t slots = SlotsFor(step, worker);
-    if (standing == Standing::kUnknown) {
-      room.unknown.emplace_back(&worker, slots);
-      continue;
-    }
-    if (slots == 0) {
-      continue;
-    }
-    room.allowed.emplace_back(&worker, slots);
-    room.allowed_slots += slots;
-    if (standing == Standing::kGood) {
-      room.good.emplace_back(&worker, slots);
-      room.good_slots += slots;
-    }
-  }
-  SortBySlots(room.good);
-  SortBySlots(room.allowed);
-  SortBySlots(room.unknown);
-  return room;
-}
-
-void Scheduler::PlaceGang(const ReadyStep& step,
-                          base::MonoTime now,
-                          SchedulerOutput& out) {
-  const int64_t count = SpecOf(step).count;
-  const GangRoom room = FindGangRoom(step, now);
-  if (room.good_slots >= count) {
-    BindGang(step, room, now, out);
-    return;
-  }
-  LogWaitingGang(step, room, now);
-  if (room.possible_slots < count ||
-      (step.policy->advice && m_advice.Asking(step.ref))) {
-    return;
-  }
-  if (room.allowed_slots >= count) {
-    Reserve(step, room, /*firm=*/true, now + kFirmReservation);
-    std::vector<WorkerBoot> workers;
-    for (const auto& [id, kept] : m_reservations[step.ref].room) {
-      workers.push_back(m_fleet.workers().find(id)->second.entry.boot);
-    }
-    Ask(step, std::move(workers), now, out);
-    return;
-  }
-  if (m_waiting_gangs < kMaxWaitingGangs) {
-    ++m_waiting_gangs;
-    Reserve(step, room, /*firm=*/false, now);
-  }
-  if (step.policy->advice) {
-    AskForGang(step, room, now, out);
-  }
-}
-
-void Scheduler::LogWaitingGang(const ReadyStep& step,
-                               const GangRoom& room,
-                               base::MonoTime now) {
-  base::MonoTime& next = m_next_wait_log[step.ref];
-  if (now < next) {
-    return;
-  }
-  next = now + kWaitLogInterval;
-  base::LogEvent(base::Severity::kInfo, "AZ9114", "gang waits",
-                 {{"step", ToString(step.ref)},
-                  {"members", std::to_string(step.waiting.size())},
-                  {"slots_with_ticket", std::to_string(room.good_slots)},
-                  {"slots_allowed", std::to_string(room.allowed_slots)},
-                  {"slots_if_empty", std::to_string(room.possible_slots)},
-                  {"workers_unknown", std::to_string(room.unknown.size())},
-                  {"asking", m_advice.Asking(step.ref) ? "true" : "false"},
-                  {"reservations", std::to_string(m_reservations.size())},
-                  {"slack_ms", std::to_string(step.slack_ms)}});
-}
-
-void Scheduler::BindGang(const ReadyStep& step,
-                         const GangRoom& room,
-                         base::MonoTime now,
-                         SchedulerOutput& out) {
-  const StepProgress& progress = ProgressOf(step);
-  int32_t run = 0;
-  for (const TaskProgress& task : progress.tasks) {
-    run = std::max(run, task.run);
-  }
-  ++run;
-  size_t next = 0;
-  for (const auto& [worker, slots] : room.good) {
-    for (int64_t i = 0; i < slots && next < step.waiting.size(); ++i) {
-      BindTask(step, step.waiting[next], run, *worker, now, out);
-      ++next;
-    }
-  }
-  m_reservations.erase(step.ref);
-}
-
-// Keeps the room of as many members as there is room for.
-void Scheduler::Reserve(const ReadyStep& step,
-                        const GangRoom& room,
-                        bool firm,
-                        base::MonoTime expires) {
-  const StepSpec& spec = SpecOf(step);
-  Reservation reservation;
-  reservation.firm = firm;
-  reservation.expires = expires;
-  int64_t left = spec.count;
-  for (const auto& [worker, slots] : room.allowed) {
-    const int64_t taken = std::min(slots, left);
-    if (taken == 0) {
-      break;
-    }
-    reservation.room[worker->entry.boot.id] =
-        placement::Multiply(spec.demand, taken);
-    left -= taken;
-  }
-  m_reservations[step.ref] = std::move(reservation);
-}
-
-// Where the room that is free now should do, asks about as many workers as the
-// share of good ones suggests. Otherwise the gang has to wait for room, and
-// asks once about all, so that it knows which room to wait for.
-void Scheduler::AskForGang(const ReadyStep& step,
-                           const GangRoom& room,
-                           base::MonoTime now,
-                           SchedulerOutput& out) {
-  const StepSpec& spec = SpecOf(step);
-  const double share = m_advice.GoodShare(step.policy->name);
-  const double wanted = static_cast<double>(spec.count) * kAskMargin;
-  auto expected = static_cast<double>(room.allowed_slots);
-  std::vector<WorkerBoot> enough;
-  std::vector<WorkerBoot> all;
-  for (const auto& [worker, slots] : room.unknown) {
-    if (all.size() >= m_options.max_advice_workers) {
-      break;
-    }
-    all.push_back(worker->entry.boot);
-    if (expected < wanted && slots > 0) {
-      enough.push_back(worker->entry.boot);
-      expected += share * static_cast<double>(slots);
-    }
-  }
-  const bool fits_now = expected >= wanted;
-  Ask(step, std::move(fits_now ? enough : all), now, out);
-}
-
 }  // namespace azurespur::jobs
--- /dev/null
+++ b/packages/jobs/tests/gang_preemption_test.cc
@@ -0,0 +1,111 @@
+// Load patterns: a cell full of batch tasks that save their progress, and gangs
+// whose time runs out.
+
+#include "gang_preemption.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+#include "scheduler_fixture.h"
+
+namespace azurespur::jobs {
+
+namespace {
+
+using base::Millis;
+
+// A worker of 10 cores with runs of the given sizes.
+Worker MakeWorker(JobId job, const std::vector<int64_t>& cpus) {
+  Worker worker;
+  worker.entry.capacity = {10, 100, 0};
+  int32_t index = 0;
+  for (int64_t cpu : cpus) {
+    Run run;
+    run.phase = RunPhase::kRunning;
+    run.demand = {cpu, 1, 0};
+    run.priority = 2;
+    run.preemptible = true;
+    worker.runs[{job, 0, index}] = run;
+    worker.used = placement::Add(worker.used, run.demand);
+    ++index;
+  }
+  return worker;
+}
+
+GangSite MakeSite(const Worker& worker) {
+  return {&worker, FreeRoom(worker), 10};
+}
+
+}  // namespace
+
+TEST_CASE("only as much is stopped as the gang needs") {
+  const Worker a = MakeWorker(1, {5, 5});
+  const Worker b = MakeWorker(2, {2, 2, 2, 2, 2});
+  const std::vector<GangSite> sites = {MakeSite(a), MakeSite(b)};
+  const auto plans = PlanGangPreemption(sites, {{5, 1, 0}, 1, 1});
+  REQUIRE(plans.size() == 1);
+  CHECK(plans[0].worker == &a);
+  CHECK(plans[0].slots == 1);
+  CHECK(plans[0].victims.size() == 1);
+}
+
+TEST_CASE("all members are covered, or nothing is stopped") {
+  const Worker a = MakeWorker(1, {5, 5});
+  const Worker b = MakeWorker(2, {5});
+  const std::vector<GangSite> sites = {MakeSite(a), MakeSite(b)};
+  const auto all = PlanGangPreemption(sites, {{5, 1, 0}, 4, 1});
+  REQUIRE(all.size() == 2);
+  CHECK(all[0].slots + all[1].slots == 4);
+  CHECK(all[0].victims.size() + all[1].victims.size() == 3);
+  CHECK(PlanGangPreemption(sites, {{5, 1, 0}, 5, 1}).empty());
+}
+
+TEST_CASE("runs that would lose work, or are as urgent, are never stopped") {
+  Worker worker = MakeWorker(1, {5, 5});
+  worker.runs[{1, 0, 0}].preemptible = false;
+  worker.runs[{1, 0, 1}].priority = 1;
+  const std::vector<GangSite> sites = {MakeSite(worker)};
+  CHECK(PlanGangPreemption(sites, {{5, 1, 0}, 1, 1}).empty());
+}
+
+TEST_CASE("a gang whose time runs out gets the room of batch tasks") {
+  SchedulerFixture f;
+  f.AddQueue("gangs", 1);
+  f.AddQueue("batch", 2);
+  f.AddWorkers(4, 10);
+  f.Submit(1, "batch", 8, 5);
+  f.SetCheckpointing(1);
+  f.Run(Millis{200});
+  REQUIRE(f.CountRunning(1) == 8);
+  f.Submit(2, "gangs", 4, 5, /*gang=*/true, /*estimate_ms=*/1000);
+  f.Run(Millis{1000});
+  CHECK(f.CountRunning(2) == 4);
+  CHECK(f.CountRunning(1) == 4);
+  // They run again once there is room.
+  for (int32_t i = 0; i < 4; ++i) {
+    f.End({2, 0, i}, EndCause::kDone);
+  }
+  f.Run(Millis{1000});
+  CHECK(f.CountRunning(1) == 8);
+}
+
+TEST_CASE("a gang that has time waits, and one that is late stops nothing") {
+  SchedulerFixture f;
+  f.AddQueue("gangs", 1);
+  f.AddQueue("batch", 2);
+  f.AddWorkers(4, 10);
+  f.Submit(1, "batch", 8, 5);
+  f.SetCheckpointing(1);
+  f.Run(Millis{200});
+  f.Submit(2, "gangs", 4, 5, /*gang=*/true, /*estimate_ms=*/60000);
+  f.specs[3].submitted_unix_ms = 0;
+  f.Submit(3, "gangs", 4, 5, /*gang=*/true, /*estimate_ms=*/1000);
+  f.policy.queues["gangs"].target_ms = 0;
+  f.policy.queues["gangs"].stretch = 1;
+  f.Run(Millis{1000});
+  CHECK(f.CountRunning(1) == 8);
+  CHECK(f.stopped.empty());
+}
+
+}  // namespace azurespur::jobs
--- a/packages/jobs/tests/scheduler_fixture.h
+++ b/packages/jobs/tests/scheduler_fixture.h
@@ -71,6 +71,14 @@
     return spec;
   }
 
+  // The tasks of a submitted job save their progress.
+  void SetCheckpointing(JobId id) {
+    JobSpec& spec = specs[id];
+    spec.steps[0].checkpointing = true;
+    table = JobTable();
+    table.Submit(spec, now);
+  }
+
   int64_t UnixMs() const { return base::MillisBetween(base::MonoTime{}, now); }
 
   // Plans, and carries out what is wanted, until nothing more happens.
