Leases of 8.5 s, so that work outlives a cut of its failure domain

Weighed: a worker that is gone for good keeps its tasks from starting elsewhere for 8.9 s in place of 4.7 s; one that comes back names its new birth, which ends the wait at once. The test of a silent worker now follows the setting and bounds both sides (lease less 0.1 s, and 0.8 s later). New test: a gang with a member that is cut off for 6.5 s goes on (failed with 4.5 s).

--- a/packages/jobs/include/jobs/scheduler_options.h
+++ b/packages/jobs/include/jobs/scheduler_options.h
@@ -13,8 +13,8 @@
 struct SchedulerOptions {
   uint64_t fence = 0;  // Epoch of this leader.
   // Lease of all that runs on a worker. Shorter: work of a silent worker is
-  // free earlier. Longer: work outlives a longer change of leaders.
-  base::Millis lease{4500};
+  // free earlier. Longer: work outlives a longer cut of its failure domain.
+  base::Millis lease{8500};
   // A leader renews leases for at most this long after its last append, so a
   // successor knows when a worker that it can't reach has stopped its work.
   base::Millis renew_after_append{7000};
--- a/packages/jobs/tests/failing_worker_test.cc
+++ b/packages/jobs/tests/failing_worker_test.cc
@@ -73,14 +73,32 @@
   const std::string first = f.WorkerOf({1, 0, 0});
   REQUIRE_FALSE(first.empty());
   f.silent[first] = true;
-  f.Run(Millis{3000});
+  f.Run(f.options.lease - Millis{100});
   CHECK(f.started.size() == 1);
-  f.Run(Millis{3000});
+  f.Run(Millis{800});
   REQUIRE(f.started.size() == 2);
   CHECK(f.started[1].worker.id != first);
   CHECK(f.started[1].run == 2);
 }
 
+// Pattern: a failure domain is cut off for 6.5 s, with a third of the workers,
+// while gangs run there.
+TEST_CASE("work of workers that are cut off for some seconds goes on") {
+  SchedulerFixture f;
+  f.AddQueue("gangs", 1);
+  f.AddWorkers(3, 10);
+  f.Submit(1, "gangs", 3, 10, /*gang=*/true, /*estimate_ms=*/20000);
+  f.Run(Millis{200});
+  REQUIRE(f.CountRunning(1) == 3);
+  f.silent["w2"] = true;
+  f.Run(Millis{6500});
+  f.silent["w2"] = false;
+  f.Run(Millis{500});
+  CHECK(f.stopped.empty());
+  CHECK(f.started.size() == 3);
+  CHECK(f.CountRunning(1) == 3);
+}
+
 // Pattern: some orders get no answer and may be carried out late.
 TEST_CASE("a start without an answer is sent again to the same worker") {
   SchedulerFixture f;
