--- a/packages/cell/src/intake_forwards.cc
+++ b/packages/cell/src/intake_forwards.cc
@@ -8,8 +8,12 @@
 namespace {
 
 constexpr size_t kMaxRecordBytes = 32 << 10;
+// Doubles with each try: a slow log takes its time, and the first repeats are
+// for lost messages.
 constexpr base::Millis kRepeatAfter{120};
 constexpr int kMaxTries = 4;
+// An unanswered VM that is not heard any more will not answer.
+constexpr base::Millis kPatience{400};
 
 }  // namespace
 
@@ -26,7 +30,8 @@
   Item& item = m_items[id];
   item.record = std::move(record);
   item.uncertain = uncertain;
-  item.sent_at = now;
+  item.began_at = now;
+  item.next_try = now + kRepeatAfter;
   item.deadline = deadline;
   item.done = std::move(done);
   m_send(id, item.record, base::Millis{base::MillisBetween(now, deadline)});
@@ -45,20 +50,18 @@
   Finish(id, outcome);
 }
 
-void IntakeForwards::Tick(base::MonoTime now) {
+void IntakeForwards::Tick(base::MonoTime now, bool reachable) {
   std::vector<uint64_t> over;
   for (auto& [id, item] : m_items) {
-    if (now < item.deadline && now < item.sent_at + kRepeatAfter) {
-      continue;
-    }
-    if (now >= item.deadline || item.tries >= kMaxTries) {
+    const bool gone = !reachable && now >= item.began_at + kPatience;
+    if (now >= item.deadline || gone) {
       over.push_back(id);
-      continue;
+    } else if (now >= item.next_try && item.tries < kMaxTries) {
+      item.next_try = now + kRepeatAfter * (1 << item.tries);
+      ++item.tries;
+      m_send(id, item.record,
+             base::Millis{base::MillisBetween(now, item.deadline)});
     }
-    ++item.tries;
-    item.sent_at = now;
-    m_send(id, item.record,
-           base::Millis{base::MillisBetween(now, item.deadline)});
   }
   for (uint64_t id : over) {
     Finish(id, StoreOutcome::kUnknown);
--- a/packages/cell/src/intake_forwards.h
+++ b/packages/cell/src/intake_forwards.h
@@ -37,15 +37,17 @@
 
   void OnOutcome(uint64_t id, StoreOutcome outcome);
 
-  // Repeats what is not answered, and ends what is out of time.
-  void Tick(base::MonoTime now);
+  // Repeats what is not answered, and ends what is out of time. `reachable`:
+  // the other VM was heard lately.
+  void Tick(base::MonoTime now, bool reachable);
 
  private:
   struct Item {
     std::string record;
     bool uncertain = false;
     int tries = 1;
-    base::MonoTime sent_at{};
+    base::MonoTime began_at{};
+    base::MonoTime next_try{};
     base::MonoTime deadline{};
     Done done;
   };
--- a/packages/cell/src/intake_writer.cc
+++ b/packages/cell/src/intake_writer.cc
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr size_t kMaxBatchRecords = 64;
+constexpr size_t kMaxBatchRecords = 256;
 constexpr size_t kMaxBatchBytes = 256 << 10;
 // A second append is sent while the first waits for an answer, so that one
 // lost answer does not hold up all callers.
@@ -26,7 +26,7 @@
                            base::Mailbox& mailbox,
                            const base::Clock& clock,
                            std::string topic,
-                           const LogTiming& timing,
+                           LogTiming& timing,
                            OnStored on_stored)
     : m_log(log),
       m_mailbox(mailbox),
@@ -100,6 +100,7 @@
   if (result.status == AppendStatus::kAppended) {
     m_failures = 0;
     m_last_contact = now;
+    m_timing.AddAnswer(base::Millis{base::MillisBetween(sent_at, now)});
     std::vector<std::string> records;
     records.reserve(items.size());
     for (Item& item : items) {
--- a/packages/cell/src/intake_writer.h
+++ b/packages/cell/src/intake_writer.h
@@ -29,7 +29,7 @@
                base::Mailbox& mailbox,
                const base::Clock& clock,
                std::string topic,
-               const LogTiming& timing,
+               LogTiming& timing,
                OnStored on_stored);
 
   // `done` runs once, at the latest soon after `deadline`. While appends fail,
@@ -64,7 +64,7 @@
   base::Mailbox& m_mailbox;
   const base::Clock& m_clock;
   const std::string m_topic;
-  const LogTiming& m_timing;
+  LogTiming& m_timing;
   const OnStored m_on_stored;
   std::deque<Item> m_waiting;
   int m_in_flight = 0;
--- a/packages/cell/src/log_timing.h
+++ b/packages/cell/src/log_timing.h
@@ -12,7 +12,7 @@
   // `least`: an append is never given up sooner.
   explicit LogTiming(base::Millis least) : m_least(least) {}
 
-  // The log answered a read after `elapsed`.
+  // The log answered after `elapsed`.
   void AddAnswer(base::Millis elapsed) { m_last = elapsed; }
 
   // A slow log gets more time, so that it isn't taken for a lost answer.
--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -127,7 +127,7 @@
   const MonoTime now = m_clock.Now();
   m_writer.NoteContact(std::max(m_intake.last_read(), m_work.last_read()));
   m_writer.Tick(now);
-  m_forwards.Tick(now);
+  m_forwards.Tick(now, LeaderCanAppend(now));
   PollStreams(now);
   PollDirectory(now);
   if (m_lead) {
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -140,6 +140,7 @@
   void StoreIntake(const jobs::IntakeRecord& record,
                    base::MonoTime deadline,
                    std::function<void(IntakeOutcome)> done);
+  bool CanForward(std::string_view record, base::MonoTime now) const;
   void CountStored(StoreOutcome outcome, base::MonoTime began);
   void CancelKnown(jobs::JobId job,
                    base::MonoTime deadline,
--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -93,12 +93,19 @@
     CountStored(outcome, began);
     done(ToIntakeOutcome(outcome));
   };
+  // A slow log takes few appends a second, so one VM appends for all.
+  if (m_timing.IsSlow() && CanForward(bytes, began)) {
+    m_forwarded.Add(1);
+    m_forwards.Start(std::move(bytes), /*uncertain=*/false, deadline, began,
+                     std::move(finish));
+    return;
+  }
   m_writer.Store(bytes, deadline,
                  [this, bytes, deadline,
                   finish = std::move(finish)](StoreOutcome outcome) {
                    const MonoTime now = m_clock.Now();
                    if (outcome == StoreOutcome::kStored || now >= deadline ||
-                       !LeaderCanAppend(now) || !IntakeForwards::Fits(bytes)) {
+                       !CanForward(bytes, now)) {
                      finish(outcome);
                      return;
                    }
@@ -108,6 +115,10 @@
                  });
 }
 
+bool Node::CanForward(std::string_view record, MonoTime now) const {
+  return LeaderCanAppend(now) && IntakeForwards::Fits(record);
+}
+
 void Node::CountStored(StoreOutcome outcome, MonoTime began) {
   m_store_time.Observe(
       static_cast<double>(base::MillisBetween(began, m_clock.Now())));
