Plan steps that are not urgent each 60 ms, urgent ones each 15 ms

Advice that comes still starts a full plan at once. Test: gang_placement_test (urgent jobs beside many that wait).

--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -102,7 +102,11 @@
     int64_t possible_slots = 0;  // With all allowed and unknown ones empty.
   };
 
-  std::vector<ReadyStep> FindReady(int64_t unix_ms, SchedulerOutput& out);
+  void DropReservations(bool full, base::MonoTime now);
+  // Without `full` only steps of urgent queues.
+  std::vector<ReadyStep> FindReady(bool full,
+                                   int64_t unix_ms,
+                                   SchedulerOutput& out);
   void AddReadySteps(const Job& job,
                      const QueuePolicy& policy,
                      int64_t unix_ms,
@@ -191,6 +195,7 @@
   std::set<JobId> m_failing;    // Their failure is being stored.
   std::set<JobId> m_begun;      // That they have begun is being stored.
   std::map<TaskRef, std::string> m_last_failed_on;  // Worker id.
+  base::MonoTime m_next_full_plan{};
   base::MonoTime m_next_drop{};
 };
 
--- a/packages/jobs/include/jobs/scheduler_options.h
+++ b/packages/jobs/include/jobs/scheduler_options.h
@@ -32,6 +32,9 @@
   base::Millis stalled_after{2500};
   int32_t failures_to_avoid = 3;    // In a row, without a success.
   base::Millis avoid_worker{4000};  // Then the worker gets nothing.
+  // Steps that are not urgent are planned this often, or when advice on one of
+  // them comes: with many gangs waiting, a plan reads every worker for each.
+  base::Millis full_plan_interval{60};
   size_t max_advice_workers = 100;  // In one query.
 };
 
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -163,6 +163,7 @@
                          std::span<const AdviceTicket> tickets,
                          base::MonoTime now) {
   m_advice.OnAnswer(query_id, tickets, now);
+  m_next_full_plan = now;
 }
 
 void Scheduler::OnAdviceFailed(uint64_t query_id, base::MonoTime now) {
@@ -176,13 +177,12 @@
   m_advice.Tick(now);
   StopFinal();
   RepairGangs();
-  // Those that wait for room are made anew in each plan, in the order of the
-  // steps: two gangs that each kept a part would both wait for ever.
-  std::erase_if(m_reservations, [now](const auto& entry) {
-    return !entry.second.firm || entry.second.expires <= now;
-  });
-  m_waiting_gangs = 0;
-  for (const ReadyStep& step : FindReady(unix_ms, out)) {
+  const bool full = now >= m_next_full_plan;
+  if (full) {
+    m_next_full_plan = now + m_options.full_plan_interval;
+  }
+  DropReservations(full, now);
+  for (const ReadyStep& step : FindReady(full, unix_ms, out)) {
     PlaceStep(step, now, out);
   }
   const bool may_renew = now <= last_append + m_options.renew_after_append;
@@ -190,13 +190,25 @@
   DropOldState(now);
 }
 
-std::vector<ReadyStep> Scheduler::FindReady(int64_t unix_ms,
+// Those that wait for room are made anew in each full plan, in the order of the
+// steps: two gangs that each kept a part would both wait for ever.
+void Scheduler::DropReservations(bool full, base::MonoTime now) {
+  std::erase_if(m_reservations, [full, now](const auto& entry) {
+    return entry.second.firm ? entry.second.expires <= now : full;
+  });
+  if (full) {
+    m_waiting_gangs = 0;
+  }
+}
+
+std::vector<ReadyStep> Scheduler::FindReady(bool full,
+                                            int64_t unix_ms,
                                             SchedulerOutput& out) {
   std::vector<ReadyStep> ready;
   for (const auto& [id, job] : m_table.jobs()) {
     const auto policy = m_policy.queues.find(job.spec.queue);
     if (policy != m_policy.queues.end() && !IsFinal(job.state) &&
-        m_failing.count(id) == 0) {
+        (full || policy->second.priority == 0) && m_failing.count(id) == 0) {
       AddReadySteps(job, policy->second, unix_ms, ready, out);
     }
   }
--- a/packages/jobs/tests/gang_placement_test.cc
+++ b/packages/jobs/tests/gang_placement_test.cc
@@ -96,4 +96,26 @@
   CHECK(f.started.size() == 4);
 }
 
+// Pattern: many gangs wait, so that planning for all takes long, while urgent
+// jobs come all the time.
+TEST_CASE("an urgent job does not wait for the next plan of all steps") {
+  SchedulerFixture f;
+  f.AddQueue("urgent", 0);
+  f.AddQueue("batch", 1);
+  f.AddWorkers(2, 100);
+  f.Run(Millis{200});
+  f.Submit(1, "batch", 1, 10);
+  f.Submit(2, "urgent", 1, 10);
+  f.Step(Millis{1});
+  f.Submit(3, "batch", 1, 10);
+  f.Submit(4, "urgent", 1, 10);
+  f.Step(Millis{1});
+  CHECK(f.CountRunning(2) == 1);
+  CHECK(f.CountRunning(4) == 1);
+  CHECK(f.CountRunning(3) == 0);
+  f.Run(f.options.full_plan_interval + Millis{20});
+  CHECK(f.CountRunning(1) == 1);
+  CHECK(f.CountRunning(3) == 1);
+}
+
 }  // namespace azurespur::jobs
