--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -160,6 +160,8 @@
   void NoteUnanswered(std::string_view worker_id, base::MonoTime now);
   // Several workers have left orders unanswered lately.
   bool Doubtful(base::MonoTime now) const;
+  // How long a look at a worker with work waits for an end.
+  base::Millis BusyHoldWait(base::MonoTime now) const;
   void StopStalled(Worker& worker, base::MonoTime now);
   // Frees the room and records the end of a run that never comes back.
   void Release(Worker& worker, const TaskRef& task, SchedulerOutput& out);
--- a/packages/jobs/src/fleet_looks.cc
+++ b/packages/jobs/src/fleet_looks.cc
@@ -16,6 +16,7 @@
 // So many workers that left orders unanswered within so long make a pattern.
 constexpr int64_t kDoubtfulWorkers = 2;
 constexpr base::Millis kDoubtTime{3000};
+constexpr base::Millis kLeastTimePerLook{4};  // Over all workers.
 
 bool HasPhase(const Worker& worker, RunPhase phase) {
   return std::any_of(
@@ -82,9 +83,8 @@
     }
     const bool unstored = worker.ends_read > worker.ends_stored;
     if (!settled && !unstored) {
-      const base::Millis busy = Doubtful(now) ? m_options.doubtful_hold_wait
-                                              : m_options.busy_hold_wait;
-      order.wait = worker.runs.empty() ? m_options.idle_hold_wait : busy;
+      order.wait =
+          worker.runs.empty() ? m_options.idle_hold_wait : BusyHoldWait(now);
     }
   }
   ++worker.holds_in_flight;
@@ -99,6 +99,18 @@
   });
 }
 
+// Answers also stay away where this VM is too slow for them: more looks than it
+// can handle would keep it so.
+base::Millis Fleet::BusyHoldWait(base::MonoTime now) const {
+  if (!Doubtful(now)) {
+    return m_options.busy_hold_wait;
+  }
+  const base::Millis least =
+      kLeastTimePerLook * static_cast<int64_t>(m_workers.size());
+  return std::clamp(least, m_options.doubtful_hold_wait,
+                    m_options.busy_hold_wait);
+}
+
 bool Fleet::Doubtful(base::MonoTime now) const {
   return std::count_if(m_unanswered.begin(), m_unanswered.end(),
                        [now](const auto& entry) {
--- a/packages/jobs/tests/failing_worker_test.cc
+++ b/packages/jobs/tests/failing_worker_test.cc
@@ -217,6 +217,29 @@
   CHECK(longest_wait(Millis{200}) == f.options.busy_hold_wait);
 }
 
+// Pattern: a leader that is too slow for its workers takes their answers for
+// missing ones.
+TEST_CASE("looks at many workers do not become more than a VM can handle") {
+  SchedulerFixture f;
+  f.AddQueue("urgent", 0);
+  f.AddWorkers(300, 10);
+  f.Submit(1, "urgent", 300, 10);
+  f.Run(Millis{200});
+  for (const char* worker : {"w0", "w1", "w2"}) {
+    f.silent[worker] = true;
+  }
+  f.Run(Millis{40});
+  f.silent.clear();
+  f.Run(Millis{40});
+  f.held.clear();
+  f.Run(Millis{100});
+  Millis shortest = f.options.busy_hold_wait;
+  for (const HoldOrder& hold : f.held) {
+    shortest = std::min(shortest, hold.wait);
+  }
+  CHECK(shortest == f.options.busy_hold_wait);
+}
+
 TEST_CASE("a worker that left one look unanswered is looked at again at once") {
   SchedulerFixture f;
   f.AddQueue("urgent", 0);
