--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -140,6 +140,12 @@
   void StoreIntake(const jobs::IntakeRecord& record,
                    base::MonoTime deadline,
                    std::function<void(IntakeOutcome)> done);
+  // `own_outcome`: what became of this VM's own try; kNotStored without one.
+  void Forward(jobs::JobId job,
+               std::string record,
+               StoreOutcome own_outcome,
+               base::MonoTime deadline,
+               IntakeForwards::Done done);
   bool CanForward(std::string_view record, base::MonoTime now) const;
   void CountStored(StoreOutcome outcome, base::MonoTime began);
   void CancelKnown(jobs::JobId job,
--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -15,6 +15,11 @@
 
 constexpr Millis kPolicyRetry{200};
 
+jobs::JobId JobOf(const jobs::IntakeRecord& record) {
+  const auto* spec = std::get_if<jobs::JobSpec>(&record);
+  return spec != nullptr ? spec->id : std::get<jobs::CancelRecord>(record).job;
+}
+
 IntakeOutcome ToIntakeOutcome(StoreOutcome outcome) {
   switch (outcome) {
     case StoreOutcome::kStored:
@@ -88,6 +93,7 @@
                        MonoTime deadline,
                        std::function<void(IntakeOutcome)> done) {
   const MonoTime began = m_clock.Now();
+  const jobs::JobId job = JobOf(record);
   std::string bytes = jobs::EncodeIntake(record);
   auto finish = [this, began, done = std::move(done)](StoreOutcome outcome) {
     CountStored(outcome, began);
@@ -95,13 +101,12 @@
   };
   // A slow log takes few appends a second, so one VM appends for all.
   if (m_timing.IsSlow() && CanForward(bytes, began)) {
-    m_forwarded.Add(1);
-    m_forwards.Start(std::move(bytes), /*uncertain=*/false, deadline, began,
-                     std::move(finish));
+    Forward(job, std::move(bytes), StoreOutcome::kNotStored, deadline,
+            std::move(finish));
     return;
   }
   m_writer.Store(bytes, deadline,
-                 [this, bytes, deadline,
+                 [this, job, bytes, deadline,
                   finish = std::move(finish)](StoreOutcome outcome) {
                    const MonoTime now = m_clock.Now();
                    if (outcome == StoreOutcome::kStored || now >= deadline ||
@@ -109,12 +114,30 @@
                      finish(outcome);
                      return;
                    }
-                   m_forwarded.Add(1);
-                   const bool uncertain = outcome == StoreOutcome::kUnknown;
-                   m_forwards.Start(bytes, uncertain, deadline, now, finish);
+                   Forward(job, bytes, outcome, deadline, finish);
                  });
 }
 
+void Node::Forward(jobs::JobId job,
+                   std::string record,
+                   StoreOutcome own_outcome,
+                   MonoTime deadline,
+                   IntakeForwards::Done done) {
+  const MonoTime now = m_clock.Now();
+  m_forwarded.Add(1);
+  base::LogEvent(base::Severity::kInfo, "AZ9406",
+                 "leader is asked to store for this VM",
+                 {{"job", jobs::FormatJobId(job)},
+                  {"leader", LeaderAddress()},
+                  {"leader_heard_ms",
+                   std::to_string(base::MillisBetween(m_leader_heard, now))},
+                  {"own_outcome", std::string(StoreOutcomeName(own_outcome))},
+                  {"log_slow", m_timing.IsSlow() ? "true" : "false"}});
+  m_forwards.Start(std::move(record),
+                   /*uncertain=*/own_outcome == StoreOutcome::kUnknown,
+                   deadline, now, std::move(done));
+}
+
 bool Node::CanForward(std::string_view record, MonoTime now) const {
   return LeaderCanAppend(now) && IntakeForwards::Fits(record);
 }
--- a/packages/cell/src/node_relay.cc
+++ b/packages/cell/src/node_relay.cc
@@ -30,6 +30,11 @@
   if (sign.epoch <= m_sign.epoch || sign.epoch < m_table.epoch()) {
     return;
   }
+  base::LogEvent(base::Severity::kInfo, "AZ9407",
+                 "a datagram names a later leader",
+                 {{"epoch", std::to_string(sign.epoch)},
+                  {"address", sign.address},
+                  {"known_epoch", std::to_string(m_table.epoch())}});
   m_sign = sign;
   m_last_hello = {};
   if (m_lead && sign.epoch > m_lead->epoch()) {
