--- a/bench/jobs/bench_jobs_plan.cc
+++ b/bench/jobs/bench_jobs_plan.cc
@@ -15,6 +15,7 @@
 
 constexpr int64_t kWorkerCpu = 64000;
 constexpr int kTasksPerWorker = 8;
+constexpr JobId kFirstWaitingJob = 100;
 
 // Answers all advice queries: every other worker is good.
 void AnswerAdvice(SchedulerFixture& f) {
@@ -38,9 +39,9 @@
   f.AddWorkers(workers, kWorkerCpu);
   f.Submit(1, "batch", workers * kTasksPerWorker, kWorkerCpu / kTasksPerWorker);
   f.Run(base::Millis{500});
-  for (int i = 0; i < backlog; ++i) {
+  for (JobId i = 0; i < static_cast<JobId>(backlog); ++i) {
     const bool gang = i % 2 == 0;
-    f.Submit(static_cast<JobId>(100 + i), gang ? "gangs" : "singles", 20,
+    f.Submit(kFirstWaitingJob + i, gang ? "gangs" : "singles", 20,
              kWorkerCpu / 10, gang);
   }
   for (int i = 0; i < 200; ++i) {
