End a start that nobody can carry out any more, without a stop

Now: a start carries the lease's end, and a worker rejects one that comes later; once that is over, a look that doesn't list the run ends it. Not after a restart of the worker, whose clock begins anew.

--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -134,8 +134,12 @@
       case RunPhase::kStarting:
         // The order may still reach the new life; a stop there prevents it.
         run.phase = RunPhase::kSettling;
+        run.start_over = base::MonoTime::max();
         break;
       case RunPhase::kSettling:
+        // The new life's clock began anew, so nothing is late there.
+        run.start_over = base::MonoTime::max();
+        break;
       case RunPhase::kAdopted:
         break;
       case RunPhase::kRunning:
@@ -237,8 +241,10 @@
   if (outcome == OrderOutcome::kUnknown) {
     NoteUnanswered(worker->entry.boot.id, now);
   }
+  run->start_over = now + OnOurClock(m_options.lease.count()) + kLeaseSlack;
   if (tries > 1 && outcome != OrderOutcome::kAccepted) {
     run->phase = RunPhase::kSettling;
+    worker->avoid_until = now + m_options.avoid_worker;
     return;
   }
   switch (outcome) {
@@ -370,8 +376,10 @@
   for (const auto& [task, run] : worker.runs) {
     const bool known =
         run.phase == RunPhase::kRunning || run.phase == RunPhase::kSettled;
-    const bool gone =
-        run.phase == RunPhase::kAdopted || (known && run.known_at < asked_at);
+    const bool late =
+        run.phase == RunPhase::kSettling && run.start_over < asked_at;
+    const bool gone = run.phase == RunPhase::kAdopted || late ||
+                      (known && run.known_at < asked_at);
     if (gone && seen.count(task) == 0) {
       over.push_back(task);
     }
--- a/packages/jobs/tests/scheduler_fixture.h
+++ b/packages/jobs/tests/scheduler_fixture.h
@@ -151,8 +151,9 @@
   std::map<std::string, std::vector<EndedTask>> ends;
   std::map<std::string, int64_t> end_numbers;
   std::map<std::string, OrderOutcome> start_outcomes;  // Instead of accepted.
-  std::map<std::string, bool> silent;   // Workers that answer nothing.
-  std::map<std::string, bool> stalled;  // Workers whose tasks stand still.
+  std::map<std::string, bool> silent;      // Workers that answer nothing.
+  std::map<std::string, bool> only_looks;  // Workers that answer no orders.
+  std::map<std::string, bool> stalled;     // Workers whose tasks stand still.
   bool run_unanswered = false;  // Such a start runs, and is done at once.
   std::set<std::pair<TaskRef, int32_t>> ended_runs;
   int unanswered_starts = 0;  // The next ones get no answer.
@@ -190,7 +191,8 @@
     if (other != start_outcomes.end()) {
       outcome = other->second;
     }
-    if (silent[order.worker.id] || unanswered_starts > 0) {
+    if (silent[order.worker.id] || only_looks[order.worker.id] ||
+        unanswered_starts > 0) {
       outcome = OrderOutcome::kUnknown;
       unanswered_starts = std::max(0, unanswered_starts - 1);
     }
@@ -211,7 +213,7 @@
 
   void Stop(const StopOrder& order) {
     stopped.push_back(order);
-    if (silent[order.worker.id]) {
+    if (silent[order.worker.id] || only_looks[order.worker.id]) {
       scheduler.OnStopped(order, OrderOutcome::kUnknown, now, out);
       return;
     }
