Hold an unanswered start for as long as it may still arrive

A worker may carry an order out up to 12 s late, and with late grants counts the lease from the arrival, so the task could have run twice (TWICE). Now the run is ended after 12.5 s at the earliest. The test is replaced by a stricter one: nothing is bound elsewhere for 12 s (failed before: bound again), and it is within 1.5 s after that.

--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -42,7 +42,7 @@
   bool stop_wanted = false;
   base::MonoTime stop_sent_at{};
   base::MonoTime known_at{};  // When the worker answered start or stop.
-  // From here on the worker rejects the unanswered start as late.
+  // From here on the unanswered start can't begin any more.
   base::MonoTime start_over = base::MonoTime::max();
   int32_t percent = -1;
   base::MonoTime progress_at{};
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -15,12 +15,22 @@
 constexpr double kSlowestClock = 0.98;
 constexpr base::Millis kLeaseSlack{150};
 constexpr base::Millis kAvoidFullWorker{500};
+// A worker may carry out an unanswered order so much later, and may then count
+// the order's lease from its arrival.
+constexpr base::Millis kLatestArrival{12500};
 
 base::Millis OnOurClock(int64_t worker_ms) {
   return base::Millis{
       static_cast<int64_t>(static_cast<double>(worker_ms) / kSlowestClock)};
 }
 
+// How long after an unanswered start it may still begin: not once it is too old
+// to arrive, nor before its lease is surely over.
+base::Millis StartMayArrive(const SchedulerOptions& options) {
+  const base::Millis lease = OnOurClock(options.lease.count()) + kLeaseSlack;
+  return std::max(lease, kLatestArrival);
+}
+
 int64_t ClockNow(const Worker& worker, base::MonoTime now) {
   return worker.clock_ms + base::MillisBetween(worker.clock_at, now);
 }
@@ -241,7 +251,7 @@
   if (outcome == OrderOutcome::kUnknown) {
     NoteUnanswered(worker->entry.boot.id, now);
   }
-  run->start_over = now + OnOurClock(m_options.lease.count()) + kLeaseSlack;
+  run->start_over = now + StartMayArrive(m_options);
   if (tries > 1 && outcome != OrderOutcome::kAccepted) {
     run->phase = RunPhase::kSettling;
     worker->avoid_until = now + m_options.avoid_worker;
--- a/packages/jobs/tests/failing_worker_test.cc
+++ b/packages/jobs/tests/failing_worker_test.cc
@@ -257,19 +257,20 @@
 }
 
 // Pattern: a worker takes no new connections, so that only the look that it has
-// got before is answered; its starts and their stops never are.
+// got before is answered; its starts and their stops never are. An order may be
+// carried out 12 s late, so before that nothing may run elsewhere.
 TEST_CASE("a start that is too late to be carried out needs no stop") {
   SchedulerFixture f;
   f.AddQueue("gangs", 1);
   f.AddWorkers(2, 10);
   f.only_looks["w0"] = true;
   f.Submit(1, "gangs", 2, 10, /*gang=*/true);
-  f.Run(f.options.lease - Millis{200});
+  f.Run(Millis{12000});
   CHECK(f.started.back().run == 1);
   f.Run(Millis{1500});
   CHECK(f.started.back().run == 2);
   f.only_looks["w0"] = false;
-  f.Run(f.options.lease + Millis{1500});
+  f.Run(Millis{13500});
   CHECK(f.CountRunning(1) == 2);
   CHECK(f.started.back().run == 3);
 }
