--- a/packages/base/src/json_event_writer.cc
+++ b/packages/base/src/json_event_writer.cc
@@ -1,11 +1,11 @@
 #include "json_event_writer.h"
 
-#include <limits.h>
 #include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
 #include <chrono>
+#include <climits>
 #include <memory>
 #include <utility>
 
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -30,6 +30,8 @@
 namespace azurespur::cell {
 
 inline constexpr size_t kMailboxSize = 16384;
+// Larger notices of records only say that there is something to read.
+inline constexpr size_t kMaxNoticeBytes = 12 << 10;
 // Of each stream; some seconds of work.
 inline constexpr size_t kRecentBytes = 256 << 10;
 
@@ -119,8 +121,11 @@
   void LeadTick(base::MonoTime now);
   void SayAlive(base::MonoTime now);
   void YieldIfSlow(base::MonoTime now);
+  // The record by which this VM stands for leader.
+  std::string OwnLeadRecord(uint64_t epoch) const;
   void TellPeersOfTerm(uint64_t epoch,
                        int64_t offset,
+                       const std::vector<std::string>& records,
                        const std::string& former_leader);
   void PollDirectory(base::MonoTime now);
   void TakeEntries(const WorkerDirectory::Entries& entries, base::MonoTime now);
--- a/packages/cell/src/node_leader.cc
+++ b/packages/cell/src/node_leader.cc
@@ -60,8 +60,7 @@
                   {"yielded", view.yielded ? "true" : "false"}});
   AppendCall call;
   call.topic = std::string(kWorkTopic);
-  call.records = {jobs::EncodeWork(
-      jobs::LeadRecord{epoch, m_options.vm, m_options.peer_address})};
+  call.records = {OwnLeadRecord(epoch)};
   call.expected_end = m_work.next();
   call.producer = Producer{std::string(kLeaderProducer), epoch, 0};
   call.timeout = m_timing.AppendTimeout();
@@ -72,6 +71,11 @@
   });
 }
 
+std::string Node::OwnLeadRecord(uint64_t epoch) const {
+  return jobs::EncodeWork(
+      jobs::LeadRecord{epoch, m_options.vm, m_options.peer_address});
+}
+
 void Node::OnElection(uint64_t epoch,
                       int64_t offset,
                       const AppendResult& result) {
@@ -82,10 +86,9 @@
                   {"offset", std::to_string(result.offset)}});
   if (result.status == AppendStatus::kAppended && result.offset == offset) {
     const std::string former_leader = LeaderAddress();
-    const std::vector<std::string> records = {jobs::EncodeWork(
-        jobs::LeadRecord{epoch, m_options.vm, m_options.peer_address})};
+    const std::vector<std::string> records = {OwnLeadRecord(epoch)};
     m_work.Offer(result.offset, records);
-    TellPeersOfTerm(epoch, result.offset, former_leader);
+    TellPeersOfTerm(epoch, result.offset, records, former_leader);
   } else {
     m_stand_after = std::max(m_stand_after, m_clock.Now() + kStandAgain);
     m_work.Poll();
@@ -96,9 +99,8 @@
 // former leader may be unable to read at all.
 void Node::TellPeersOfTerm(uint64_t epoch,
                            int64_t offset,
+                           const std::vector<std::string>& records,
                            const std::string& former_leader) {
-  const std::vector<std::string> records = {jobs::EncodeWork(
-      jobs::LeadRecord{epoch, m_options.vm, m_options.peer_address})};
   std::set<std::string> addresses(m_leader_peers.begin(), m_leader_peers.end());
   addresses.insert(former_leader);
   addresses.erase(m_options.peer_address);
--- a/packages/cell/src/node_peers.cc
+++ b/packages/cell/src/node_peers.cc
@@ -10,13 +10,6 @@
 using base::Millis;
 using base::MonoTime;
 
-namespace {
-
-// Larger notices only say that there is something to read.
-constexpr size_t kMaxNoticeBytes = 12 << 10;
-
-}  // namespace
-
 void Node::SendTo(const std::string& address, const Message& message) {
   m_ports.datagrams.Send(address, wire::Encode(message));
 }
--- a/packages/cell/src/node_relay.cc
+++ b/packages/cell/src/node_relay.cc
@@ -17,7 +17,6 @@
 
 constexpr Millis kLeaderHeardAge{350};
 constexpr Millis kRecordsRequestInterval{30};
-constexpr size_t kRecordsAnswerBytes = 12 << 10;
 
 }  // namespace
 
@@ -97,7 +96,7 @@
   const RecentRecords& recent =
       request.stream == Stream::kWork ? m_recent_work : m_recent_intake;
   const std::vector<std::string> records =
-      recent.From(request.from, kRecordsAnswerBytes);
+      recent.From(request.from, kMaxNoticeBytes);
   if (records.empty()) {
     base::LogEvent(
         base::Severity::kWarning, "AZ9405",
--- a/packages/jobs/src/ready_step.h
+++ b/packages/jobs/src/ready_step.h
@@ -23,6 +23,11 @@
   return step.job->steps[static_cast<size_t>(step.ref.step)];
 }
 
+// Members of a gang that one worker may run, whatever its room.
+inline int64_t MostPerWorker(const StepSpec& spec) {
+  return spec.max_per_worker > 0 ? spec.max_per_worker : spec.count;
+}
+
 // Workers with most slots first.
 void SortBySlots(std::vector<std::pair<const Worker*, int64_t>>& workers);
 
--- a/packages/jobs/src/scheduler_gang.cc
+++ b/packages/jobs/src/scheduler_gang.cc
@@ -36,8 +36,7 @@
       continue;
     }
     room.possible_slots += placement::CountFitting(
-        spec.demand, worker.entry.capacity,
-        spec.max_per_worker > 0 ? spec.max_per_worker : spec.count);
+        spec.demand, worker.entry.capacity, MostPerWorker(spec));
     const int64_t slots = SlotsFor(step, worker);
     if (standing == Standing::kUnknown) {
       room.unknown.emplace_back(&worker, slots);
@@ -82,11 +81,11 @@
     Ask(step, std::move(workers), now, out);
     return;
   }
-  if (m_reservations.count(step.ref) == 0 && Preempt(step, now, out)) {
+  const bool keeps_room = m_reservations.count(step.ref) > 0;
+  if (!keeps_room && Preempt(step, now, out)) {
     return;
   }
-  if (m_reservations.count(step.ref) == 0 &&
-      m_waiting_gangs < kMaxWaitingGangs) {
+  if (!keeps_room && m_waiting_gangs < kMaxWaitingGangs) {
     ++m_waiting_gangs;
     Reserve(step, room, /*firm=*/false, now);
   }
@@ -201,9 +200,7 @@
     if (TakesTasks(worker, now) && Suits(step, worker) &&
         (standing == Standing::kGood ||
          standing == Standing::kGoodWithoutTicket)) {
-      sites.push_back(
-          {&worker, RoomFor(step, worker),
-           spec.max_per_worker > 0 ? spec.max_per_worker : spec.count});
+      sites.push_back({&worker, RoomFor(step, worker), MostPerWorker(spec)});
     }
   }
   const std::vector<SitePlan> plans = PlanGangPreemption(
