Log how much mail a node refused

The count was a metric only; nothing in the log told that datagrams and calls had been dropped. AZ9408 gives the number at most once a second.

--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -19,6 +19,7 @@
 constexpr Millis kMaxJitter{40};
 constexpr Millis kSweepInterval{5000};
 constexpr Millis kSpeedProbeInterval{400};
+constexpr Millis kRefusedMailLogInterval{1000};
 
 }  // namespace
 
@@ -142,6 +143,7 @@
     StartElectionIfDue(now);
   }
   UpdateReady(now);
+  LogRefusedMail(now);
   if (now >= m_next_speed_probe) {
     m_next_speed_probe = now + kSpeedProbeInterval;
     m_speed_probe.Add(MeasureWorkMicros(m_clock));
@@ -155,6 +157,19 @@
   }
 }
 
+void Node::LogRefusedMail(MonoTime now) {
+  const int64_t refused = m_mailbox_rejections.Get();
+  if (refused == m_logged_refused_mail || now < m_next_refused_mail_log) {
+    return;
+  }
+  base::LogEvent(base::Severity::kWarning, "AZ9408",
+                 "mailbox was full; messages were refused",
+                 {{"refused", std::to_string(refused - m_logged_refused_mail)},
+                  {"total", std::to_string(refused)}});
+  m_logged_refused_mail = refused;
+  m_next_refused_mail_log = now + kRefusedMailLogInterval;
+}
+
 void Node::PollStreams(MonoTime now) {
   const bool starting = !m_intake_tail.caught_up() || !m_work_tail.caught_up();
   const MonoTime since = std::max(m_work_tail.last_advance(), m_started);
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -74,6 +74,8 @@
   bool Post(base::Mail mail);
   void Run();
   void Tick();
+  // Logs how much mail was refused since the last call, at intervals.
+  void LogRefusedMail(base::MonoTime now);
   void PollStreams(base::MonoTime now);
   void SendFollowerHeartbeat(base::MonoTime now);
   void UpdateReady(base::MonoTime now);
@@ -212,6 +214,8 @@
       m_worker_entries_read_at{};  // When `m_worker_entries` was read.
   base::MonoTime m_next_scheduling{};
   base::MonoTime m_next_sweep{};
+  base::MonoTime m_next_refused_mail_log{};
+  int64_t m_logged_refused_mail = 0;
   base::MonoTime m_policy_retry =
       base::MonoTime::max();  // Set while no poll is in flight.
   bool m_directory_read = false;
