--- a/packages/cell/tests/intake_writer_test.cc
+++ b/packages/cell/tests/intake_writer_test.cc
@@ -136,4 +136,15 @@
   CHECK(f.outcomes.back() == StoreOutcome::kNotStored);
 }
 
+// A full mailbox refused the results of appends, so that their callers got no
+// answer and, after four of them, nothing was appended any more.
+TEST_CASE("the result of an append is not lost while the mailbox is full") {
+  WriterFixture f;
+  f.Store("r");
+  while (f.mailbox.Push([] {})) {
+  }
+  f.RunUntilIdle();
+  CHECK(f.outcomes == std::vector<StoreOutcome>{StoreOutcome::kStored});
+}
+
 }  // namespace azurespur::cell
--- a/packages/cell/tests/log_tail_test.cc
+++ b/packages/cell/tests/log_tail_test.cc
@@ -46,6 +46,12 @@
                }};
 };
 
+// Queues mail until the ring refuses it.
+void FillMailbox(base::Mailbox& mailbox) {
+  while (mailbox.Push([] {})) {
+  }
+}
+
 }  // namespace
 
 TEST_CASE("a tail applies each record once, in order") {
@@ -136,4 +142,18 @@
   CHECK(results == std::vector<bool>{false, true});
 }
 
+// A full mailbox refused the result of a read, so that the tail waited for it
+// for ever and the stream was never read again.
+TEST_CASE("the result of a read is not lost while the mailbox is full") {
+  TailFixture f;
+  f.Append("a");
+  f.tail.Poll();
+  FillMailbox(f.mailbox);
+  f.RunUntilIdle();
+  CHECK_FALSE(f.tail.reading());
+  f.tail.Poll();
+  f.RunUntilIdle();
+  CHECK(f.applied == std::vector<std::string>{"a"});
+}
+
 }  // namespace azurespur::cell
