Never refuse the completion of a node's own call

Callers saw a VM that accepted nothing any more, or whose replica stood still, until its restart. The ring between threads is bounded and refuses what is too much; datagrams, calls of clients and the results of the node's own calls shared it. A refused result was dropped without a log line: the tail of a stream stayed in reading(), an append kept its place among the four in flight, and polls of the policy, of the worker directory and of an election were never made again.

PushCompletion() takes the result also where the ring is full. A reserved part of the ring was weighed: it needs a bound for all calls in flight in one constant, and would refuse results again where that is too low.

LeaderTerm still uses Push and is changed with the leader's thread.

--- a/packages/base/include/base/ring.h
+++ b/packages/base/include/base/ring.h
@@ -1,4 +1,4 @@
-// Bounded queue between threads. A full ring refuses; it never blocks a
+// Queue between threads. Push() is bounded: a full ring refuses, never blocks a
 // producer and never drops an item.
 
 #ifndef BASE_RING_H_
@@ -8,6 +8,7 @@
 #include <boost/lockfree/queue.hpp>
 #include <cstddef>
 #include <memory>
+#include <new>
 #include <optional>
 #include <utility>
 
@@ -41,6 +42,17 @@
     return true;
   }
 
+  // Takes the item even if the ring is full. For items whose number the caller
+  // bounds by other means, such as the results of its own calls.
+  void PushUnbounded(T&& item) {
+    auto node = std::make_unique<T>(std::move(item));
+    if (!m_queue.push(node.get())) {
+      throw std::bad_alloc();  // The only cause of a failure.
+    }
+    (void)node.release();
+    m_wakeup.Notify();
+  }
+
   std::optional<T> Pop() {
     T* raw = nullptr;
     if (!m_queue.pop(raw)) {
--- a/packages/base/tests/base_test.cc
+++ b/packages/base/tests/base_test.cc
@@ -23,6 +23,19 @@
   CHECK(ring.Pop() == "first");
 }
 
+TEST_CASE("a full ring takes an item that must not be refused, in order") {
+  Ring<int> ring(1);
+  int pushed = 0;
+  while (ring.Push(int{pushed})) {
+    ++pushed;
+  }
+  ring.PushUnbounded(int{pushed});
+  for (int i = 0; i <= pushed; ++i) {
+    CHECK(ring.Pop() == i);
+  }
+  CHECK_FALSE(ring.Pop());
+}
+
 TEST_CASE("metrics render labels, quantiles and counts") {
   Metrics metrics;
   metrics.GetCounter("a_total{x=\"1\"}").Add(3);
--- a/packages/cell/src/intake_writer.cc
+++ b/packages/cell/src/intake_writer.cc
@@ -85,7 +85,7 @@
     }
     ++m_in_flight;
     m_log.Append(std::move(request), [this, batch, now](AppendResult result) {
-      m_mailbox.Push([this, batch, now, result] {
+      base::PushCompletion(m_mailbox, [this, batch, now, result] {
         --m_in_flight;
         OnAppend(std::move(*batch), result, now);
       });
--- a/packages/cell/src/log_tail.cc
+++ b/packages/cell/src/log_tail.cc
@@ -39,9 +39,10 @@
   const base::MonoTime sent_at = m_last_attempt;
   const int64_t from = m_next;
   m_log.Read(std::move(request), [this, sent_at, from](ReadResult result) {
-    m_mailbox.Push([this, sent_at, from, result = std::move(result)] {
-      OnRead(result, from, sent_at);
-    });
+    base::PushCompletion(m_mailbox,
+                         [this, sent_at, from, result = std::move(result)] {
+                           OnRead(result, from, sent_at);
+                         });
   });
 }
 
--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -50,7 +50,7 @@
             m_policy = latest;
           }
         }
-        Post([this, ok] {
+        base::PushCompletion(m_mailbox, [this, ok] {
           if (m_stopping.load()) {
             return;
           }
--- a/packages/cell/src/node_leader.cc
+++ b/packages/cell/src/node_leader.cc
@@ -69,12 +69,12 @@
   request.producer = Producer{std::string(kLeaderProducer), epoch, 0};
   request.timeout = m_log_timing.AppendTimeout();
   const int64_t offset = m_work_tail.next();
-  m_dependencies.log.Append(std::move(request),
-                            [this, epoch, offset](AppendResult result) {
-                              Post([this, epoch, offset, result] {
-                                OnElectionAppend(epoch, offset, result);
-                              });
-                            });
+  m_dependencies.log.Append(
+      std::move(request), [this, epoch, offset](AppendResult result) {
+        base::PushCompletion(m_mailbox, [this, epoch, offset, result] {
+          OnElectionAppend(epoch, offset, result);
+        });
+      });
 }
 
 std::string Node::MakeLeaderRecord(uint64_t epoch) const {
@@ -251,7 +251,7 @@
 }
 
 void Node::PostInTerm(uint64_t epoch, std::function<void(LeaderTerm&)> call) {
-  Post([this, epoch, call = std::move(call)] {
+  base::PushCompletion(m_mailbox, [this, epoch, call = std::move(call)] {
     if (m_term && m_term->epoch() == epoch) {
       call(*m_term);
       m_scheduling_needed = true;
@@ -351,12 +351,13 @@
                     : m_options.follower_directory_poll_interval);
   m_dependencies.directory.Poll(
       [this, now](base::Outcome<WorkerDirectory::Entries> outcome) {
-        Post([this, now, outcome = std::move(outcome)] {
-          m_directory_poll_in_flight = false;
-          if (base::Ok(outcome)) {
-            UpdateWorkerEntries(base::Value(outcome), now);
-          }
-        });
+        base::PushCompletion(m_mailbox,
+                             [this, now, outcome = std::move(outcome)] {
+                               m_directory_poll_in_flight = false;
+                               if (base::Ok(outcome)) {
+                                 UpdateWorkerEntries(base::Value(outcome), now);
+                               }
+                             });
       });
 }
 
