HTTP client: end a call when no byte of the response arrives

The client knew one limit only, for the whole call. It suits calls whose size is fixed; a page of the log takes as long as the link needs for it. A call may now also name a stall timeout, checked on the client's thread with the resolution of its clock. libcurl's own limit (LOW_SPEED_TIME) has whole seconds, too coarse for noticing a silent connection.

The response says after which time its first byte came. Nothing uses both yet. Only calls with a stall timeout are looked at; the others cost one comparison.

--- a/packages/http/include/http/http_client.h
+++ b/packages/http/include/http/http_client.h
@@ -21,7 +21,10 @@
   std::string url;  // http://IP:PORT/path?query
   std::vector<HttpField> headers;
   std::string body;
-  std::chrono::milliseconds timeout{1000};
+  std::chrono::milliseconds timeout{1000};  // Of the whole call.
+  // The call also ends once no byte of the response has arrived for this long.
+  // Zero: no such limit.
+  std::chrono::milliseconds stall_timeout{0};
   std::chrono::milliseconds connect_timeout{500};
   // The call is not sent once this time is reached; it then ends with
   // kUnavailable. Zero: no limit.
--- a/packages/http/include/http/http_message.h
+++ b/packages/http/include/http/http_message.h
@@ -3,6 +3,7 @@
 #ifndef HTTP_HTTP_MESSAGE_H_
 #define HTTP_HTTP_MESSAGE_H_
 
+#include <chrono>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -27,6 +28,8 @@
   std::string body;
   std::string content_type = "application/json";
   std::vector<HttpField> headers;
+  // In a client: from handing the call over to the first byte of the response.
+  std::chrono::milliseconds latency{0};
 };
 
 // Returns the value of the first field named `name` (ASCII case ignored), or
--- a/packages/http/src/http_client.cc
+++ b/packages/http/src/http_client.cc
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include "base/ring.h"
+#include "stall_watch.h"
 
 namespace azurespur::http {
 
@@ -30,13 +31,33 @@
   HttpResponse response;
   size_t max_bytes = 0;
   curl_slist* header_list = nullptr;
+  base::MonoTime began{};
+  bool answered = false;  // The first byte of the response has arrived.
+  StallWatch<CURL*>* stalls = nullptr;  // Null without a stall timeout.
+  CURL* easy = nullptr;
 
   ~Transfer() { curl_slist_free_all(header_list); }
 };
 
+void OnBytes(Transfer& transfer) {
+  if (transfer.answered && transfer.stalls == nullptr) {
+    return;
+  }
+  const base::MonoTime now = base::SystemClock().Now();
+  if (!transfer.answered) {
+    transfer.answered = true;
+    transfer.response.latency =
+        base::Millis{base::MillisBetween(transfer.began, now)};
+  }
+  if (transfer.stalls != nullptr) {
+    transfer.stalls->OnBytes(transfer.easy, now);
+  }
+}
+
 size_t OnBody(char* data, size_t size, size_t count, void* closure) {
   auto* transfer = static_cast<Transfer*>(closure);
   const size_t bytes = size * count;
+  OnBytes(*transfer);
   if (transfer->response.body.size() + bytes > transfer->max_bytes) {
     return 0;
   }
@@ -46,6 +67,7 @@
 
 size_t OnHeader(char* data, size_t size, size_t count, void* closure) {
   auto* transfer = static_cast<Transfer*>(closure);
+  OnBytes(*transfer);
   std::string_view line(data, size * count);
   while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
     line.remove_suffix(1);
@@ -136,10 +158,11 @@
   void Run();
   void Wake();
   void Watch(int handle, uint32_t events, int operation);
-  // Milliseconds until libcurl wants to be called.
+  // Milliseconds until libcurl wants to be called or a transfer may stall.
   int WaitMillis() const;
   void TakeQueued();
   void FinishDone();
+  void EndStalled();
   void Begin(std::unique_ptr<Transfer> transfer);
   void Finish(CURL* easy, CURLcode code);
   void AbortAll();
@@ -153,6 +176,7 @@
   bool m_timer_set = false;
   base::MonoTime m_timer_at{};
   std::map<CURL*, std::unique_ptr<Transfer>> m_active;
+  StallWatch<CURL*> m_stalls;
   std::vector<CURL*> m_idle;
   std::atomic<bool> m_stopping{false};
   std::thread m_thread;
@@ -165,6 +189,7 @@
   while (!m_stopping.load()) {
     TakeQueued();
     FinishDone();
+    EndStalled();
     const int count = epoll_wait(m_epoll, events.data(),
                                  static_cast<int>(events.size()), WaitMillis());
     int running = 0;
@@ -202,10 +227,15 @@
 }
 
 int Client::WaitMillis() const {
-  if (!m_timer_set) {
+  base::MonoTime wake_at =
+      m_stalls.NextDeadline().value_or(base::MonoTime::max());
+  if (m_timer_set) {
+    wake_at = std::min(wake_at, m_timer_at);
+  }
+  if (wake_at == base::MonoTime::max()) {
     return kIdleWaitMillis;
   }
-  const base::Micros left = m_timer_at - base::SystemClock().Now();
+  const base::Micros left = wake_at - base::SystemClock().Now();
   const auto rounded_up =
       std::chrono::ceil<base::Millis>(std::max(left, base::Micros{0}));
   return static_cast<int>(
@@ -257,6 +287,14 @@
   }
 }
 
+// Runs after the ready sockets were handled, so that bytes count that arrived
+// while this thread did not run.
+void Client::EndStalled() {
+  for (CURL* easy : m_stalls.Stalled(base::SystemClock().Now())) {
+    Finish(easy, CURLE_OPERATION_TIMEDOUT);
+  }
+}
+
 void Client::Begin(std::unique_ptr<Transfer> transfer) {
   const base::MonoTime send_by = transfer->call.send_by;
   if (send_by != base::MonoTime{} && base::SystemClock().Now() >= send_by) {
@@ -299,6 +337,12 @@
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                      static_cast<curl_off_t>(call.body.size()));
   }
+  transfer->easy = easy;
+  transfer->began = base::SystemClock().Now();
+  if (call.stall_timeout.count() > 0) {
+    transfer->stalls = &m_stalls;
+    m_stalls.Add(easy, call.stall_timeout, transfer->began);
+  }
   m_active[easy] = std::move(transfer);
   curl_multi_add_handle(m_multi, easy);
 }
@@ -306,6 +350,9 @@
 void Client::Finish(CURL* easy, CURLcode code) {
   auto node = m_active.extract(easy);
   std::unique_ptr<Transfer> transfer = std::move(node.mapped());
+  if (transfer->stalls != nullptr) {
+    m_stalls.Remove(easy);
+  }
   HttpResult result = base::Error{};
   if (code == CURLE_OK) {
     long status = 0;
--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -115,6 +115,34 @@
   CHECK(base::GetError(result).code == base::ErrorCode::kUnavailable);
 }
 
+TEST_CASE(
+    "a silent response ends at the stall timeout, long before the other") {
+  std::shared_ptr<HttpReply> held;
+  std::promise<void> arrived;
+  auto server = base::Value(StartHttpServer(
+      {}, [&](HttpRequest request, std::shared_ptr<HttpReply> reply) {
+        if (request.path == "/hold") {
+          held = std::move(reply);
+          arrived.set_value();
+        } else {
+          reply->Send({});
+        }
+      }));
+  auto client = StartHttpClient();
+  HttpCall call;
+  call.url = Url(*server, "/hold");
+  call.timeout = std::chrono::seconds(600);
+  call.stall_timeout = std::chrono::milliseconds(100);
+  const HttpResult silent = client->Fetch(call);
+  REQUIRE(!base::Ok(silent));
+  CHECK(base::GetError(silent).code == base::ErrorCode::kUnknown);
+  arrived.get_future().wait();
+  held->Send({});
+  call.url = Url(*server, "/");
+  call.stall_timeout = std::chrono::seconds(600);
+  CHECK(base::Value(client->Fetch(call)).status == 200);
+}
+
 TEST_CASE("a port in use is reported with address and port") {
   const auto ignore = [](HttpRequest, std::shared_ptr<HttpReply>) {};
   auto server = base::Value(StartHttpServer({}, ignore));
