Measure each read of a log stream

Which VM is how far behind, what its reads ask for, bring and take, could not be told: a read that failed 2 times a second for 40 s left one line. Metrics by stream: bytes read, reads failed, bytes asked, records behind, duration. AZ9208 says that reads made no progress (after 5, 10, 20 in a row), AZ9209 that a VM has read a stream up to its end, with bytes and time.

A request names its size and both timeouts, a result its bytes and the latency of the first byte; all as before by default.

--- a/packages/cell/include/cell/fenced_log.h
+++ b/packages/cell/include/cell/fenced_log.h
@@ -3,6 +3,7 @@
 #ifndef CELL_FENCED_LOG_H_
 #define CELL_FENCED_LOG_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -48,7 +49,12 @@
   std::string topic;
   int64_t from = 0;
   base::Millis wait{0};  // How long to wait for a record at `from`.
-  base::Millis timeout{500};
+  // The read ends after a page of about this size.
+  size_t max_bytes = 1 << 20;
+  base::Millis timeout{500};  // Of the whole read, beyond `wait`.
+  // The read fails once nothing has arrived for this long, beyond `wait`. Zero:
+  // no such limit.
+  base::Millis stall_timeout{0};
 };
 
 enum class ReadStatus {
@@ -62,6 +68,8 @@
   int64_t end = 0;
   int64_t first = 0;
   std::vector<std::string> records;  // Starting at the requested offset.
+  size_t bytes = 0;                  // Of the whole response.
+  base::Millis latency{0};  // Until the first byte of the response arrived.
 };
 
 std::string_view AppendStatusName(AppendStatus status);
--- a/packages/cell/src/log_tail.cc
+++ b/packages/cell/src/log_tail.cc
@@ -12,12 +12,14 @@
                  const base::Clock& clock,
                  std::string topic,
                  LogTiming& timing,
+                 base::Metrics& metrics,
                  Apply apply)
     : m_log(log),
       m_mailbox(mailbox),
       m_clock(clock),
       m_topic(std::move(topic)),
       m_log_timing(timing),
+      m_metrics(metrics, m_topic),
       m_apply(std::move(apply)) {}
 
 void LogTail::Poll(std::function<void(bool)> done) {
@@ -33,27 +35,30 @@
   m_reading = true;
   m_read_callbacks = std::exchange(m_waiting_callbacks, {});
   m_last_attempt = m_clock.Now();
+  if (m_first_attempt == base::MonoTime{}) {
+    m_first_attempt = m_last_attempt;
+  }
   ReadRequest request;
   request.topic = m_topic;
   request.from = m_next;
-  const base::MonoTime sent_at = m_last_attempt;
-  const int64_t from = m_next;
-  m_log.Read(std::move(request), [this, sent_at, from](ReadResult result) {
-    base::PushCompletion(m_mailbox,
-                         [this, sent_at, from, result = std::move(result)] {
-                           OnRead(result, from, sent_at);
-                         });
+  m_metrics.asked_bytes.Set(static_cast<int64_t>(request.max_bytes));
+  ReadInfo read;
+  read.from = m_next;
+  read.sent_at = m_last_attempt;
+  m_log.Read(std::move(request), [this, read](ReadResult result) mutable {
+    read.received_at = m_clock.Now();
+    base::PushCompletion(m_mailbox, [this, read, result = std::move(result)] {
+      OnRead(result, read);
+    });
   });
 }
 
-void LogTail::OnRead(const ReadResult& result,
-                     int64_t from,
-                     base::MonoTime sent_at) {
+void LogTail::OnRead(const ReadResult& result, const ReadInfo& read) {
   m_reading = false;
   const bool ok = result.status != ReadStatus::kFailed;
   if (ok == m_failing) {
     m_failing = !ok;
-    m_reachable_since = ok ? sent_at : m_reachable_since;
+    m_reachable_since = ok ? read.sent_at : m_reachable_since;
     base::LogEvent(ok ? base::Severity::kInfo : base::Severity::kWarning,
                    ok ? "AZ9202" : "AZ9201",
                    ok ? "log stream is reachable" : "log stream is unreachable",
@@ -61,12 +66,12 @@
   }
   bool applied = true;
   if (result.status == ReadStatus::kRead) {
-    m_last_read = sent_at;
+    m_last_read = read.sent_at;
     m_known_end = result.end;
     m_log_timing.AddLatency(
-        base::Millis{base::MillisBetween(sent_at, m_clock.Now())});
-    applied = ApplyFrom(from, result.records);
-    m_caught_up = m_caught_up || m_next >= result.end;
+        base::Millis{base::MillisBetween(read.sent_at, m_clock.Now())});
+    applied = ApplyFrom(read.from, result.records);
+    LogIfCaughtUp(result);
   } else if (result.status == ReadStatus::kTrimmed) {
     base::LogEvent(base::Severity::kError, "AZ9203",
                    "log stream was trimmed past the next unread record",
@@ -75,6 +80,8 @@
                     {"first", std::to_string(result.first)}});
     m_next = std::max(m_next, result.first);
   }
+  Observe(result, read);
+  TrackProgress(result, read);
   for (const auto& done : std::exchange(m_read_callbacks, {})) {
     done(ok);
   }
@@ -86,6 +93,53 @@
   }
 }
 
+void LogTail::LogIfCaughtUp(const ReadResult& result) {
+  if (m_caught_up || m_next < result.end) {
+    return;
+  }
+  m_caught_up = true;
+  base::LogEvent(
+      base::Severity::kInfo, "AZ9209", "all records of the log stream are read",
+      {{"stream", m_topic},
+       {"next", std::to_string(m_next)},
+       {"bytes", std::to_string(m_bytes_read + result.bytes)},
+       {"ms",
+        std::to_string(base::MillisBetween(m_first_attempt, m_clock.Now()))}});
+}
+
+void LogTail::Observe(const ReadResult& result, const ReadInfo& read) {
+  m_bytes_read += result.bytes;
+  m_metrics.bytes.Add(static_cast<int64_t>(result.bytes));
+  m_metrics.failures.Add(result.status == ReadStatus::kFailed ? 1 : 0);
+  m_metrics.behind_records.Set(std::max<int64_t>(0, m_known_end - m_next));
+  m_metrics.duration_ms.Observe(
+      static_cast<double>(base::MillisBetween(read.sent_at, read.received_at)));
+}
+
+void LogTail::TrackProgress(const ReadResult& result, const ReadInfo& read) {
+  const bool at_end =
+      result.status == ReadStatus::kRead && m_next >= result.end;
+  if (m_next > read.from || at_end) {
+    m_reads_without_progress = 0;
+    m_next_progress_report = kReadsBeforeReport;
+    return;
+  }
+  if (++m_reads_without_progress < m_next_progress_report) {
+    return;
+  }
+  m_next_progress_report *= 2;
+  base::LogEvent(base::Severity::kWarning, "AZ9208",
+                 "reads of the log stream made no progress",
+                 {{"stream", m_topic},
+                  {"next", std::to_string(m_next)},
+                  {"known_end", std::to_string(m_known_end)},
+                  {"reads", std::to_string(m_reads_without_progress)},
+                  {"asked_bytes", std::to_string(m_metrics.asked_bytes.Get())},
+                  {"bytes", std::to_string(result.bytes)},
+                  {"read_ms", std::to_string(base::MillisBetween(
+                                  read.sent_at, read.received_at))}});
+}
+
 void LogTail::AddRecords(int64_t offset, std::span<const std::string> records) {
   if (offset > m_next || records.empty()) {
     Poll();
--- a/packages/cell/src/log_tail.h
+++ b/packages/cell/src/log_tail.h
@@ -3,6 +3,7 @@
 #ifndef CELL_SRC_LOG_TAIL_H_
 #define CELL_SRC_LOG_TAIL_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -14,6 +15,7 @@
 #include "base/clock.h"
 #include "base/mailbox.h"
 #include "cell/fenced_log.h"
+#include "log_read_metrics.h"
 #include "log_timing.h"
 
 namespace azurespur::cell {
@@ -28,6 +30,7 @@
           const base::Clock& clock,
           std::string topic,
           LogTiming& timing,
+          base::Metrics& metrics,
           Apply apply);
 
   // Reads from next() on, unless a read is in flight. `done`, if any, runs
@@ -55,9 +58,21 @@
   base::MonoTime reachable_since() const { return m_reachable_since; }
 
  private:
+  static constexpr int kReadsBeforeReport = 5;
+
+  // What is known about a read besides its result.
+  struct ReadInfo {
+    int64_t from = 0;  // Offset of the first record.
+    base::MonoTime sent_at{};
+    base::MonoTime received_at{};
+  };
+
   void StartRead();
-  // `from` is the offset of the first record in `result`.
-  void OnRead(const ReadResult& result, int64_t from, base::MonoTime sent_at);
+  void OnRead(const ReadResult& result, const ReadInfo& read);
+  void Observe(const ReadResult& result, const ReadInfo& read);
+  // Counts reads in a row that did not bring the tail closer to the end.
+  void TrackProgress(const ReadResult& result, const ReadInfo& read);
+  void LogIfCaughtUp(const ReadResult& result);
   // Applies the records from next() on. Returns false if one can't be applied
   // yet.
   bool ApplyFrom(int64_t offset, std::span<const std::string> records);
@@ -67,13 +82,18 @@
   const base::Clock& m_clock;
   const std::string m_topic;
   LogTiming& m_log_timing;
+  const LogReadMetrics m_metrics;
   const Apply m_apply;
   int64_t m_next = 0;
   int64_t m_known_end = 0;  // As of the last read.
+  size_t m_bytes_read = 0;
+  int m_reads_without_progress = 0;
+  int m_next_progress_report = kReadsBeforeReport;
   bool m_reading = false;
   bool m_applying = false;
   bool m_caught_up = false;
   bool m_failing = false;
+  base::MonoTime m_first_attempt{};
   base::MonoTime m_last_read{};
   base::MonoTime m_last_advance{};
   base::MonoTime m_last_attempt{};
--- a/packages/cell/tests/log_tail_test.cc
+++ b/packages/cell/tests/log_tail_test.cc
@@ -32,11 +32,13 @@
   std::vector<std::string> applied;
   bool blocked = false;
   LogTiming timing{base::Millis{500}};
+  base::Metrics metrics;
   LogTail tail{log,
                mailbox,
                clock,
                "t",
                timing,
+               metrics,
                [this](std::string_view record) {
                  if (blocked) {
                    return false;
