Answers from the table: log and dump how old the view of each stream is

What callers saw: 0 pending jobs from VMs that had read nothing, 137 from one that lagged while 1,324 waited, and no log line about either.

Nothing in a node said how current its table is: caught_up() stays true once a read has reached the end, and last_read() is the time of a read that may have brought one page of many. StreamFreshness now keeps, for each stream, the last time as of which everything stored is applied. A read counts from when it was sent, and only once the end that it named is reached; a leader's append counts for the work stream in the same way, because the log takes no append of a lower epoch.

CountPending logs AZ9210 when the view is older than the 2 s that a count may be, and the dump shows both ages. What is answered does not change yet: the callback carries a typed result and the calls a deadline, for the fix. The node can be driven without its thread, for tests.

--- a/packages/cell/include/cell/cell_node.h
+++ b/packages/cell/include/cell/cell_node.h
@@ -43,6 +43,13 @@
   std::optional<jobs::JobState> state;  // Empty if there is no such job.
 };
 
+// The result of CellNode::CountPending().
+struct PendingCountResult {
+  // Empty if this VM's view of the streams is too old, or the node is
+  // overloaded.
+  std::optional<int64_t> count;
+};
+
 class CellNode {
  public:
   virtual ~CellNode() = default;
@@ -62,9 +69,11 @@
                       base::MonoTime deadline,
                       std::function<void(IntakeOutcome)> done) = 0;
   virtual void FindState(jobs::JobId job,
+                         base::MonoTime deadline,
                          std::function<void(JobStateResult)> done) = 0;
   virtual void CountPending(std::string queue,
-                            std::function<void(int64_t)> done) = 0;
+                            base::MonoTime deadline,
+                            std::function<void(PendingCountResult)> done) = 0;
 
   // Null until the first policy was read.
   virtual std::shared_ptr<const jobs::CellPolicy> policy() const = 0;
--- a/packages/cell/include/cell/node_options.h
+++ b/packages/cell/include/cell/node_options.h
@@ -42,6 +42,8 @@
   base::Millis log_contact_timeout{1500};
   // How long the states of finished jobs are kept.
   base::Millis finished_job_retention{180000};
+  // A count of pending jobs may be this old.
+  base::Millis max_pending_count_age{2000};
   // Minimum time between two scheduling passes.
   base::Millis min_scheduling_interval{15};
 };
--- a/packages/cell/src/log_tail.cc
+++ b/packages/cell/src/log_tail.cc
@@ -64,6 +64,7 @@
     m_known_end = result.end;
     m_log_timing.AddLatency(
         base::Millis{base::MillisBetween(sent_at, m_clock.Now())});
+    LearnEnd(result.end, sent_at);
     applied = ApplyFrom(from, result.records);
     m_caught_up = m_caught_up || m_next >= result.end;
   } else if (result.status == ReadStatus::kTrimmed) {
@@ -110,7 +111,12 @@
     m_last_advance = m_clock.Now();
   }
   m_applying = false;
+  m_freshness.Advance(m_next);
   return all;
 }
 
+void LogTail::LearnEnd(int64_t end, base::MonoTime as_of) {
+  m_freshness.LearnEnd(end, as_of);
+}
+
 }  // namespace azurespur::cell
--- a/packages/cell/src/log_tail.h
+++ b/packages/cell/src/log_tail.h
@@ -15,6 +15,7 @@
 #include "base/mailbox.h"
 #include "cell/fenced_log.h"
 #include "log_timing.h"
+#include "stream_freshness.h"
 
 namespace azurespur::cell {
 
@@ -39,6 +40,10 @@
   // starts a read if there is a gap before them.
   void AddRecords(int64_t offset, std::span<const std::string> records);
 
+  // For an end that was learnt without a read; see StreamFreshness.
+  void LearnEnd(int64_t end, base::MonoTime as_of);
+
+  const StreamFreshness& freshness() const { return m_freshness; }
   int64_t next() const { return m_next; }
   bool reading() const { return m_reading; }
   // True once a read has reached the end of the stream.
@@ -70,6 +75,7 @@
   const Apply m_apply;
   int64_t m_next = 0;
   int64_t m_known_end = 0;  // As of the last read.
+  StreamFreshness m_freshness;
   bool m_reading = false;
   bool m_applying = false;
   bool m_caught_up = false;
--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -72,11 +72,15 @@
 }
 
 void Node::Start() {
+  Begin();
+  m_thread = std::thread([this] { Run(); });
+}
+
+void Node::Begin() {
   m_started = m_clock.Now();
   m_dependencies.datagrams.Receive([this](std::string_view bytes) {
     Post([this, copy = std::string(bytes)] { OnDatagram(copy); });
   });
-  m_thread = std::thread([this] { Run(); });
   Post([this] { PollPolicy(); });
 }
 
@@ -117,13 +121,18 @@
 void Node::Run() {
   while (!m_stopping.load()) {
     const Millis wait = m_term ? kLeaderTickInterval : kFollowerTickInterval;
-    std::optional<base::Mail> mail = m_mailbox.PopWait(wait);
-    while (mail) {
+    if (std::optional<base::Mail> mail = m_mailbox.PopWait(wait)) {
       (*mail)();
-      mail = m_mailbox.Pop();
     }
-    Tick();
+    RunPending();
+  }
+}
+
+void Node::RunPending() {
+  while (std::optional<base::Mail> mail = m_mailbox.Pop()) {
+    (*mail)();
   }
+  Tick();
 }
 
 void Node::Tick() {
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -26,6 +26,7 @@
 #include "log_timing.h"
 #include "recent_records.h"
 #include "speed_probe.h"
+#include "view_requirement.h"
 
 namespace azurespur::cell {
 
@@ -52,7 +53,14 @@
   Node& operator=(const Node&) = delete;
   ~Node() override { Stop(); }
 
+  // Begins to receive datagrams and to poll, and runs the node's thread.
   void Start();
+
+  // The two parts of Start(), for tests: Begin() starts no thread, and
+  // RunPending() does once what the thread does, without waiting.
+  void Begin();
+  void RunPending();
+
   void Drain(base::Millis timeout) override;
   void Stop() override;
 
@@ -63,9 +71,11 @@
               base::MonoTime deadline,
               std::function<void(IntakeOutcome)> done) override;
   void FindState(jobs::JobId job,
+                 base::MonoTime deadline,
                  std::function<void(JobStateResult)> done) override;
   void CountPending(std::string queue,
-                    std::function<void(int64_t)> done) override;
+                    base::MonoTime deadline,
+                    std::function<void(PendingCountResult)> done) override;
   std::shared_ptr<const jobs::CellPolicy> policy() const override;
   bool ready() const override { return m_ready.load(); }
   void Dump(std::function<void(std::string)> done) override;
@@ -157,6 +167,9 @@
                StoreOutcome own_outcome,
                base::MonoTime deadline,
                IntakeForwarder::Done done);
+  ViewTimes View() const;
+  // Logs that a question about `subject` met a view that is too old for it.
+  void LogOldView(std::string_view question, const std::string& subject) const;
   bool CanForward(std::string_view record, base::MonoTime now) const;
   void CountStored(StoreOutcome outcome, base::MonoTime began);
   void CancelKnown(jobs::JobId job,
--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -20,6 +20,12 @@
   return spec != nullptr ? spec->id : std::get<jobs::CancelRecord>(record).job;
 }
 
+// -1 if the age is unknown.
+int64_t AgeMillis(const StreamFreshness& freshness, MonoTime now) {
+  const auto as_of = freshness.complete_as_of();
+  return as_of ? base::MillisBetween(*as_of, now) : -1;
+}
+
 IntakeOutcome ToIntakeOutcome(StoreOutcome outcome) {
   switch (outcome) {
     case StoreOutcome::kStored:
@@ -193,6 +199,7 @@
 }
 
 void Node::FindState(jobs::JobId job,
+                     MonoTime /*deadline*/,
                      std::function<void(JobStateResult)> done) {
   const bool posted = Post([this, job, done] {
     if (const auto state = m_job_table.StateOf(job)) {
@@ -209,14 +216,44 @@
   }
 }
 
-void Node::CountPending(std::string queue, std::function<void(int64_t)> done) {
-  const bool posted =
-      Post([this, queue, done] { done(m_job_table.CountPending(queue)); });
+void Node::CountPending(std::string queue,
+                        MonoTime /*deadline*/,
+                        std::function<void(PendingCountResult)> done) {
+  const bool posted = Post([this, queue, done] {
+    ViewRequirement requirement;
+    requirement.max_age = m_options.max_pending_count_age;
+    if (!IsCurrent(View(), requirement, m_clock.Now())) {
+      LogOldView("pending count", queue);
+    }
+    done({m_job_table.CountPending(queue)});
+  });
   if (!posted) {
-    done(0);
+    done({0});
   }
 }
 
+ViewTimes Node::View() const {
+  return {m_intake_tail.freshness().complete_as_of(),
+          m_work_tail.freshness().complete_as_of()};
+}
+
+void Node::LogOldView(std::string_view question,
+                      const std::string& subject) const {
+  const MonoTime now = m_clock.Now();
+  const StreamFreshness& intake = m_intake_tail.freshness();
+  const StreamFreshness& work = m_work_tail.freshness();
+  base::LogEvent(base::Severity::kWarning, "AZ9210",
+                 "view of the streams is too old for an answer",
+                 {{"question", std::string(question)},
+                  {"subject", subject},
+                  {"intake_age_ms", std::to_string(AgeMillis(intake, now))},
+                  {"intake_next", std::to_string(intake.next())},
+                  {"intake_end", std::to_string(intake.known_end())},
+                  {"work_age_ms", std::to_string(AgeMillis(work, now))},
+                  {"work_next", std::to_string(work.next())},
+                  {"work_end", std::to_string(work.known_end())}});
+}
+
 void Node::Dump(std::function<void(std::string)> done) {
   const bool posted = Post([this, done] {
     NodeView view;
@@ -226,6 +263,8 @@
     view.ready = m_ready.load();
     view.intake_next = m_intake_tail.next();
     view.work_next = m_work_tail.next();
+    view.intake_age_ms = AgeMillis(m_intake_tail.freshness(), m_clock.Now());
+    view.work_age_ms = AgeMillis(m_work_tail.freshness(), m_clock.Now());
     view.policy_version = policy() ? policy()->version : 0;
     done(DumpNode(view, m_job_table,
                   m_term ? &m_term->scheduler().fleet() : nullptr,
--- a/packages/cell/src/node_dump.cc
+++ b/packages/cell/src/node_dump.cc
@@ -43,6 +43,8 @@
                          {"epoch", view.leader.epoch},
                          {"intake_next", view.intake_next},
                          {"work_next", view.work_next},
+                         {"intake_age_ms", view.intake_age_ms},
+                         {"work_age_ms", view.work_age_ms},
                          {"policy_version", view.policy_version}};
   nlohmann::json jobs = nlohmann::json::array();
   for (const auto& [id, job] : table.jobs()) {
--- a/packages/cell/src/node_dump.h
+++ b/packages/cell/src/node_dump.h
@@ -19,6 +19,9 @@
   bool ready = false;
   int64_t intake_next = 0;
   int64_t work_next = 0;
+  // Ages of the view of the streams; -1 if unknown.
+  int64_t intake_age_ms = -1;
+  int64_t work_age_ms = -1;
   int64_t policy_version = 0;
 };
 
--- a/packages/cell/src/node_streams.cc
+++ b/packages/cell/src/node_streams.cc
@@ -78,12 +78,16 @@
 
 void Node::OnWorkStored(int64_t offset,
                         const std::vector<std::string>& records) {
+  const MonoTime sent_at = m_term->last_append();
   m_work_tail.AddRecords(offset, records);
   if (m_work_tail.next() < offset + static_cast<int64_t>(records.size())) {
     // Should not happen: only this VM appends with its epoch.
     StepDown("work stream has records of another writer");
     return;
   }
+  // The log rejects appends of others under lower epochs, so the stream ended
+  // with this append when it was sent or later.
+  m_work_tail.LearnEnd(offset + static_cast<int64_t>(records.size()), sent_at);
   NotifyPeers(Stream::kWork, offset, records);
   m_next_leader_heartbeat = m_clock.Now() + m_options.leader_heartbeat_interval;
 }
--- /dev/null
+++ b/packages/cell/src/view_waiters.h
@@ -0,0 +1,48 @@
+// Questions that wait until this VM's view of the streams is current enough to
+// answer them. Does no I/O and reads no clock.
+
+#ifndef CELL_SRC_VIEW_WAITERS_H_
+#define CELL_SRC_VIEW_WAITERS_H_
+
+#include <functional>
+#include <vector>
+
+#include "base/clock.h"
+#include "view_requirement.h"
+
+namespace azurespur::cell {
+
+class ViewWaiters {
+ public:
+  // `current` is false if the deadline passed first.
+  using Done = std::function<void(bool current)>;
+
+  // Which streams must be read for the waiting questions.
+  struct Missing {
+    bool intake = false;
+    bool work = false;
+  };
+
+  // Returns false if too many questions wait; `done` is then not called.
+  bool Add(const ViewRequirement& requirement,
+           base::MonoTime deadline,
+           Done done);
+
+  // Ends the questions whose requirement is met or whose deadline has passed.
+  void Tick(const ViewTimes& view, base::MonoTime now);
+
+  Missing FindMissing(const ViewTimes& view, base::MonoTime now) const;
+
+ private:
+  struct Waiter {
+    ViewRequirement requirement;
+    base::MonoTime deadline{};
+    Done done;
+  };
+
+  std::vector<Waiter> m_waiters;
+};
+
+}  // namespace azurespur::cell
+
+#endif  // CELL_SRC_VIEW_WAITERS_H_
