A count of pending jobs is answered from a current view, or not at all

What callers saw: on the grown sites, 0 pending while 92 waited, on VMs with narrow links after a power loss; with processor time, 137 while 1,324 waited.

Cause: CountPending answered from the table at hand, whatever the node had read, and 0 where the mailbox was full. It now answers only if both streams are complete as of at most 2 s ago (NodeOptions::max_pending_count_age). Otherwise the question waits while the streams are read, for the caller's time but no longer than 1 s (max_catch_up_wait), so that the caller has time to ask another VM; then it is answered 503 with Retry-After, logged as AZ9210 with age, next and known end of each stream, and counted in azurespur_view_too_old_total. A full mailbox gives no count either.

Ruled out: caught_up() alone, which stays true for a VM that falls behind later; last_read(), which is also set by a read that brings one page of many.

--- a/packages/cell/include/cell/node_options.h
+++ b/packages/cell/include/cell/node_options.h
@@ -44,6 +44,8 @@
   base::Millis finished_job_retention{180000};
   // A count of pending jobs may be this old.
   base::Millis max_pending_count_age{2000};
+  // How long a question may wait for this VM to catch up with the streams.
+  base::Millis max_catch_up_wait{1000};
   // Minimum time between two scheduling passes.
   base::Millis min_scheduling_interval{15};
 };
--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -36,6 +36,7 @@
       m_leading(metrics.GetCounter("azurespur_leading")),
       m_starts(metrics.GetCounter("azurespur_task_starts_total")),
       m_mailbox_rejections(metrics.GetCounter("azurespur_mail_refused_total")),
+      m_old_view_answers(metrics.GetCounter("azurespur_view_too_old_total")),
       m_store_time(metrics.GetDistribution("azurespur_store_ms")),
       m_log_timing(options.append_timeout),
       m_intake_tail(
@@ -141,6 +142,8 @@
       std::max(m_intake_tail.last_read(), m_work_tail.last_read()));
   m_intake_writer.Tick(now);
   m_intake_forwarder.Tick(now, LeaderCanAppend(now));
+  m_view_waiters.Tick(View(), now);
+  PollForWaiters(now);
   PollStreams(now);
   PollDirectory(now);
   if (m_term) {
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -27,6 +27,7 @@
 #include "recent_records.h"
 #include "speed_probe.h"
 #include "view_requirement.h"
+#include "view_waiters.h"
 
 namespace azurespur::cell {
 
@@ -168,6 +169,13 @@
                base::MonoTime deadline,
                IntakeForwarder::Done done);
   ViewTimes View() const;
+  // Calls `done` once the view meets the requirement, or with false if it can't
+  // be met within the caller's time.
+  void WhenCurrent(const ViewRequirement& requirement,
+                   base::MonoTime deadline,
+                   ViewWaiters::Done done);
+  // Reads the streams that waiting questions need.
+  void PollForWaiters(base::MonoTime now);
   // Logs that a question about `subject` met a view that is too old for it.
   void LogOldView(std::string_view question, const std::string& subject) const;
   bool CanForward(std::string_view record, base::MonoTime now) const;
@@ -186,6 +194,7 @@
   base::Counter& m_leading;
   base::Counter& m_starts;
   base::Counter& m_mailbox_rejections;
+  base::Counter& m_old_view_answers;
   base::Distribution& m_store_time;
   base::Mailbox m_mailbox{kMailboxSize};
   std::thread m_thread;
@@ -203,6 +212,7 @@
   LogTail m_work_tail;
   IntakeWriter m_intake_writer;
   IntakeForwarder m_intake_forwarder;
+  ViewWaiters m_view_waiters;
   RecentRecords m_recent_intake{kRecentRecordsBytes};
   RecentRecords m_recent_work{kRecentRecordsBytes};
   LeaderInfo m_announced_leader;  // The latest leader that a datagram named.
--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -1,5 +1,6 @@
 #include "node.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/event_log.h"
@@ -14,6 +15,8 @@
 namespace {
 
 constexpr Millis kPolicyRetry{200};
+// Minimum time between two reads of a stream for waiting questions.
+constexpr Millis kMinWaiterPollInterval{20};
 
 jobs::JobId JobOf(const jobs::IntakeRecord& record) {
   const auto* spec = std::get_if<jobs::JobSpec>(&record);
@@ -217,18 +220,54 @@
 }
 
 void Node::CountPending(std::string queue,
-                        MonoTime /*deadline*/,
+                        MonoTime deadline,
                         std::function<void(PendingCountResult)> done) {
-  const bool posted = Post([this, queue, done] {
+  const bool posted = Post([this, queue, deadline, done] {
     ViewRequirement requirement;
     requirement.max_age = m_options.max_pending_count_age;
-    if (!IsCurrent(View(), requirement, m_clock.Now())) {
+    WhenCurrent(requirement, deadline, [this, queue, done](bool current) {
+      if (current) {
+        done({m_job_table.CountPending(queue)});
+        return;
+      }
+      m_old_view_answers.Add(1);
       LogOldView("pending count", queue);
-    }
-    done({m_job_table.CountPending(queue)});
+      done({});
+    });
   });
   if (!posted) {
-    done({0});
+    done({});
+  }
+}
+
+void Node::WhenCurrent(const ViewRequirement& requirement,
+                       MonoTime deadline,
+                       ViewWaiters::Done done) {
+  const MonoTime now = m_clock.Now();
+  if (IsCurrent(View(), requirement, now)) {
+    done(true);
+    return;
+  }
+  // Not to the end of the caller's time, which it can use for another VM.
+  const MonoTime end = std::min(deadline, now + m_options.max_catch_up_wait);
+  if (now >= end || !m_view_waiters.Add(requirement, end, done)) {
+    done(false);
+    return;
+  }
+  PollForWaiters(now);
+}
+
+void Node::PollForWaiters(MonoTime now) {
+  const ViewWaiters::Missing missing = m_view_waiters.FindMissing(View(), now);
+  if (missing.intake && !m_intake_tail.reading() &&
+      now >= m_intake_tail.last_attempt() + kMinWaiterPollInterval) {
+    m_intake_tail.Poll();
+  }
+  // The leader's view of the work stream follows from its own appends.
+  if (missing.work && !m_term && !m_work_tail.reading() &&
+      m_intake_tail.caught_up() &&
+      now >= m_work_tail.last_attempt() + kMinWaiterPollInterval) {
+    m_work_tail.Poll();
   }
 }
 
