--- a/packages/cell/src/log_tail.cc
+++ b/packages/cell/src/log_tail.cc
@@ -71,6 +71,7 @@
     m_known_end = result.end;
     // The time of the transfer depends on the link and the size of the page.
     m_log_timing.AddLatency(result.latency);
+    LearnEnd(result.end, read.sent_at);
     applied = ApplyFrom(read.from, result.records);
     LogIfCaughtUp(result);
   } else if (result.status == ReadStatus::kTrimmed) {
@@ -180,7 +181,12 @@
     m_last_advance = m_clock.Now();
   }
   m_applying = false;
+  m_freshness.Advance(m_next);
   return all;
 }
 
+void LogTail::LearnEnd(int64_t end, base::MonoTime as_of) {
+  m_freshness.LearnEnd(end, as_of);
+}
+
 }  // namespace azurespur::cell
--- a/packages/cell/src/log_tail.h
+++ b/packages/cell/src/log_tail.h
@@ -18,6 +18,7 @@
 #include "log_read_metrics.h"
 #include "log_timing.h"
 #include "read_size.h"
+#include "stream_freshness.h"
 
 namespace azurespur::cell {
 
@@ -43,6 +44,10 @@
   // starts a read if there is a gap before them.
   void AddRecords(int64_t offset, std::span<const std::string> records);
 
+  // For an end that was learnt without a read; see StreamFreshness.
+  void LearnEnd(int64_t end, base::MonoTime as_of);
+
+  const StreamFreshness& freshness() const { return m_freshness; }
   int64_t next() const { return m_next; }
   bool reading() const { return m_reading; }
   // True once a read has reached the end of the stream.
@@ -92,6 +97,7 @@
   size_t m_bytes_read = 0;
   int m_reads_without_progress = 0;
   int m_next_progress_report = kReadsBeforeReport;
+  StreamFreshness m_freshness;
   bool m_reading = false;
   bool m_applying = false;
   bool m_caught_up = false;
--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -37,6 +37,7 @@
       m_leading(metrics.GetCounter("azurespur_leading")),
       m_starts(metrics.GetCounter("azurespur_task_starts_total")),
       m_mailbox_rejections(metrics.GetCounter("azurespur_mail_refused_total")),
+      m_old_view_answers(metrics.GetCounter("azurespur_view_too_old_total")),
       m_store_time(metrics.GetDistribution("azurespur_store_ms")),
       m_log_timing(options.append_timeout),
       m_intake_tail(
@@ -75,11 +76,15 @@
 }
 
 void Node::Start() {
+  Begin();
+  m_thread = std::thread([this] { Run(); });
+}
+
+void Node::Begin() {
   m_started = m_clock.Now();
   m_dependencies.datagrams.Receive([this](std::string_view bytes) {
     Post([this, copy = std::string(bytes)] { OnDatagram(copy); });
   });
-  m_thread = std::thread([this] { Run(); });
   Post([this] { PollPolicy(); });
 }
 
@@ -120,13 +125,18 @@
 void Node::Run() {
   while (!m_stopping.load()) {
     const Millis wait = m_term ? kLeaderTickInterval : kFollowerTickInterval;
-    std::optional<base::Mail> mail = m_mailbox.PopWait(wait);
-    while (mail) {
+    if (std::optional<base::Mail> mail = m_mailbox.PopWait(wait)) {
       (*mail)();
-      mail = m_mailbox.Pop();
     }
-    Tick();
+    RunPending();
+  }
+}
+
+void Node::RunPending() {
+  while (std::optional<base::Mail> mail = m_mailbox.Pop()) {
+    (*mail)();
   }
+  Tick();
 }
 
 void Node::Tick() {
@@ -135,6 +145,8 @@
       std::max(m_intake_tail.last_read(), m_work_tail.last_read()));
   m_intake_writer.Tick(now);
   m_intake_forwarder.Tick(now, LeaderCanAppend(now));
+  m_view_waiters.Tick(View(), now);
+  PollForWaiters(now);
   PollStreams(now);
   PollDirectory(now);
   if (m_term) {
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -26,6 +26,8 @@
 #include "log_timing.h"
 #include "recent_records.h"
 #include "speed_probe.h"
+#include "view_requirement.h"
+#include "view_waiters.h"
 
 namespace azurespur::cell {
 
@@ -52,7 +54,14 @@
   Node& operator=(const Node&) = delete;
   ~Node() override { Stop(); }
 
+  // Begins to receive datagrams and to poll, and runs the node's thread.
   void Start();
+
+  // The two parts of Start(), for tests: Begin() starts no thread, and
+  // RunPending() does once what the thread does, without waiting.
+  void Begin();
+  void RunPending();
+
   void Drain(base::Millis timeout) override;
   void Stop() override;
 
@@ -63,9 +72,11 @@
               base::MonoTime deadline,
               std::function<void(IntakeOutcome)> done) override;
   void FindState(jobs::JobId job,
+                 base::MonoTime deadline,
                  std::function<void(JobStateResult)> done) override;
   void CountPending(std::string queue,
-                    std::function<void(int64_t)> done) override;
+                    base::MonoTime deadline,
+                    std::function<void(PendingCountResult)> done) override;
   std::shared_ptr<const jobs::CellPolicy> policy() const override;
   bool ready() const override { return m_ready.load(); }
   void Dump(std::function<void(std::string)> done) override;
@@ -159,6 +170,16 @@
                StoreOutcome own_outcome,
                base::MonoTime deadline,
                IntakeForwarder::Done done);
+  ViewTimes View() const;
+  // Calls `done` once the view meets the requirement, or with false if it can't
+  // be met within the caller's time.
+  void WhenCurrent(const ViewRequirement& requirement,
+                   base::MonoTime deadline,
+                   ViewWaiters::Done done);
+  // Reads the streams that waiting questions need.
+  void PollForWaiters(base::MonoTime now);
+  // Logs that a question about `subject` met a view that is too old for it.
+  void LogOldView(std::string_view question, const std::string& subject) const;
   bool CanForward(std::string_view record, base::MonoTime now) const;
   void CountStored(StoreOutcome outcome, base::MonoTime began);
   void CancelKnown(jobs::JobId job,
@@ -175,6 +196,7 @@
   base::Counter& m_leading;
   base::Counter& m_starts;
   base::Counter& m_mailbox_rejections;
+  base::Counter& m_old_view_answers;
   base::Distribution& m_store_time;
   base::Mailbox m_mailbox{kMailboxSize};
   std::thread m_thread;
@@ -192,6 +214,7 @@
   LogTail m_work_tail;
   IntakeWriter m_intake_writer;
   IntakeForwarder m_intake_forwarder;
+  ViewWaiters m_view_waiters;
   RecentRecords m_recent_intake{kRecentRecordsBytes};
   RecentRecords m_recent_work{kRecentRecordsBytes};
   LeaderInfo m_announced_leader;  // The latest leader that a datagram named.
--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -1,5 +1,6 @@
 #include "node.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/event_log.h"
@@ -14,12 +15,20 @@
 namespace {
 
 constexpr Millis kPolicyRetry{200};
+// Minimum time between two reads of a stream for waiting questions.
+constexpr Millis kMinWaiterPollInterval{20};
 
 jobs::JobId JobOf(const jobs::IntakeRecord& record) {
   const auto* spec = std::get_if<jobs::JobSpec>(&record);
   return spec != nullptr ? spec->id : std::get<jobs::CancelRecord>(record).job;
 }
 
+// -1 if the age is unknown.
+int64_t AgeMillis(const StreamFreshness& freshness, MonoTime now) {
+  const auto as_of = freshness.complete_as_of();
+  return as_of ? base::MillisBetween(*as_of, now) : -1;
+}
+
 IntakeOutcome ToIntakeOutcome(StoreOutcome outcome) {
   switch (outcome) {
     case StoreOutcome::kStored:
@@ -193,6 +202,7 @@
 }
 
 void Node::FindState(jobs::JobId job,
+                     MonoTime /*deadline*/,
                      std::function<void(JobStateResult)> done) {
   const bool posted = Post([this, job, done] {
     if (const auto state = m_job_table.StateOf(job)) {
@@ -209,12 +219,78 @@
   }
 }
 
-void Node::CountPending(std::string queue, std::function<void(int64_t)> done) {
-  const bool posted =
-      Post([this, queue, done] { done(m_job_table.CountPending(queue)); });
+void Node::CountPending(std::string queue,
+                        MonoTime deadline,
+                        std::function<void(PendingCountResult)> done) {
+  const bool posted = Post([this, queue, deadline, done] {
+    ViewRequirement requirement;
+    requirement.max_age = m_options.max_pending_count_age;
+    WhenCurrent(requirement, deadline, [this, queue, done](bool current) {
+      if (current) {
+        done({m_job_table.CountPending(queue)});
+        return;
+      }
+      m_old_view_answers.Add(1);
+      LogOldView("pending count", queue);
+      done({});
+    });
+  });
   if (!posted) {
-    done(0);
+    done({});
+  }
+}
+
+void Node::WhenCurrent(const ViewRequirement& requirement,
+                       MonoTime deadline,
+                       ViewWaiters::Done done) {
+  const MonoTime now = m_clock.Now();
+  if (IsCurrent(View(), requirement, now)) {
+    done(true);
+    return;
   }
+  // Not to the end of the caller's time, which it can use for another VM.
+  const MonoTime end = std::min(deadline, now + m_options.max_catch_up_wait);
+  if (now >= end || !m_view_waiters.Add(requirement, end, done)) {
+    done(false);
+    return;
+  }
+  PollForWaiters(now);
+}
+
+void Node::PollForWaiters(MonoTime now) {
+  const ViewWaiters::Missing missing = m_view_waiters.FindMissing(View(), now);
+  if (missing.intake && !m_intake_tail.reading() &&
+      now >= m_intake_tail.last_attempt() + kMinWaiterPollInterval) {
+    m_intake_tail.Poll();
+  }
+  // The leader's view of the work stream follows from its own appends.
+  if (missing.work && !m_term && !m_work_tail.reading() &&
+      m_intake_tail.caught_up() &&
+      now >= m_work_tail.last_attempt() + kMinWaiterPollInterval) {
+    m_work_tail.Poll();
+  }
+}
+
+ViewTimes Node::View() const {
+  return {m_intake_tail.freshness().complete_as_of(),
+          m_work_tail.freshness().complete_as_of()};
+}
+
+void Node::LogOldView(std::string_view question,
+                      const std::string& subject) const {
+  const MonoTime now = m_clock.Now();
+  const StreamFreshness& intake = m_intake_tail.freshness();
+  const StreamFreshness& work = m_work_tail.freshness();
+  base::LogEvent(base::Severity::kWarning, "AZ9210",
+                 "view of the streams is too old for an answer",
+                 {{"question", std::string(question)},
+                  {"subject", subject},
+                  {"intake_age_ms", std::to_string(AgeMillis(intake, now))},
+                  {"intake_next", std::to_string(intake.next())},
+                  {"intake_end", std::to_string(intake.known_end())},
+                  {"work_age_ms", std::to_string(AgeMillis(work, now))},
+                  {"work_next", std::to_string(work.next())},
+                  {"work_end", std::to_string(work.known_end())}});
 }
 
 void Node::Dump(std::function<void(std::string)> done) {
@@ -226,6 +302,8 @@
     view.ready = m_ready.load();
     view.intake_next = m_intake_tail.next();
     view.work_next = m_work_tail.next();
+    view.intake_age_ms = AgeMillis(m_intake_tail.freshness(), m_clock.Now());
+    view.work_age_ms = AgeMillis(m_work_tail.freshness(), m_clock.Now());
     view.policy_version = policy() ? policy()->version : 0;
     done(DumpNode(view, m_job_table,
                   m_term ? &m_term->scheduler().fleet() : nullptr,
