Measure the node's thread by duty; count bindings that are given up, by reason

New on the metrics page: time in mail, ticks, plans and dispatch, the time between two ticks, mail for each tick, bindings outstanding, and bindings released before their start by reason. AZ9306 says that a tick came late, once a second at most. Handling mail moves to a function of its own, unchanged, so that a test can run it in virtual time.

--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -1,11 +1,13 @@
 #include "node.h"
 
 #include <algorithm>
+#include <optional>
 #include <random>
 #include <utility>
 
 #include "base/event_log.h"
 #include "cell/topics.h"
+#include "mail_loop.h"
 
 namespace azurespur::cell {
 
@@ -37,6 +39,7 @@
       m_starts(metrics.GetCounter("azurespur_task_starts_total")),
       m_mailbox_rejections(metrics.GetCounter("azurespur_mail_refused_total")),
       m_store_time(metrics.GetDistribution("azurespur_store_ms")),
+      m_load(metrics),
       m_log_timing(options.append_timeout),
       m_intake_tail(
           dependencies.log,
@@ -117,12 +120,13 @@
 void Node::Run() {
   while (!m_stopping.load()) {
     const Millis wait = m_term ? kLeaderTickInterval : kFollowerTickInterval;
-    std::optional<base::Mail> mail = m_mailbox.PopWait(wait);
-    while (mail) {
-      (*mail)();
-      mail = m_mailbox.Pop();
-    }
+    std::optional<base::Mail> first = m_mailbox.PopWait(wait);
+    const MonoTime began = m_clock.Now();
+    const size_t handled = HandleMail(std::move(first), m_mailbox, m_clock);
+    const MonoTime tick_began = m_clock.Now();
+    m_load.OnMail(handled, tick_began - began);
     Tick();
+    m_load.OnTick(tick_began, m_clock.Now(), m_term != nullptr);
   }
 }
 
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -24,6 +24,7 @@
 #include "leader_term.h"
 #include "log_tail.h"
 #include "log_timing.h"
+#include "node_load.h"
 #include "recent_records.h"
 #include "speed_probe.h"
 
@@ -174,6 +175,7 @@
   base::Counter& m_starts;
   base::Counter& m_mailbox_rejections;
   base::Distribution& m_store_time;
+  NodeLoad m_load;
   base::Mailbox m_mailbox{kMailboxSize};
   std::thread m_thread;
   std::atomic<bool> m_stopping{false};
--- a/packages/cell/src/node_leader.cc
+++ b/packages/cell/src/node_leader.cc
@@ -181,14 +181,19 @@
       vms.push_back(vm);
     }
     m_term->scheduler().SetAdviceVms(vms);
+    const MonoTime began = m_clock.Now();
     m_term->scheduler().Tick(now, m_clock.WallMillis(), m_term->last_append(),
                              m_term->output());
+    m_load.OnPlan(m_clock.Now() - began);
+    m_load.OnScheduler(m_term->scheduler());
   }
   // Time-based work is not triggered by events, so schedule at least every
   // tick.
   m_scheduling_needed =
       m_scheduling_needed || now >= m_next_scheduling + kLeaderTickInterval;
+  const MonoTime began = m_clock.Now();
   DispatchOutput();
+  m_load.OnDispatch(m_clock.Now() - began);
 }
 
 void Node::SendLeaderHeartbeat(MonoTime now) {
--- /dev/null
+++ b/packages/cell/src/node_load.cc
@@ -0,0 +1,79 @@
+#include "node_load.h"
+
+#include <string>
+
+#include "base/event_log.h"
+
+namespace azurespur::cell {
+
+namespace {
+
+// A longer time between two ticks counts as lag.
+constexpr base::Millis kMinLag{250};
+constexpr base::Millis kLagLogInterval{1000};
+
+}  // namespace
+
+NodeLoad::NodeLoad(base::Metrics& metrics)
+    : m_mail_ms(metrics.GetDistribution("azurespur_node_ms{duty=\"mail\"}")),
+      m_tick_ms(metrics.GetDistribution("azurespur_node_ms{duty=\"tick\"}")),
+      m_plan_ms(metrics.GetDistribution("azurespur_node_ms{duty=\"plan\"}")),
+      m_dispatch_ms(
+          metrics.GetDistribution("azurespur_node_ms{duty=\"dispatch\"}")),
+      m_tick_gap_ms(metrics.GetDistribution("azurespur_node_tick_gap_ms")),
+      m_mail_per_tick(metrics.GetDistribution("azurespur_node_mail_per_tick")),
+      m_bindings_outstanding(
+          metrics.GetCounter("azurespur_bindings_outstanding")),
+      m_bindings_job_over(metrics.GetCounter(
+          "azurespur_bindings_unsent_total{reason=\"job over\"}")),
+      m_bindings_too_old(metrics.GetCounter(
+          "azurespur_bindings_unsent_total{reason=\"too old\"}")),
+      m_bindings_no_ticket(metrics.GetCounter(
+          "azurespur_bindings_unsent_total{reason=\"no ticket\"}")),
+      m_bindings_no_worker(metrics.GetCounter(
+          "azurespur_bindings_unsent_total{reason=\"no worker\"}")) {}
+
+void NodeLoad::OnMail(size_t handled, base::Micros spent) {
+  m_mail_since_tick += handled;
+  Observe(m_mail_ms, spent);
+}
+
+void NodeLoad::OnTick(base::MonoTime began,
+                      base::MonoTime ended,
+                      bool leading) {
+  if (m_last_tick != base::MonoTime{}) {
+    const base::Micros gap = began - m_last_tick;
+    Observe(m_tick_gap_ms, gap);
+    LogLag(began, gap, leading);
+  }
+  m_last_tick = began;
+  m_mail_per_tick.Observe(static_cast<double>(m_mail_since_tick));
+  m_mail_since_tick = 0;
+  Observe(m_tick_ms, ended - began);
+}
+
+void NodeLoad::OnScheduler(const jobs::Scheduler& scheduler) {
+  const jobs::UnsentBindings& unsent = scheduler.unsent();
+  m_bindings_outstanding.Set(scheduler.fleet().CountOutstanding());
+  m_bindings_job_over.Set(unsent.job_over);
+  m_bindings_too_old.Set(unsent.too_old);
+  m_bindings_no_ticket.Set(unsent.no_ticket);
+  m_bindings_no_worker.Set(unsent.no_worker);
+}
+
+void NodeLoad::Observe(base::Distribution& distribution, base::Micros spent) {
+  distribution.Observe(static_cast<double>(spent.count()) / 1000);
+}
+
+void NodeLoad::LogLag(base::MonoTime now, base::Micros lag, bool leading) {
+  if (lag < kMinLag || now < m_next_lag_log) {
+    return;
+  }
+  m_next_lag_log = now + kLagLogInterval;
+  base::LogEvent(base::Severity::kWarning, "AZ9306", "node is behind",
+                 {{"ms_since_tick", std::to_string(lag.count() / 1000)},
+                  {"mail", std::to_string(m_mail_since_tick)},
+                  {"leading", leading ? "true" : "false"}});
+}
+
+}  // namespace azurespur::cell
--- /dev/null
+++ b/packages/cell/src/node_load.h
@@ -0,0 +1,49 @@
+// Measures what the node's thread spends its time on, and logs when it is
+// behind.
+
+#ifndef CELL_SRC_NODE_LOAD_H_
+#define CELL_SRC_NODE_LOAD_H_
+
+#include <cstddef>
+
+#include "base/clock.h"
+#include "base/metrics.h"
+#include "jobs/scheduler.h"
+
+namespace azurespur::cell {
+
+class NodeLoad {
+ public:
+  explicit NodeLoad(base::Metrics& metrics);
+
+  void OnMail(size_t handled, base::Micros spent);
+  // `began` is when the tick began.
+  void OnTick(base::MonoTime began, base::MonoTime ended, bool leading);
+  void OnPlan(base::Micros spent) { Observe(m_plan_ms, spent); }
+  void OnDispatch(base::Micros spent) { Observe(m_dispatch_ms, spent); }
+  // What the scheduler has bound ahead and given up so far in this term.
+  void OnScheduler(const jobs::Scheduler& scheduler);
+
+ private:
+  static void Observe(base::Distribution& distribution, base::Micros spent);
+  void LogLag(base::MonoTime now, base::Micros lag, bool leading);
+
+  base::Distribution& m_mail_ms;
+  base::Distribution& m_tick_ms;
+  base::Distribution& m_plan_ms;
+  base::Distribution& m_dispatch_ms;
+  base::Distribution& m_tick_gap_ms;
+  base::Distribution& m_mail_per_tick;
+  base::Counter& m_bindings_outstanding;
+  base::Counter& m_bindings_job_over;
+  base::Counter& m_bindings_too_old;
+  base::Counter& m_bindings_no_ticket;
+  base::Counter& m_bindings_no_worker;
+  base::MonoTime m_last_tick{};
+  base::MonoTime m_next_lag_log{};
+  size_t m_mail_since_tick = 0;
+};
+
+}  // namespace azurespur::cell
+
+#endif  // CELL_SRC_NODE_LOAD_H_
--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -155,6 +155,8 @@
   bool IsStartPending(const TaskRef& task, int32_t run) const;
   // Null if the task has no run.
   const Run* FindRun(const TaskRef& task) const;
+  // Bindings that are being stored and starts without an answer.
+  int64_t CountOutstanding() const;
 
  private:
   Worker* FindWorker(std::string_view id);
--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -36,6 +36,14 @@
   int64_t slack_ms = 0;  // Time left before the objective would be missed.
 };
 
+// How many stored bindings were released before their start was sent.
+struct UnsentBindings {
+  int64_t job_over = 0;   // The job is gone or has a final state.
+  int64_t too_old = 0;    // Older than `max_binding_age`.
+  int64_t no_ticket = 0;  // Advice no longer allows the start.
+  int64_t no_worker = 0;  // The worker is lost or draining, or a stop came.
+};
+
 class Scheduler {
  public:
   // `table` must outlive the scheduler.
@@ -86,6 +94,7 @@
             SchedulerOutput& out);
 
   const Fleet& fleet() const { return m_fleet; }
+  const UnsentBindings& unsent() const { return m_unsent; }
 
  private:
   // Capacity that is reserved for a gang.
@@ -181,6 +190,13 @@
                 const Worker& worker,
                 base::MonoTime now,
                 SchedulerOutput& out);
+  // Returns the counter of the reason against starting the binding, null if
+  // there is none.
+  int64_t* ReasonNotToStart(const BindRecord& bind,
+                            const Job* job,
+                            base::MonoTime stored_at,
+                            base::MonoTime now);
+  bool NeedsTicket(const Job& job) const;
   void SendStart(const BindRecord& bind,
                  base::MonoTime stored_at,
                  base::MonoTime now,
@@ -202,6 +218,7 @@
   std::set<JobId> m_failing;          // JobFailedRecord is being stored.
   std::set<JobId> m_recorded_starts;  // JobStartedRecord was appended.
   std::map<TaskRef, std::string> m_last_failed_worker;  // Worker id.
+  UnsentBindings m_unsent;
   base::MonoTime m_next_full_plan{};
   base::MonoTime m_next_prune{};
 };
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -105,6 +105,18 @@
          run->phase == RunPhase::kStarting && !run->stop_requested;
 }
 
+int64_t Fleet::CountOutstanding() const {
+  int64_t count = 0;
+  for (const auto& [id, worker] : m_workers) {
+    count += std::count_if(worker.runs.begin(), worker.runs.end(),
+                           [](const auto& entry) {
+                             return entry.second.phase == RunPhase::kBinding ||
+                                    entry.second.phase == RunPhase::kStarting;
+                           });
+  }
+  return count;
+}
+
 void Fleet::SetEntries(std::span<const WorkerEntry> entries,
                        base::MonoTime now,
                        SchedulerOutput& out) {
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -67,23 +67,37 @@
   }
 }
 
+bool Scheduler::NeedsTicket(const Job& job) const {
+  const auto policy = m_policy.queues.find(job.spec.queue);
+  return policy != m_policy.queues.end() && policy->second.advice.has_value();
+}
+
+int64_t* Scheduler::ReasonNotToStart(const BindRecord& bind,
+                                     const Job* job,
+                                     base::MonoTime stored_at,
+                                     base::MonoTime now) {
+  if (job == nullptr || IsFinal(job->state)) {
+    return &m_unsent.job_over;
+  }
+  if (now > stored_at + m_options.max_binding_age) {
+    return &m_unsent.too_old;
+  }
+  const bool allowed = !NeedsTicket(*job) ||
+                       m_advice.EligibilityOf(bind.task.StepOf(), bind.worker,
+                                              now) == Eligibility::kEligible;
+  return allowed ? nullptr : &m_unsent.no_ticket;
+}
+
 void Scheduler::SendStart(const BindRecord& bind,
                           base::MonoTime stored_at,
                           base::MonoTime now,
                           SchedulerOutput& out) {
   const Job* job = m_table.Find(bind.task.job);
-  const bool wanted = job != nullptr && !IsFinal(job->state) &&
-                      now <= stored_at + m_options.max_binding_age;
-  const auto policy =
-      wanted ? m_policy.queues.find(job->spec.queue) : m_policy.queues.end();
-  const bool advised =
-      policy != m_policy.queues.end() && policy->second.advice.has_value();
-  const bool allowed =
-      !advised || m_advice.EligibilityOf(bind.task.StepOf(), bind.worker,
-                                         now) == Eligibility::kEligible;
+  int64_t* reason = ReasonNotToStart(bind, job, stored_at, now);
   const Worker* worker =
-      wanted && allowed ? m_fleet.BeginStart(bind.task, bind.run) : nullptr;
+      reason == nullptr ? m_fleet.BeginStart(bind.task, bind.run) : nullptr;
   if (worker == nullptr) {
+    ++(reason != nullptr ? *reason : m_unsent.no_worker);
     m_fleet.ReleaseUnsent(bind.task, out);
     return;
   }
@@ -100,7 +114,7 @@
   order.fence = m_options.fence;
   order.checkpoint =
       job->spec.steps[step].gang ? progress.gang_checkpoint : task.checkpoint;
-  if (advised) {
+  if (NeedsTicket(*job)) {
     order.ticket = m_advice.TicketOf(bind.task.StepOf(), bind.worker.id);
   }
   out.starts.push_back(std::move(order));
