--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -24,6 +25,7 @@
 #include "leader_term.h"
 #include "log_tail.h"
 #include "log_timing.h"
+#include "node_load.h"
 #include "recent_records.h"
 #include "speed_probe.h"
 #include "view_requirement.h"
@@ -84,6 +86,8 @@
  private:
   bool Post(base::Mail mail);
   void Run();
+  // Handles `first`, if any, and waiting mail, then ticks.
+  void HandleMailAndTick(std::optional<base::Mail> first);
   void Tick();
   // Logs how much mail was refused since the last call, at intervals.
   void LogRefusedMail(base::MonoTime now);
@@ -198,6 +202,7 @@
   base::Counter& m_mailbox_rejections;
   base::Counter& m_old_view_answers;
   base::Distribution& m_store_time;
+  NodeLoad m_load;
   base::Mailbox m_mailbox{kMailboxSize};
   std::thread m_thread;
   std::atomic<bool> m_stopping{false};
