--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -19,6 +19,7 @@
 #include "jobs/advice_tracker.h"
 #include "jobs/fleet.h"
 #include "jobs/job_table.h"
+#include "jobs/plan_counts.h"
 #include "jobs/queue_policy.h"
 #include "jobs/scheduler_options.h"
 #include "jobs/scheduler_output.h"
@@ -86,6 +87,7 @@
             SchedulerOutput& out);
 
   const Fleet& fleet() const { return m_fleet; }
+  const PlanCounts& plan_counts() const { return m_counts; }
 
  private:
   // Capacity that is reserved for a gang.
@@ -187,6 +189,7 @@
                  SchedulerOutput& out);
   void StopIncompleteGangs();
   void RecordJobStarted(JobId id, SchedulerOutput& out);
+  void LogCounts(base::MonoTime now, size_t ready_steps);
   void PruneState(base::MonoTime now);
 
   const SchedulerOptions m_options;
@@ -204,6 +207,9 @@
   std::map<TaskRef, std::string> m_last_failed_worker;  // Worker id.
   base::MonoTime m_next_full_plan{};
   base::MonoTime m_next_prune{};
+  mutable PlanCounts m_counts;
+  PlanCounts m_logged_counts;
+  base::MonoTime m_next_counts_log{};
 };
 
 }  // namespace azurespur::jobs
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr base::Millis kPruneInterval{2000};
+constexpr base::Millis kCountsLogInterval{1000};
 
 bool IsIncompleteGang(const StepProgress& step) {
   int32_t newest = 0;
@@ -182,9 +183,15 @@
     m_next_full_plan = now + m_options.full_plan_interval;
   }
   DropReservations(full, now);
-  for (const ReadyStep& step : FindReady(full, unix_ms, out)) {
+  const std::vector<ReadyStep> ready = FindReady(full, unix_ms, out);
+  for (const ReadyStep& step : ready) {
     PlaceStep(step, now, out);
   }
+  m_counts.full_plans += full ? 1 : 0;
+  m_counts.steps_planned += static_cast<int64_t>(ready.size());
+  if (full) {
+    LogCounts(now, ready.size());
+  }
   const bool may_renew = now <= last_append + m_options.max_renew_after_append;
   m_fleet.Tick(now, may_renew, out);
   PruneState(now);
@@ -312,6 +319,24 @@
   }
 }
 
+// Says nothing while there was nothing to place.
+void Scheduler::LogCounts(base::MonoTime now, size_t ready_steps) {
+  const PlanCounts last = m_logged_counts;
+  if (now < m_next_counts_log || m_counts.steps_planned == last.steps_planned) {
+    return;
+  }
+  m_next_counts_log = now + kCountsLogInterval;
+  m_logged_counts = m_counts;
+  base::LogEvent(
+      base::Severity::kInfo, "AZ9118", "plans made since the last such line",
+      {{"full_plans", std::to_string(m_counts.full_plans - last.full_plans)},
+       {"steps", std::to_string(m_counts.steps_planned - last.steps_planned)},
+       {"workers_examined",
+        std::to_string(m_counts.workers_examined - last.workers_examined)},
+       {"placed", std::to_string(m_counts.tasks_placed - last.tasks_placed)},
+       {"waiting_steps", std::to_string(ready_steps)}});
+}
+
 void Scheduler::PruneState(base::MonoTime now) {
   if (now < m_next_prune) {
     return;
--- a/packages/jobs/src/scheduler_gang.cc
+++ b/packages/jobs/src/scheduler_gang.cc
@@ -29,6 +29,7 @@
   const StepSpec& spec = SpecOf(step);
   GangCapacity capacity;
   for (const auto& [id, worker] : m_fleet.workers()) {
+    ++m_counts.workers_examined;
     if (!AcceptsTasks(worker, now) || !IsCompatible(step, worker)) {
       continue;
     }
@@ -198,6 +199,7 @@
   const StepSpec& spec = SpecOf(step);
   std::vector<PreemptionCandidate> candidates;
   for (const auto& [id, worker] : m_fleet.workers()) {
+    ++m_counts.workers_examined;
     const Eligibility eligibility = EligibilityOf(step, worker, now);
     if (AcceptsTasks(worker, now) && IsCompatible(step, worker) &&
         (eligibility == Eligibility::kEligible ||
--- a/packages/jobs/src/scheduler_place.cc
+++ b/packages/jobs/src/scheduler_place.cc
@@ -91,6 +91,7 @@
   const Worker* best = nullptr;
   double best_score = std::numeric_limits<double>::max();
   for (const auto& [id, worker] : m_fleet.workers()) {
+    ++m_counts.workers_examined;
     // Cheapest check first: in a full cell most workers lack capacity.
     if (!placement::Fits(spec.demand, FreeCapacity(worker)) ||
         !AcceptsTasks(worker, now) || !IsCompatible(step, worker) ||
@@ -133,6 +134,7 @@
                   {"worker", worker.entry.boot.id},
                   {"free_cpu", std::to_string(FreeCapacity(worker).cpu_millis)},
                   {"slack_ms", std::to_string(step.slack_ms)}});
+  ++m_counts.tasks_placed;
   m_fleet.Bind(task, run, worker.entry.boot.id, now);
   AddRecord(out, BindRecord{task, run_number, worker.entry.boot});
 }
@@ -167,6 +169,7 @@
   std::vector<std::pair<const Worker*, int64_t>> unknown;
   const placement::Resources& demand = SpecOf(step).demand;
   for (const auto& [id, worker] : m_fleet.workers()) {
+    ++m_counts.workers_examined;
     if (!placement::Fits(demand, FreeCapacity(worker)) ||
         !AcceptsTasks(worker, now) || !IsCompatible(step, worker)) {
       continue;
