--- a/packages/jobs/include/jobs/advice_tracker.h
+++ b/packages/jobs/include/jobs/advice_tracker.h
@@ -68,10 +68,10 @@
                                         base::MonoTime now);
 
   // `tickets` lists the eligible workers of the query; all others are
-  // ineligible.
-  void OnAnswer(uint64_t query_id,
-                std::span<const AdviceTicket> tickets,
-                base::MonoTime now);
+  // ineligible. Returns the step of the query, or nothing if it is unknown.
+  std::optional<StepRef> OnAnswer(uint64_t query_id,
+                                  std::span<const AdviceTicket> tickets,
+                                  base::MonoTime now);
   void OnQueryFailed(uint64_t query_id, base::MonoTime now);
 
   // Fails queries whose deadline has passed.
--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -110,12 +110,14 @@
   };
 
   void DropReservations(bool full, base::MonoTime now);
-  // Unless `full`, returns only steps of urgent queues.
+  bool IsPlannedNow(const Job& job, const QueuePolicy& policy, bool full) const;
+  // Unless `full`, returns only steps of urgent queues and advised steps.
   std::vector<ReadyStep> FindReady(bool full,
                                    int64_t unix_ms,
                                    SchedulerOutput& out);
   void AddReadySteps(const Job& job,
                      const QueuePolicy& policy,
+                     bool full,
                      int64_t unix_ms,
                      std::vector<ReadyStep>& ready,
                      SchedulerOutput& out);
@@ -202,6 +204,8 @@
   std::map<StepRef, base::MonoTime> m_next_preemption;
   // Gangs with a non-firm reservation in the current plan.
   int32_t m_waiting_gangs = 0;
+  // Steps with new advice since the last plan.
+  std::set<StepRef> m_advised;
   std::set<JobId> m_failing;          // JobFailedRecord is being stored.
   std::set<JobId> m_recorded_starts;  // JobStartedRecord was appended.
   std::map<TaskRef, std::string> m_last_failed_worker;  // Worker id.
--- a/packages/jobs/include/jobs/scheduler_options.h
+++ b/packages/jobs/include/jobs/scheduler_options.h
@@ -38,9 +38,9 @@
   int32_t max_failures_in_row = 3;
   // Also applies after a stalled run or a repeated start without success.
   base::Millis worker_backoff{4000};
-  // Interval of plans that include steps of non-urgent queues; arriving advice
-  // triggers one as well. Not done in every tick, since a plan with many
-  // waiting gangs reads every worker for each of them.
+  // Interval of plans that include all steps of non-urgent queues. A plan with
+  // many waiting gangs reads every worker for each of them, so in other ticks
+  // only urgent steps and those with new advice are planned.
   base::Millis full_plan_interval{60};
   size_t max_advice_workers = 100;  // Workers in one advice query.
 };
--- a/packages/jobs/src/advice_tracker.cc
+++ b/packages/jobs/src/advice_tracker.cc
@@ -161,12 +161,13 @@
   return query;
 }
 
-void AdviceTracker::OnAnswer(uint64_t query_id,
-                             std::span<const AdviceTicket> tickets,
-                             base::MonoTime now) {
+std::optional<StepRef> AdviceTracker::OnAnswer(
+    uint64_t query_id,
+    std::span<const AdviceTicket> tickets,
+    base::MonoTime now) {
   const auto found = m_queries.find(query_id);
   if (found == m_queries.end()) {
-    return;
+    return std::nullopt;
   }
   const Query& query = found->second;
   auto& step_advice = m_advice_by_step[query.step];
@@ -188,7 +189,9 @@
       stats.eligible = stats.eligible * kStatsDecay + (advice.eligible ? 1 : 0);
     }
   }
+  const StepRef step = query.step;
   EndQuery(query_id);
+  return step;
 }
 
 void AdviceTracker::OnQueryFailed(uint64_t query_id, base::MonoTime now) {
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -163,8 +163,9 @@
 void Scheduler::OnAdvice(uint64_t query_id,
                          std::span<const AdviceTicket> tickets,
                          base::MonoTime now) {
-  m_advice.OnAnswer(query_id, tickets, now);
-  m_next_full_plan = now;
+  if (const auto step = m_advice.OnAnswer(query_id, tickets, now)) {
+    m_advised.insert(*step);
+  }
 }
 
 void Scheduler::OnAdviceFailed(uint64_t query_id, base::MonoTime now) {
@@ -187,6 +188,7 @@
   for (const ReadyStep& step : ready) {
     PlaceStep(step, now, out);
   }
+  m_advised.clear();
   m_counts.full_plans += full ? 1 : 0;
   m_counts.steps_planned += static_cast<int64_t>(ready.size());
   if (full) {
@@ -199,16 +201,31 @@
 
 // Non-firm reservations are rebuilt in each full plan, in the order of the
 // steps. Otherwise two gangs that each keep a part of the capacity that both
-// need would wait forever.
+// need would wait forever. A gang with new advice reserves anew as well.
 void Scheduler::DropReservations(bool full, base::MonoTime now) {
-  std::erase_if(m_reservations, [full, now](const auto& entry) {
-    return entry.second.firm ? entry.second.expires <= now : full;
+  std::erase_if(m_reservations, [this, full, now](const auto& entry) {
+    if (entry.second.firm) {
+      return entry.second.expires <= now;
+    }
+    const bool drop = full || m_advised.count(entry.first) > 0;
+    m_waiting_gangs -= drop ? 1 : 0;
+    return drop;
   });
   if (full) {
     m_waiting_gangs = 0;
   }
 }
 
+bool Scheduler::IsPlannedNow(const Job& job,
+                             const QueuePolicy& policy,
+                             bool full) const {
+  if (full || policy.priority == 0) {
+    return true;
+  }
+  const auto advised = m_advised.lower_bound({job.spec.id, 0});
+  return advised != m_advised.end() && advised->job == job.spec.id;
+}
+
 std::vector<ReadyStep> Scheduler::FindReady(bool full,
                                             int64_t unix_ms,
                                             SchedulerOutput& out) {
@@ -216,8 +233,8 @@
   for (const auto& [id, job] : m_table.jobs()) {
     const auto policy = m_policy.queues.find(job.spec.queue);
     if (policy != m_policy.queues.end() && !IsFinal(job.state) &&
-        (full || policy->second.priority == 0) && m_failing.count(id) == 0) {
-      AddReadySteps(job, policy->second, unix_ms, ready, out);
+        IsPlannedNow(job, policy->second, full) && m_failing.count(id) == 0) {
+      AddReadySteps(job, policy->second, full, unix_ms, ready, out);
     }
   }
   std::stable_sort(ready.begin(), ready.end(), StartsBefore);
@@ -226,6 +243,7 @@
 
 void Scheduler::AddReadySteps(const Job& job,
                               const QueuePolicy& policy,
+                              bool full,
                               int64_t unix_ms,
                               std::vector<ReadyStep>& ready,
                               SchedulerOutput& out) {
@@ -233,8 +251,11 @@
     const StepProgress& progress = job.steps[s];
     const auto count = static_cast<int32_t>(progress.tasks.size());
     const bool gang = job.spec.steps[s].gang;
-    if (progress.done + progress.bound == count || !StepIsReady(job, s) ||
-        (gang && progress.bound > 0)) {
+    const bool due =
+        full || policy.priority == 0 ||
+        m_advised.count({job.spec.id, static_cast<int32_t>(s)}) > 0;
+    if (!due || progress.done + progress.bound == count ||
+        !StepIsReady(job, s) || (gang && progress.bound > 0)) {
       continue;
     }
     if (FailIfAttemptsExhausted(job, s, policy, out)) {
