--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -19,6 +19,7 @@
 #include "jobs/advice_tracker.h"
 #include "jobs/fleet.h"
 #include "jobs/job_table.h"
+#include "jobs/plan_counts.h"
 #include "jobs/queue_policy.h"
 #include "jobs/scheduler_options.h"
 #include "jobs/scheduler_output.h"
@@ -95,6 +96,7 @@
 
   const Fleet& fleet() const { return m_fleet; }
   const UnsentBindings& unsent() const { return m_unsent; }
+  const PlanCounts& plan_counts() const { return m_counts; }
 
  private:
   // Capacity that is reserved for a gang.
@@ -117,12 +119,14 @@
   };
 
   void DropReservations(bool full, base::MonoTime now);
-  // Unless `full`, returns only steps of urgent queues.
+  bool IsPlannedNow(const Job& job, const QueuePolicy& policy, bool full) const;
+  // Unless `full`, returns only steps of urgent queues and advised steps.
   std::vector<ReadyStep> FindReady(bool full,
                                    int64_t unix_ms,
                                    SchedulerOutput& out);
   void AddReadySteps(const Job& job,
                      const QueuePolicy& policy,
+                     bool full,
                      int64_t unix_ms,
                      std::vector<ReadyStep>& ready,
                      SchedulerOutput& out);
@@ -203,6 +207,7 @@
                  SchedulerOutput& out);
   void StopIncompleteGangs();
   void RecordJobStarted(JobId id, SchedulerOutput& out);
+  void LogCounts(base::MonoTime now, size_t ready_steps);
   void PruneState(base::MonoTime now);
 
   const SchedulerOptions m_options;
@@ -215,12 +220,17 @@
   std::map<StepRef, base::MonoTime> m_next_preemption;
   // Gangs with a non-firm reservation in the current plan.
   int32_t m_waiting_gangs = 0;
+  // Steps with new advice since the last plan.
+  std::set<StepRef> m_advised;
   std::set<JobId> m_failing;          // JobFailedRecord is being stored.
   std::set<JobId> m_recorded_starts;  // JobStartedRecord was appended.
   std::map<TaskRef, std::string> m_last_failed_worker;  // Worker id.
   UnsentBindings m_unsent;
   base::MonoTime m_next_full_plan{};
   base::MonoTime m_next_prune{};
+  mutable PlanCounts m_counts;
+  PlanCounts m_logged_counts;
+  base::MonoTime m_next_counts_log{};
 };
 
 }  // namespace azurespur::jobs
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr base::Millis kPruneInterval{2000};
+constexpr base::Millis kCountsLogInterval{1000};
 
 bool IsIncompleteGang(const StepProgress& step) {
   int32_t newest = 0;
@@ -176,8 +177,9 @@
 void Scheduler::OnAdvice(uint64_t query_id,
                          std::span<const AdviceTicket> tickets,
                          base::MonoTime now) {
-  m_advice.OnAnswer(query_id, tickets, now);
-  m_next_full_plan = now;
+  if (const auto step = m_advice.OnAnswer(query_id, tickets, now)) {
+    m_advised.insert(*step);
+  }
 }
 
 void Scheduler::OnAdviceFailed(uint64_t query_id, base::MonoTime now) {
@@ -196,9 +198,16 @@
     m_next_full_plan = now + m_options.full_plan_interval;
   }
   DropReservations(full, now);
-  for (const ReadyStep& step : FindReady(full, unix_ms, out)) {
+  const std::vector<ReadyStep> ready = FindReady(full, unix_ms, out);
+  for (const ReadyStep& step : ready) {
     PlaceStep(step, now, out);
   }
+  m_advised.clear();
+  m_counts.full_plans += full ? 1 : 0;
+  m_counts.steps_planned += static_cast<int64_t>(ready.size());
+  if (full) {
+    LogCounts(now, ready.size());
+  }
   const bool may_renew = now <= last_append + m_options.max_renew_after_append;
   m_fleet.Tick(now, may_renew, out);
   PruneState(now);
@@ -206,16 +215,31 @@
 
 // Non-firm reservations are rebuilt in each full plan, in the order of the
 // steps. Otherwise two gangs that each keep a part of the capacity that both
-// need would wait forever.
+// need would wait forever. A gang with new advice reserves anew as well.
 void Scheduler::DropReservations(bool full, base::MonoTime now) {
-  std::erase_if(m_reservations, [full, now](const auto& entry) {
-    return entry.second.firm ? entry.second.expires <= now : full;
+  std::erase_if(m_reservations, [this, full, now](const auto& entry) {
+    if (entry.second.firm) {
+      return entry.second.expires <= now;
+    }
+    const bool drop = full || m_advised.count(entry.first) > 0;
+    m_waiting_gangs -= drop ? 1 : 0;
+    return drop;
   });
   if (full) {
     m_waiting_gangs = 0;
   }
 }
 
+bool Scheduler::IsPlannedNow(const Job& job,
+                             const QueuePolicy& policy,
+                             bool full) const {
+  if (full || policy.priority == 0) {
+    return true;
+  }
+  const auto advised = m_advised.lower_bound({job.spec.id, 0});
+  return advised != m_advised.end() && advised->job == job.spec.id;
+}
+
 std::vector<ReadyStep> Scheduler::FindReady(bool full,
                                             int64_t unix_ms,
                                             SchedulerOutput& out) {
@@ -223,8 +247,8 @@
   for (const auto& [id, job] : m_table.jobs()) {
     const auto policy = m_policy.queues.find(job.spec.queue);
     if (policy != m_policy.queues.end() && !IsFinal(job.state) &&
-        (full || policy->second.priority == 0) && m_failing.count(id) == 0) {
-      AddReadySteps(job, policy->second, unix_ms, ready, out);
+        IsPlannedNow(job, policy->second, full) && m_failing.count(id) == 0) {
+      AddReadySteps(job, policy->second, full, unix_ms, ready, out);
     }
   }
   std::stable_sort(ready.begin(), ready.end(), StartsBefore);
@@ -233,6 +257,7 @@
 
 void Scheduler::AddReadySteps(const Job& job,
                               const QueuePolicy& policy,
+                              bool full,
                               int64_t unix_ms,
                               std::vector<ReadyStep>& ready,
                               SchedulerOutput& out) {
@@ -240,8 +265,11 @@
     const StepProgress& progress = job.steps[s];
     const auto count = static_cast<int32_t>(progress.tasks.size());
     const bool gang = job.spec.steps[s].gang;
-    if (progress.done + progress.bound == count || !StepIsReady(job, s) ||
-        (gang && progress.bound > 0)) {
+    const bool due =
+        full || policy.priority == 0 ||
+        m_advised.count({job.spec.id, static_cast<int32_t>(s)}) > 0;
+    if (!due || progress.done + progress.bound == count ||
+        !StepIsReady(job, s) || (gang && progress.bound > 0)) {
       continue;
     }
     if (FailIfAttemptsExhausted(job, s, policy, out)) {
@@ -326,6 +354,24 @@
   }
 }
 
+// Says nothing while there was nothing to place.
+void Scheduler::LogCounts(base::MonoTime now, size_t ready_steps) {
+  const PlanCounts last = m_logged_counts;
+  if (now < m_next_counts_log || m_counts.steps_planned == last.steps_planned) {
+    return;
+  }
+  m_next_counts_log = now + kCountsLogInterval;
+  m_logged_counts = m_counts;
+  base::LogEvent(
+      base::Severity::kInfo, "AZ9118", "plans made since the last such line",
+      {{"full_plans", std::to_string(m_counts.full_plans - last.full_plans)},
+       {"steps", std::to_string(m_counts.steps_planned - last.steps_planned)},
+       {"workers_examined",
+        std::to_string(m_counts.workers_examined - last.workers_examined)},
+       {"placed", std::to_string(m_counts.tasks_placed - last.tasks_placed)},
+       {"waiting_steps", std::to_string(ready_steps)}});
+}
+
 void Scheduler::PruneState(base::MonoTime now) {
   if (now < m_next_prune) {
     return;
