Keep records that can't be applied yet instead of reading them again

While a VM starts, datagrams make it read the work stream before it has read the intake stream. Its first records wait for intake records, and the page was dropped and read again on each poll, over the link that the intake needed. The tail now keeps the page, tries it again on each poll, and reads on from its end.

--- a/packages/cell/src/log_tail.cc
+++ b/packages/cell/src/log_tail.cc
@@ -26,7 +26,13 @@
   if (done) {
     m_waiting_callbacks.push_back(std::move(done));
   }
-  if (!m_reading) {
+  if (m_reading) {
+    return;
+  }
+  const bool blocked = !ApplyKept();
+  if (blocked && m_waiting_callbacks.empty()) {
+    m_last_attempt = m_clock.Now();
+  } else if (!m_reading) {  // Applying records may have started a read.
     StartRead();
   }
 }
@@ -48,13 +54,14 @@
   read.sent_at = m_last_attempt;
   m_log.Read(std::move(request), [this, read](ReadResult result) mutable {
     read.received_at = m_clock.Now();
-    base::PushCompletion(m_mailbox, [this, read, result = std::move(result)] {
-      OnRead(result, read);
-    });
+    base::PushCompletion(m_mailbox,
+                         [this, read, result = std::move(result)]() mutable {
+                           OnRead(std::move(result), read);
+                         });
   });
 }
 
-void LogTail::OnRead(const ReadResult& result, const ReadInfo& read) {
+void LogTail::OnRead(ReadResult result, const ReadInfo& read) {
   m_reading = false;
   const bool ok = result.status != ReadStatus::kFailed;
   if (ok == m_failing) {
@@ -84,6 +91,10 @@
   AdjustReadSize(result, read);
   Observe(result, read);
   TrackProgress(result, read);
+  if (!applied) {
+    m_kept = std::move(result.records);
+    m_kept_from = read.from;
+  }
   for (const auto& done : std::exchange(m_read_callbacks, {})) {
     done(ok);
   }
@@ -163,6 +174,18 @@
   }
 }
 
+bool LogTail::ApplyKept() {
+  if (m_kept.empty() || m_applying) {
+    return true;
+  }
+  std::vector<std::string> records = std::exchange(m_kept, {});
+  const bool all = ApplyFrom(m_kept_from, records);
+  if (!all) {
+    m_kept = std::move(records);
+  }
+  return all;
+}
+
 bool LogTail::ApplyFrom(int64_t offset, std::span<const std::string> records) {
   const auto end = offset + static_cast<int64_t>(records.size());
   if (offset > m_next || end <= m_next || m_applying) {
--- a/packages/cell/src/log_tail.h
+++ b/packages/cell/src/log_tail.h
@@ -34,9 +34,9 @@
           base::Metrics& metrics,
           Apply apply);
 
-  // Reads from next() on, unless a read is in flight. `done`, if any, runs
-  // after a read that was sent after this call, with true if the read
-  // succeeded.
+  // Reads from next() on, unless a read is in flight or records that were read
+  // can't be applied yet. `done`, if any, runs after a read that was sent after
+  // this call, with true if the read succeeded.
   void Poll(std::function<void(bool)> done = nullptr);
 
   // Takes records that are stored at `offset`. Applies those from next() on, or
@@ -69,7 +69,7 @@
   };
 
   void StartRead();
-  void OnRead(const ReadResult& result, const ReadInfo& read);
+  void OnRead(ReadResult result, const ReadInfo& read);
   void AdjustReadSize(const ReadResult& result, const ReadInfo& read);
   void Observe(const ReadResult& result, const ReadInfo& read);
   // Counts reads in a row that did not bring the tail closer to the end.
@@ -78,6 +78,8 @@
   // Applies the records from next() on. Returns false if one can't be applied
   // yet.
   bool ApplyFrom(int64_t offset, std::span<const std::string> records);
+  // Does so with the records that an earlier read brought too early.
+  bool ApplyKept();
 
   FencedLog& m_log;
   base::Mailbox& m_mailbox;
@@ -89,6 +91,9 @@
   const Apply m_apply;
   int64_t m_next = 0;
   int64_t m_known_end = 0;  // As of the last read.
+  // Read, but some of them can't be applied yet.
+  std::vector<std::string> m_kept;
+  int64_t m_kept_from = 0;  // Offset of the first one.
   size_t m_bytes_read = 0;
   int m_reads_without_progress = 0;
   int m_next_progress_report = kReadsBeforeReport;
