State a VM's resources, and log which VM leads and what it sends

Nothing said what the leading VM has, or what its records to its peers cost.

Followers name them in heartbeats, and whether they are ready; leaders name the best follower. - AZ9308 at the start of a term: resources, peers, link required, suitability. Heartbeats of a busy leader come each 500 ms; before, none was sent while records were announced, so the list of followers that a successor starts with was as old as the last quiet 100 ms. - Metrics: datagrams and bytes sent by kind, messages encoded, datagrams not handed to the network, records announced with and without contents. - LeaderSuitability(), and NoticeBatch and RecordsFanOut, taken out of the node so that tests can see who leads and what is sent.

Memory is no setting: each VM holds the whole table, so it tells no leader from a follower.

Tests: settings (also invalid ones, named with their value), suitability, batches, counters.

--- a/packages/cell/include/cell/messages.h
+++ b/packages/cell/include/cell/messages.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "cell/store_outcome.h"
+#include "cell/vm_resources.h"
 #include "jobs/orders.h"
 
 namespace azurespur::cell {
@@ -30,17 +31,28 @@
   }
 };
 
-// Announces records stored in a stream. If `records` is empty, it only tells
-// the receiver that there is something to read at `offset`.
-struct RecordsNotice {
+// Consecutive records of a stream. If `records` is empty, it only tells the
+// receiver that there is something to read at `offset`.
+struct RecordsSegment {
   Stream stream = Stream::kIntake;
   int64_t offset = 0;
+  int64_t end = 0;  // Offset after the last record.
   std::vector<std::string> records;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(stream, offset, end, records);
+  }
+};
+
+// Announces records stored in the streams.
+struct RecordsNotice {
+  std::vector<RecordsSegment> segments;
   LeaderInfo leader;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(stream, offset, records, leader);
+    archive(segments, leader);
   }
 };
 
@@ -80,15 +92,18 @@
   }
 };
 
-// Sent by the leader when it has no new records to announce.
+// Sent by the leader at intervals, more often while it has no new records to
+// announce.
 struct LeaderHeartbeat {
   LeaderInfo leader;
   bool log_ok = false;             // The log answers the leader's appends.
   std::vector<std::string> peers;  // "IP:PORT" of each live follower.
+  // Of the live followers that could lead; 0 if unknown.
+  double best_suitability = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(leader, log_ok, peers);
+    archive(leader, log_ok, peers, best_suitability);
   }
 };
 
@@ -98,10 +113,12 @@
   std::string vm;
   std::string address;
   double work_micros = 0;  // For a fixed computation; 0 if unknown.
+  VmResources resources;
+  bool ready = false;  // Could lead now.
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(vm, address, work_micros);
+    archive(vm, address, work_micros, resources, ready);
   }
 };
 
--- a/packages/cell/include/cell/node_dependencies.h
+++ b/packages/cell/include/cell/node_dependencies.h
@@ -76,8 +76,9 @@
 
   virtual ~DatagramTransport() = default;
 
-  // `address` is "IP:PORT".
-  virtual void Send(std::string_view address, std::string_view bytes) = 0;
+  // `address` is "IP:PORT". False if the datagram was not handed to the
+  // network.
+  virtual bool Send(std::string_view address, std::string_view bytes) = 0;
 
   // Starts receiving. `handler` runs on another thread.
   virtual void Receive(Handler handler) = 0;
--- a/packages/cell/include/cell/node_options.h
+++ b/packages/cell/include/cell/node_options.h
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "base/clock.h"
+#include "cell/vm_resources.h"
 #include "jobs/scheduler_options.h"
 
 namespace azurespur::cell {
@@ -13,6 +14,7 @@
 struct NodeOptions {
   std::string vm;
   std::string peer_address;  // "IP:PORT" that receives the peers' datagrams.
+  VmResources resources;
   jobs::SchedulerOptions scheduler;
 
   // A leader that stores no records is considered failed after
@@ -21,6 +23,8 @@
   base::Millis leader_timeout{1500};
   base::Millis unreachable_leader_timeout{400};
   base::Millis leader_heartbeat_interval{100};
+  // How often the leader sends heartbeats while it announces records.
+  base::Millis busy_leader_heartbeat_interval{500};
   // The leader appends at least this often, if need be only a heartbeat record.
   base::Millis max_append_interval{150};
   // How often a follower reads both streams.
--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -37,6 +37,7 @@
       m_starts(metrics.GetCounter("azurespur_task_starts_total")),
       m_mailbox_rejections(metrics.GetCounter("azurespur_mail_refused_total")),
       m_store_time(metrics.GetDistribution("azurespur_store_ms")),
+      m_peer_sender(dependencies.datagrams, metrics),
       m_log_timing(options.append_timeout),
       m_intake_tail(
           dependencies.log,
@@ -63,7 +64,8 @@
       m_intake_forwarder(
           [this](uint64_t id, const std::string& record, Millis wait) {
             SendForward(id, record, wait);
-          }) {
+          }),
+      m_fan_out(m_peer_sender, options.resources.link_mbps, metrics) {
   std::random_device seed;
   std::mt19937_64 random(seed());
   m_nonce = random();
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -21,24 +21,26 @@
 #include "cell/messages.h"
 #include "intake_forwarder.h"
 #include "intake_writer.h"
+#include "leader_choice.h"
 #include "leader_term.h"
 #include "log_tail.h"
 #include "log_timing.h"
+#include "peer_sender.h"
 #include "recent_records.h"
+#include "records_fan_out.h"
 #include "speed_probe.h"
 
 namespace azurespur::cell {
 
 inline constexpr size_t kMailboxSize = 16384;
-// A RecordsNotice for more bytes of records is sent without them, so that the
-// receiver reads the log.
-inline constexpr size_t kMaxNoticeRecordBytes = 12 << 10;
 // Per stream; enough for several seconds of records.
 inline constexpr size_t kRecentRecordsBytes = 256 << 10;
 
 struct PeerState {
   std::string address;
   double work_micros = 0;
+  VmResources resources;
+  bool ready = false;
   base::MonoTime last_heard{};
 };
 
@@ -87,6 +89,8 @@
   // Datagrams between peers.
   void OnDatagram(std::string_view bytes);
   void OnMessage(const RecordsNotice& notice);
+  void OnSegment(const RecordsSegment& segment);
+  void OnAnnouncement(LogTail& tail, const RecordsSegment& segment);
   void OnMessage(const LeaderHeartbeat& heartbeat);
   void OnMessage(const FollowerHeartbeat& heartbeat);
   void OnMessage(const AdviceRequest& request);
@@ -114,6 +118,7 @@
   void NotifyPeers(Stream stream,
                    int64_t offset,
                    const std::vector<std::string>& records);
+  std::vector<std::string> PeerAddresses() const;
 
   // Election and leadership.
   void StartElectionIfDue(base::MonoTime now);
@@ -125,7 +130,10 @@
   void StepDown(std::string_view reason);
   void TickLeader(base::MonoTime now);
   void SendLeaderHeartbeat(base::MonoTime now);
-  void YieldIfSlow(base::MonoTime now);
+  void YieldIfUnsuited(base::MonoTime now);
+  LeaderCandidate OwnCandidate(size_t peers) const;
+  std::vector<LeaderCandidate> FollowerCandidates() const;
+  void LogTermStart() const;
   // The record that makes this VM the leader once it is stored.
   std::string MakeLeaderRecord(uint64_t epoch) const;
   void AnnounceTerm(uint64_t epoch,
@@ -174,6 +182,7 @@
   base::Counter& m_starts;
   base::Counter& m_mailbox_rejections;
   base::Distribution& m_store_time;
+  PeerSender m_peer_sender;
   base::Mailbox m_mailbox{kMailboxSize};
   std::thread m_thread;
   std::atomic<bool> m_stopping{false};
@@ -190,6 +199,7 @@
   LogTail m_work_tail;
   IntakeWriter m_intake_writer;
   IntakeForwarder m_intake_forwarder;
+  RecordsFanOut m_fan_out;
   RecentRecords m_recent_intake{kRecentRecordsBytes};
   RecentRecords m_recent_work{kRecentRecordsBytes};
   LeaderInfo m_announced_leader;  // The latest leader that a datagram named.
@@ -197,6 +207,7 @@
   std::map<std::string, PeerState> m_peers;  // By VM; maintained by the leader.
   std::vector<std::string>
       m_leader_peers;  // Addresses of the leader's live followers.
+  double m_best_peer_suitability = 0;         // As the last leader reported it.
   WorkerDirectory::Entries m_worker_entries;  // As of the last read.
   base::MonoTime m_started{};
   base::MonoTime m_last_heartbeat_sent{};
@@ -204,6 +215,7 @@
   base::MonoTime m_leader_heard{};
   base::MonoTime m_next_records_request{};
   base::MonoTime m_next_leader_heartbeat{};
+  base::MonoTime m_last_leader_heartbeat{};
   base::MonoTime m_next_election{};
   SpeedProbe m_speed_probe;
   base::MonoTime m_next_speed_probe{};
--- a/packages/cell/src/node_leader.cc
+++ b/packages/cell/src/node_leader.cc
@@ -19,9 +19,9 @@
 
 constexpr Millis kLeaderTickInterval{20};
 // A takeover costs time as well, so a new leader doesn't yield for being slow
-// before this.
-constexpr Millis kMinTermBeforeSlowYield{1500};
-constexpr Millis kElectionDelayAfterSlowYield{3000};
+// or less suited before this.
+constexpr Millis kMinTermBeforeYield{1500};
+constexpr Millis kElectionDelayAfterYield{3000};
 // Delay before a VM that lost an election starts another one.
 constexpr Millis kElectionRetryDelay{100};
 // A new leader starts its term with a worker list that it read as a follower,
@@ -49,19 +49,23 @@
   ElectionTiming timing;
   timing.leader_timeout = m_options.leader_timeout;
   timing.unreachable_leader_timeout = m_options.unreachable_leader_timeout;
-  timing.jitter = m_jitter + ElectionDelay(m_speed_probe.WorkMicros());
+  const LeaderCandidate self = OwnCandidate(m_leader_peers.size());
+  timing.jitter = m_jitter + CandidateDelay(self, m_best_peer_suitability);
   if (!ShouldStartElection(view, timing, m_started, now)) {
     return;
   }
   m_election_in_flight = true;
   m_candidate_epoch = NextEpoch(m_job_table.epoch(), m_nonce);
   const uint64_t epoch = m_candidate_epoch;
-  base::LogEvent(base::Severity::kInfo, "AZ9302", "starting a leader election",
-                 {{"epoch", std::to_string(epoch)},
-                  {"work_end", std::to_string(m_work_tail.next())},
-                  {"silent_ms",
-                   std::to_string(base::MillisBetween(view.last_advance, now))},
-                  {"yielded", view.yielded ? "true" : "false"}});
+  base::LogEvent(
+      base::Severity::kInfo, "AZ9302", "starting a leader election",
+      {{"epoch", std::to_string(epoch)},
+       {"work_end", std::to_string(m_work_tail.next())},
+       {"silent_ms",
+        std::to_string(base::MillisBetween(view.last_advance, now))},
+       {"yielded", view.yielded ? "true" : "false"},
+       {"suitability", std::to_string(self.suitability)},
+       {"best_peer_suitability", std::to_string(m_best_peer_suitability)}});
   AppendRequest request;
   request.topic = std::string(kWorkTopic);
   request.records = {MakeLeaderRecord(epoch)};
@@ -140,6 +144,7 @@
     m_term->scheduler().SetPolicy(*current);
   }
   m_term_started = m_clock.Now();
+  LogTermStart();
   m_next_directory = {};
   m_directory_read =
       m_term_started < m_worker_entries_read_at + kMaxWorkerEntriesAge;
@@ -158,6 +163,7 @@
                  {{"epoch", std::to_string(m_term->epoch())},
                   {"reason", std::string(reason)}});
   m_leading.Set(0);
+  m_fan_out.Flush(m_clock.Now(), OwnLeaderInfo(), PeerAddresses());
   m_term.reset();
   m_peers.clear();
   m_work_tail.Poll();
@@ -171,7 +177,8 @@
     return entry.second.last_heard + m_options.peer_timeout < now;
   });
   SendLeaderHeartbeat(now);
-  YieldIfSlow(now);
+  m_fan_out.FlushIfDue(now, OwnLeaderInfo(), PeerAddresses());
+  YieldIfUnsuited(now);
   if (m_scheduling_needed && now >= m_next_scheduling && m_directory_read &&
       !m_term->yielding()) {
     m_scheduling_needed = false;
@@ -192,39 +199,78 @@
 }
 
 void Node::SendLeaderHeartbeat(MonoTime now) {
-  if (now < m_next_leader_heartbeat) {
+  if (now < m_next_leader_heartbeat &&
+      now <
+          m_last_leader_heartbeat + m_options.busy_leader_heartbeat_interval) {
     return;
   }
+  m_last_leader_heartbeat = now;
   m_next_leader_heartbeat = now + m_options.leader_heartbeat_interval;
   LeaderHeartbeat heartbeat;
   heartbeat.leader = OwnLeaderInfo();
   heartbeat.log_ok = m_term->log_ok();
-  for (const auto& [vm, peer] : m_peers) {
-    heartbeat.peers.push_back(peer.address);
-  }
-  for (const std::string& address : heartbeat.peers) {
-    SendTo(address, heartbeat);
-  }
+  heartbeat.peers = PeerAddresses();
+  heartbeat.best_suitability = BestSuitability(FollowerCandidates());
+  m_peer_sender.SendToAll(heartbeat.peers, heartbeat);
 }
 
-// A slow leader delays all scheduling, so it yields to a much faster VM.
-void Node::YieldIfSlow(MonoTime now) {
-  std::vector<double> others;
-  for (const auto& [vm, peer] : m_peers) {
-    others.push_back(peer.work_micros);
+// A leader that is slow, or can't carry the cell's load, delays all scheduling.
+void Node::YieldIfUnsuited(MonoTime now) {
+  if (m_term->yielding() || now < m_term_started + kMinTermBeforeYield) {
+    return;
   }
-  if (m_term->yielding() || now < m_term_started + kMinTermBeforeSlowYield ||
-      !AnyMuchFaster(m_speed_probe.WorkMicros(), others)) {
+  const LeaderCandidate self = OwnCandidate(m_peers.size());
+  const std::vector<LeaderCandidate> followers = FollowerCandidates();
+  const YieldReason reason = FindYieldReason(self, followers);
+  if (reason == YieldReason::kNone) {
     return;
   }
-  base::LogEvent(base::Severity::kWarning, "AZ9305",
-                 "leader is much slower than another VM; yielding leadership",
-                 {{"epoch", std::to_string(m_term->epoch())},
-                  {"work_micros", std::to_string(m_speed_probe.WorkMicros())}});
-  m_next_election = now + kElectionDelayAfterSlowYield;
+  const bool slow = reason == YieldReason::kSlow;
+  base::LogEvent(
+      slow ? base::Severity::kWarning : base::Severity::kInfo,
+      slow ? "AZ9305" : "AZ9309",
+      slow ? "leader is much slower than another VM; yielding leadership"
+           : "leader is less suited than another VM; yielding leadership",
+      {{"epoch", std::to_string(m_term->epoch())},
+       {"work_micros", std::to_string(self.work_micros)},
+       {"suitability", std::to_string(self.suitability)},
+       {"best_suitability", std::to_string(BestSuitability(followers))}});
+  m_next_election = now + kElectionDelayAfterYield;
   m_term->Yield();
 }
 
+LeaderCandidate Node::OwnCandidate(size_t peers) const {
+  return {m_speed_probe.WorkMicros(),
+          LeaderSuitability(m_options.resources, peers), m_ready.load()};
+}
+
+std::vector<LeaderCandidate> Node::FollowerCandidates() const {
+  std::vector<LeaderCandidate> candidates;
+  for (const auto& [vm, peer] : m_peers) {
+    candidates.push_back({peer.work_micros,
+                          LeaderSuitability(peer.resources, m_peers.size()),
+                          peer.ready});
+  }
+  return candidates;
+}
+
+void Node::LogTermStart() const {
+  const size_t peers = m_leader_peers.size();
+  const VmResources& resources = m_options.resources;
+  base::LogEvent(
+      base::Severity::kInfo, "AZ9308", "term started on this VM",
+      {{"vm", m_options.vm},
+       {"epoch", std::to_string(m_term->epoch())},
+       {"cpu_share", std::to_string(resources.cpu_share)},
+       {"cpu_speed", std::to_string(resources.cpu_speed)},
+       {"link_mbps", std::to_string(resources.link_mbps)},
+       {"required_link_mbps", std::to_string(RequiredLinkMbps(peers))},
+       {"peers", std::to_string(peers)},
+       {"work_micros", std::to_string(m_speed_probe.WorkMicros())},
+       {"suitability", std::to_string(LeaderSuitability(resources, peers))},
+       {"best_peer_suitability", std::to_string(m_best_peer_suitability)}});
+}
+
 void Node::DispatchOutput() {
   const std::shared_ptr<LeaderTerm> term = m_term;
   jobs::SchedulerOutput& output = term->output();
--- a/packages/cell/src/node_peers.cc
+++ b/packages/cell/src/node_peers.cc
@@ -11,7 +11,7 @@
 using base::MonoTime;
 
 void Node::SendTo(const std::string& address, const Message& message) {
-  m_dependencies.datagrams.Send(address, wire::Encode(message));
+  m_peer_sender.Send(address, message);
 }
 
 void Node::Notify(const std::string& address,
@@ -23,23 +23,27 @@
   for (const std::string& record : records) {
     bytes += record.size();
   }
-  RecordsNotice notice;
-  notice.stream = stream;
-  notice.offset = offset;
-  notice.leader = leader;
+  RecordsSegment segment{stream, offset, offset, {}};
+  segment.end += static_cast<int64_t>(records.size());
   if (bytes <= kMaxNoticeRecordBytes) {
-    notice.records = records;
+    segment.records = records;
   }
-  SendTo(address, notice);
+  SendTo(address, RecordsNotice{{std::move(segment)}, leader});
 }
 
 void Node::NotifyPeers(Stream stream,
                        int64_t offset,
                        const std::vector<std::string>& records) {
-  const LeaderInfo leader = OwnLeaderInfo();
+  m_fan_out.Add(stream, offset, records);
+  m_fan_out.FlushIfDue(m_clock.Now(), OwnLeaderInfo(), PeerAddresses());
+}
+
+std::vector<std::string> Node::PeerAddresses() const {
+  std::vector<std::string> addresses;
   for (const auto& [vm, peer] : m_peers) {
-    Notify(peer.address, stream, offset, records, leader);
+    addresses.push_back(peer.address);
   }
+  return addresses;
 }
 
 void Node::OnDatagram(std::string_view bytes) {
@@ -55,21 +59,33 @@
 
 void Node::OnMessage(const RecordsNotice& notice) {
   UpdateAnnouncedLeader(notice.leader);
-  const auto end = notice.offset + static_cast<int64_t>(notice.records.size());
-  if (notice.stream == Stream::kWork) {
+  for (const RecordsSegment& segment : notice.segments) {
+    OnSegment(segment);
+  }
+}
+
+void Node::OnSegment(const RecordsSegment& segment) {
+  if (segment.stream == Stream::kWork) {
     if (!m_term) {
       m_leader_heard = m_clock.Now();
-      m_work_tail.AddRecords(notice.offset, notice.records);
-      CatchUpFromLeader(m_work_tail, Stream::kWork, end);
+      OnAnnouncement(m_work_tail, segment);
     }
     return;
   }
   const int64_t before = m_intake_tail.next();
-  m_intake_tail.AddRecords(notice.offset, notice.records);
+  OnAnnouncement(m_intake_tail, segment);
   if (m_term && m_intake_tail.next() > before) {
-    NotifyPeers(Stream::kIntake, notice.offset, notice.records);
-  } else if (!m_term) {
-    CatchUpFromLeader(m_intake_tail, Stream::kIntake, end);
+    NotifyPeers(Stream::kIntake, segment.offset, segment.records);
+  }
+}
+
+void Node::OnAnnouncement(LogTail& tail, const RecordsSegment& segment) {
+  if (segment.end <= tail.next()) {
+    return;
+  }
+  tail.AddRecords(segment.offset, segment.records);
+  if (!m_term) {
+    CatchUpFromLeader(tail, segment.stream, segment.end);
   }
 }
 
@@ -79,6 +95,10 @@
     return;
   }
   m_leader_peers = heartbeat.peers;
+  // A new leader doesn't know its followers yet.
+  if (heartbeat.best_suitability > 0) {
+    m_best_peer_suitability = heartbeat.best_suitability;
+  }
   // A leader that can't append must be replaced as soon as an unreachable one.
   m_leader_heard = heartbeat.log_ok ? m_clock.Now() : MonoTime{};
 }
@@ -90,6 +110,8 @@
   peer.address = heartbeat.address;
   peer.last_heard = now;
   peer.work_micros = heartbeat.work_micros;
+  peer.resources = heartbeat.resources;
+  peer.ready = heartbeat.ready;
   if (!known) {
     base::LogEvent(base::Severity::kInfo, "AZ9402", "follower registered",
                    {{"vm", heartbeat.vm}, {"address", heartbeat.address}});
@@ -140,7 +162,8 @@
   }
   m_last_heartbeat_sent = now;
   SendTo(leader, FollowerHeartbeat{m_options.vm, m_options.peer_address,
-                                   m_speed_probe.WorkMicros()});
+                                   m_speed_probe.WorkMicros(),
+                                   m_options.resources, m_ready.load()});
 }
 
 }  // namespace azurespur::cell
--- a/packages/cell/src/udp_transport.cc
+++ b/packages/cell/src/udp_transport.cc
@@ -36,17 +36,16 @@
            m_socket.open(local) == 0;
   }
 
-  void Send(std::string_view address, std::string_view bytes) override {
+  bool Send(std::string_view address, std::string_view bytes) override {
     ACE_INET_Addr to;
     if (to.set(std::string(address).c_str(), AF_INET) != 0) {
       base::LogEvent(base::Severity::kWarning, "AZ9403",
                      "peer address is invalid",
                      {{"address", std::string(address)}});
-      return;
+      return false;
     }
-    // Send errors are ignored: the receiver gets lost records by its next read
-    // of the log.
-    m_socket.send(bytes.data(), bytes.size(), to, MSG_DONTWAIT);
+    // The receiver gets lost records by its next read of the log.
+    return m_socket.send(bytes.data(), bytes.size(), to, MSG_DONTWAIT) >= 0;
   }
 
   void Receive(Handler handler) override {
--- /dev/null
+++ b/packages/cell/tests/leader_choice_test.cc
@@ -0,0 +1,88 @@
+#include "leader_choice.h"
+
+#include <doctest/doctest.h>
+
+#include <vector>
+
+#include "election.h"
+
+namespace azurespur::cell {
+
+namespace {
+
+using base::Millis;
+
+constexpr size_t kPeers = 30;
+constexpr VmResources kWide{0.5, 1, 200};
+constexpr VmResources kNarrow{0.12, 1, 10};
+
+LeaderCandidate Candidate(const VmResources& resources) {
+  LeaderCandidate candidate;
+  candidate.work_micros = 50;
+  candidate.suitability = LeaderSuitability(resources, kPeers);
+  candidate.ready = true;
+  return candidate;
+}
+
+Millis DelayWithBest(const VmResources& self, const VmResources& best) {
+  return CandidateDelay(Candidate(self), LeaderSuitability(best, kPeers));
+}
+
+}  // namespace
+
+TEST_CASE("suitability follows the scarcer of link and processor") {
+  CHECK(LeaderSuitability(kWide, kPeers) == 1);
+  CHECK(LeaderSuitability({0.5, 1, 10}, kPeers) < 0.2);
+  CHECK(LeaderSuitability({0.12, 1, 1000}, kPeers) ==
+        doctest::Approx(LeaderSuitability({0.24, 0.5, 1000}, kPeers)));
+  CHECK(LeaderSuitability({0.12, 1, 1000}, kPeers) < 0.3);
+  CHECK(LeaderSuitability({0.5, 1, 30}, 3) >
+        LeaderSuitability({0.5, 1, 30}, kPeers));
+}
+
+TEST_CASE("a VM of unknown resources has no suitability") {
+  CHECK(LeaderSuitability({}, kPeers) == 0);
+  CHECK(LeaderSuitability({0.5, 1, 0}, kPeers) == 0);
+  CHECK(LeaderSuitability({0, 1, 200}, kPeers) == 0);
+}
+
+TEST_CASE("the best of the rest waits for nobody") {
+  CHECK(DelayWithBest(kNarrow, kNarrow) == ElectionDelay(50));
+}
+
+TEST_CASE("equal VMs and unknown resources change nothing in elections") {
+  constexpr VmResources kEqual{0.25, 1, 1000};
+  CHECK(DelayWithBest(kEqual, kEqual) == ElectionDelay(50));
+  CHECK(CandidateDelay(Candidate(kEqual), 0) == ElectionDelay(50));
+  CHECK(DelayWithBest({}, kWide) == ElectionDelay(50));
+  CHECK(CandidateDelay(Candidate({}), 0) == ElectionDelay(50));
+}
+
+TEST_CASE("a leader does not yield to a follower that could not lead") {
+  std::vector<LeaderCandidate> followers = {Candidate(kWide)};
+  followers[0].ready = false;
+  CHECK(FindYieldReason(Candidate(kNarrow), followers) == YieldReason::kNone);
+  CHECK(BestSuitability(followers) == 0);
+}
+
+TEST_CASE("a leader does not yield for little, or for unknown resources") {
+  const std::vector<LeaderCandidate> little_better = {
+      Candidate({0.3, 1, 1000})};
+  CHECK(FindYieldReason(Candidate({0.25, 1, 1000}), little_better) ==
+        YieldReason::kNone);
+  const std::vector<LeaderCandidate> unknown = {Candidate({})};
+  CHECK(FindYieldReason(Candidate(kNarrow), unknown) == YieldReason::kNone);
+  CHECK(FindYieldReason(Candidate({}), little_better) == YieldReason::kNone);
+}
+
+TEST_CASE("a slow leader yields, whatever is known of resources") {
+  LeaderCandidate slow = Candidate({});
+  slow.work_micros = 200;
+  const std::vector<LeaderCandidate> unknown = {Candidate({})};
+  CHECK(FindYieldReason(slow, unknown) == YieldReason::kSlow);
+  slow.suitability = LeaderSuitability(kWide, kPeers);
+  const std::vector<LeaderCandidate> wide = {Candidate(kWide)};
+  CHECK(FindYieldReason(slow, wide) == YieldReason::kSlow);
+}
+
+}  // namespace azurespur::cell
