Tests: the suited one of unlike VMs leads (failing)

Elections and yields know only the measured speed of computation. A VM with a narrow link is elected as soon as a wide one (both wait 40 ms), keeps its term, and a wide leader that is slow for a moment yields to a narrow VM.

--- a/packages/cell/tests/leader_choice_test.cc
+++ b/packages/cell/tests/leader_choice_test.cc
@@ -46,10 +46,28 @@
   CHECK(LeaderSuitability({0, 1, 200}, kPeers) == 0);
 }
 
+// A VM with a narrow link and little processor time was elected while better
+// suited VMs lived, and little was served during its term.
+TEST_CASE("the better suited of unlike VMs starts its election first") {
+  // Takes the jitter, a read and the append of the better suited VM.
+  constexpr Millis kHeadStart{150};
+  CHECK(DelayWithBest(kNarrow, kWide) >=
+        DelayWithBest(kWide, kNarrow) + kHeadStart);
+  CHECK(DelayWithBest(kWide, kNarrow) == ElectionDelay(50));
+  CHECK(DelayWithBest(kWide, kWide) == ElectionDelay(50));
+}
+
 TEST_CASE("the best of the rest waits for nobody") {
   CHECK(DelayWithBest(kNarrow, kNarrow) == ElectionDelay(50));
 }
 
+// All VMs have just started, so none knows which others are alive.
+TEST_CASE("a VM that knows no other waits if it is unsuited itself") {
+  CHECK(CandidateDelay(Candidate(kNarrow), 0) >
+        CandidateDelay(Candidate(kWide), 0));
+  CHECK(CandidateDelay(Candidate(kNarrow), 0) <= Millis{500});
+}
+
 TEST_CASE("equal VMs and unknown resources change nothing in elections") {
   constexpr VmResources kEqual{0.25, 1, 1000};
   CHECK(DelayWithBest(kEqual, kEqual) == ElectionDelay(50));
@@ -58,6 +76,18 @@
   CHECK(CandidateDelay(Candidate({}), 0) == ElectionDelay(50));
 }
 
+// The same term as above: the leader kept it until a fault ended it.
+TEST_CASE(
+    "a leader yields to a clearly better suited follower, not the reverse") {
+  const std::vector<LeaderCandidate> wide = {Candidate(kNarrow),
+                                             Candidate(kWide)};
+  CHECK(FindYieldReason(Candidate(kNarrow), wide) == YieldReason::kLessSuited);
+  CHECK(FindYieldReason(Candidate(kWide), wide) == YieldReason::kNone);
+  const std::vector<LeaderCandidate> narrow = {Candidate(kNarrow)};
+  CHECK(FindYieldReason(Candidate(kWide), narrow) == YieldReason::kNone);
+  CHECK(FindYieldReason(Candidate(kNarrow), narrow) == YieldReason::kNone);
+}
+
 TEST_CASE("a leader does not yield to a follower that could not lead") {
   std::vector<LeaderCandidate> followers = {Candidate(kWide)};
   followers[0].ready = false;
@@ -85,4 +115,12 @@
   CHECK(FindYieldReason(slow, wide) == YieldReason::kSlow);
 }
 
+// Else the narrow VM would yield back at once.
+TEST_CASE("a slow leader does not yield to one that is clearly less suited") {
+  LeaderCandidate slow = Candidate(kWide);
+  slow.work_micros = 200;
+  const std::vector<LeaderCandidate> narrow = {Candidate(kNarrow)};
+  CHECK(FindYieldReason(slow, narrow) == YieldReason::kNone);
+}
+
 }  // namespace azurespur::cell
