Let a VM that carries the load lead, rather than one that doesn't

Cause: at 34.0 s and 40.2 s VMs with 0.12 cores and 10 Mbit/s were elected while six VMs with 0.5 cores and 200 Mbit/s lived (AZ9301 in: edge-qld-tmb-3, edge-qld-tmb-4). Records of a crest need about 39 Mbit/s to 30 followers. Elections and yields looked at the speed of a small computation only, which without load hardly differs and says nothing of the link. Ruled out: late reads of the wide VMs - edge-qld-bne-2 was caught up in that time, except while it was cut off.

Now a VM that is clearly less suited (1.5 times) than the best ready follower of the last leader starts its election 200 ms later; that covers jitter (40 ms), reads (100 ms) and an append of the better one, and bounds what is lost if that VM is dead too. One that has heard of nobody waits if it is unsuited by itself. A slow leader no longer yields to one that would yield back.

With equal VMs (0.25 cores, 1,000 Mbit/s) and without the settings delays are as before, which tests check.

--- a/packages/cell/src/leader_choice.cc
+++ b/packages/cell/src/leader_choice.cc
@@ -23,6 +23,19 @@
 constexpr size_t kMinAssumedPeers = 8;
 // Less than this factor does not outweigh the time that a takeover costs.
 constexpr double kClearlyBetterFactor = 1.5;
+// A VM that knows no other VM takes itself for unsuited below this.
+constexpr double kMinSuitabilityAlone = 0.4;
+// Covers the jitter and the interval of reads of a better suited VM.
+constexpr base::Millis kUnsuitedDelay{200};
+
+bool ShouldWaitForOthers(double own, double best_peer_suitability) {
+  if (own <= 0) {
+    return false;
+  }
+  return best_peer_suitability > 0
+             ? IsClearlyBetterSuited(best_peer_suitability, own)
+             : own < kMinSuitabilityAlone;
+}
 
 }  // namespace
 
@@ -46,8 +59,11 @@
 }
 
 base::Millis CandidateDelay(const LeaderCandidate& self,
-                            double /*best_peer_suitability*/) {
-  return ElectionDelay(self.work_micros);
+                            double best_peer_suitability) {
+  const base::Millis delay = ElectionDelay(self.work_micros);
+  return ShouldWaitForOthers(self.suitability, best_peer_suitability)
+             ? delay + kUnsuitedDelay
+             : delay;
 }
 
 double BestSuitability(std::span<const LeaderCandidate> followers) {
@@ -72,9 +88,15 @@
 
 YieldReason FindYieldReason(const LeaderCandidate& leader,
                             std::span<const LeaderCandidate> followers) {
+  if (IsClearlyBetterSuited(BestSuitability(followers), leader.suitability)) {
+    return YieldReason::kLessSuited;
+  }
   std::vector<double> speeds;
   for (const LeaderCandidate& follower : followers) {
-    speeds.push_back(follower.work_micros);
+    // One that is less suited would yield back.
+    if (!IsClearlyBetterSuited(leader.suitability, follower.suitability)) {
+      speeds.push_back(follower.work_micros);
+    }
   }
   return AnyMuchFaster(leader.work_micros, speeds) ? YieldReason::kSlow
                                                    : YieldReason::kNone;
