Tests: what a leader sends to its peers is bounded (failing)

At 1,600 records a second with 30 peers (two batches each 10 ms) a leader sends 6,000 datagrams a second and encodes as many messages. With a link of 10 Mbit/s it sends 44.5 Mbit/s.

--- a/packages/cell/tests/records_fan_out_test.cc
+++ b/packages/cell/tests/records_fan_out_test.cc
@@ -104,6 +104,26 @@
 
 }  // namespace
 
+// At the crest the leader sent 6,000 datagrams a second and encoded each
+// record once for each peer, on half a core.
+TEST_CASE("the records of a crest go out in few datagrams, encoded once") {
+  Crest crest(200);
+  crest.Play(Millis{kSeconds * 1000});
+  crest.fan_out.Flush(crest.now, kLeader, crest.peers);
+  CHECK(crest.datagrams.count <= 1600 * kSeconds);
+  const auto encoded = static_cast<size_t>(
+      crest.metrics.GetCounter("azurespur_messages_encoded_total").Get());
+  CHECK(encoded * kPeers == crest.datagrams.count);
+  for (const std::string& peer : crest.peers) {
+    const Received received = ReceiveAll(crest.datagrams.sent[peer]);
+    CHECK_FALSE(received.gap);
+    CHECK(received.work_next == crest.work_end);
+    CHECK(received.intake_next == crest.intake_end);
+    CHECK(received.with_contents ==
+          static_cast<size_t>(crest.work_end + crest.intake_end));
+  }
+}
+
 TEST_CASE("a record that comes alone is announced at once") {
   Crest crest(200);
   crest.fan_out.Add(Stream::kWork, 0, Records(1, kRecordBytes));
@@ -111,6 +131,25 @@
   CHECK(crest.datagrams.count == kPeers);
 }
 
+// The narrow link of a leader was filled with records, so that its heartbeats
+// and appends came late.
+TEST_CASE("a link that can't carry the records carries announcements only") {
+  Crest crest(10);
+  crest.Play(Millis{1000});
+  const size_t bytes_before = crest.datagrams.total_bytes;
+  crest.datagrams.sent.clear();
+  crest.Play(Millis{kSeconds * 1000});
+  const size_t bytes = crest.datagrams.total_bytes - bytes_before;
+  CHECK(bytes * 8 <= size_t{kSeconds} * 1'000'000);
+  crest.fan_out.Flush(crest.now, kLeader, crest.peers);
+  const Received received = ReceiveAll(crest.datagrams.sent[crest.peers[0]]);
+  CHECK(received.with_contents == 0);
+  CHECK(received.work_next == crest.work_end);
+  CHECK(received.intake_next == crest.intake_end);
+  // Each of them makes a peer read the log.
+  CHECK(received.notices <= 6 * kSeconds);
+}
+
 TEST_CASE("a link that can carry the records again does so") {
   Crest crest(10);
   crest.Play(Millis{2000});
