Send records to peers in few datagrams, encoded once, as the link allows

What callers saw: at the crest everything on the leader comes late, on VMs with 0.5 cores and more so on those with 10 Mbit/s.

Cause (one part of it): each batch of work records and each intake notice went to each of 30 peers in a datagram of its own, encoded anew: 6,000 datagrams and encodings a second in the test of a crest (1,600 records a second), 44.5 Mbit/s, and on a narrow link that much too. What part of a leader's processor time that took is not measured.

Now the records of both streams that come within 20 ms share datagrams of up to 12 KB, intake first, encoded once for all peers: 1,500 datagrams and 50 encodings a second in the same test. A record that comes alone goes out at once, so that a quiet cell's takeover is not delayed; 20 ms is a tick of the leader, and short against the 300 ms after which followers doubt a leader and the 2 s that answers may be old.

A leader counts what the records need; above half of its link it sends only announcements, 5 a second to each peer, which then read the log; contents are sent again below 0.7 of that (AZ9409). An unknown link is not limited.

Weighed and not built: relaying through suited followers would divide a leader's datagrams by about 4 with 6 relays of 5 peers each, for 20 to 40 ms more delay and a relay whose loss leaves gaps for its peers; the announcements already keep a narrow leader's link free. sendmmsg would save system calls, of which 1,500 a second are left.

--- a/packages/cell/src/records_fan_out.h
+++ b/packages/cell/src/records_fan_out.h
@@ -11,6 +11,7 @@
 #include "base/clock.h"
 #include "base/metrics.h"
 #include "cell/messages.h"
+#include "fan_out_limit.h"
 #include "notice_batch.h"
 #include "peer_sender.h"
 
@@ -26,7 +27,8 @@
 
   void Add(Stream stream, int64_t offset, std::span<const std::string> records);
 
-  // Sends the records added to `peers`, "IP:PORT" each.
+  // Sends the records added to `peers` ("IP:PORT" each) unless the last notice
+  // was sent only just now.
   void FlushIfDue(base::MonoTime now,
                   const LeaderInfo& leader,
                   std::span<const std::string> peers);
@@ -40,11 +42,15 @@
   void SendSegments(std::vector<RecordsSegment> segments,
                     const LeaderInfo& leader,
                     std::span<const std::string> peers);
+  bool MaySendContents(size_t peers, base::MonoTime now);
 
   PeerSender& m_sender;
+  FanOutLimit m_limit;
   NoticeBatch m_batch;
   base::Counter& m_with_contents;
   base::Counter& m_without_contents;
+  base::MonoTime m_next_flush{};
+  bool m_contents_allowed = true;
 };
 
 }  // namespace azurespur::cell
