--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -42,6 +42,7 @@
       m_old_view_answers(metrics.GetCounter("azurespur_view_too_old_total")),
       m_store_time(metrics.GetDistribution("azurespur_store_ms")),
       m_load(metrics),
+      m_peer_sender(dependencies.datagrams, metrics),
       m_log_timing(options.append_timeout),
       m_intake_tail(
           dependencies.log,
@@ -70,7 +71,8 @@
       m_intake_forwarder(
           [this](uint64_t id, const std::string& record, Millis wait) {
             SendForward(id, record, wait);
-          }) {
+          }),
+      m_fan_out(m_peer_sender, options.resources.link_mbps, metrics) {
   std::random_device seed;
   std::mt19937_64 random(seed());
   m_nonce = random();
