Bind no more tasks than the starts that are answered in time

Cause: the planner bound everything that fits at once. With more bindings than the leader can start in time, starts are answered after their timeout of 350 ms, are sent again up to three times, stopped, and hold their room for 12.5 s; this work displaces that of the starts that would be in time, so it goes on below the capacity too.

Bindings being stored and starts without an answer are limited now. A step of many single tasks is bound up to the limit; a gang is bound whole.

The test's file changes only in how it counts what is outstanding. The store's time does not count, so a slow store does not lower the limit.

--- a/packages/cell/tests/leader_simulation.h
+++ b/packages/cell/tests/leader_simulation.h
@@ -105,18 +105,10 @@
   base::MonoTime now() const { return m_clock.now; }
   const SimulationCosts& costs() const { return m_costs; }
 
+  const jobs::Scheduler& scheduler() { return m_term->scheduler(); }
+
   // Bindings that are not yet stored or whose start is not yet answered.
-  int64_t CountOutstanding() {
-    int64_t count = 0;
-    for (const auto& [id, worker] : m_term->scheduler().fleet().workers()) {
-      count += std::count_if(
-          worker.runs.begin(), worker.runs.end(), [](const auto& entry) {
-            return entry.second.phase == jobs::RunPhase::kBinding ||
-                   entry.second.phase == jobs::RunPhase::kStarting;
-          });
-    }
-    return count;
-  }
+  int64_t CountOutstanding() { return scheduler().fleet().CountOutstanding(); }
 
   int64_t done = 0;      // Tasks that ended at their workers as done.
   int64_t stopped = 0;   // Tasks stopped before their end.
--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -40,6 +40,7 @@
   int32_t priority = 0;      // Priority of the queue; 0 is the most urgent.
   bool preemptible = false;  // Can be stopped without losing work.
   bool stop_requested = false;
+  base::MonoTime start_sent_at{};
   base::MonoTime stop_sent_at{};
   base::MonoTime confirmed_at{};  // When the worker answered start or stop.
   // After this time an unanswered start can no longer take effect.
@@ -105,7 +106,9 @@
 
   // To be called once the binding is stored. Returns the worker if the start
   // may be sent, null otherwise.
-  const Worker* BeginStart(const TaskRef& task, int32_t run);
+  const Worker* BeginStart(const TaskRef& task,
+                           int32_t run,
+                           base::MonoTime now);
 
   // Releases a run whose binding was stored but whose start was not sent.
   void ReleaseUnsent(const TaskRef& task, SchedulerOutput& out);
--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -22,6 +22,7 @@
 #include "jobs/queue_policy.h"
 #include "jobs/scheduler_options.h"
 #include "jobs/scheduler_output.h"
+#include "jobs/start_pacer.h"
 
 namespace azurespur::jobs {
 
@@ -95,6 +96,7 @@
 
   const Fleet& fleet() const { return m_fleet; }
   const UnsentBindings& unsent() const { return m_unsent; }
+  const StartPacer& pacer() const { return m_pacer; }
 
  private:
   // Capacity that is reserved for a gang.
@@ -219,6 +221,7 @@
   std::set<JobId> m_recorded_starts;  // JobStartedRecord was appended.
   std::map<TaskRef, std::string> m_last_failed_worker;  // Worker id.
   UnsentBindings m_unsent;
+  StartPacer m_pacer;
   base::MonoTime m_next_full_plan{};
   base::MonoTime m_next_prune{};
 };
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -222,7 +222,9 @@
   m_index[task] = std::string(worker_id);
 }
 
-const Worker* Fleet::BeginStart(const TaskRef& task, int32_t run_number) {
+const Worker* Fleet::BeginStart(const TaskRef& task,
+                                int32_t run_number,
+                                base::MonoTime now) {
   Worker* worker = WorkerOf(task);
   Run* run = worker != nullptr ? FindRun(*worker, task, run_number) : nullptr;
   if (run == nullptr || run->phase != RunPhase::kBinding ||
@@ -231,6 +233,7 @@
     return nullptr;
   }
   run->phase = RunPhase::kStarting;
+  run->start_sent_at = now;
   return worker;
 }
 
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -94,8 +94,9 @@
                           SchedulerOutput& out) {
   const Job* job = m_table.Find(bind.task.job);
   int64_t* reason = ReasonNotToStart(bind, job, stored_at, now);
-  const Worker* worker =
-      reason == nullptr ? m_fleet.BeginStart(bind.task, bind.run) : nullptr;
+  const Worker* worker = reason == nullptr
+                             ? m_fleet.BeginStart(bind.task, bind.run, now)
+                             : nullptr;
   if (worker == nullptr) {
     ++(reason != nullptr ? *reason : m_unsent.no_worker);
     m_fleet.ReleaseUnsent(bind.task, out);
@@ -127,6 +128,11 @@
   if (outcome == OrderOutcome::kBadTicket) {
     m_advice.InvalidateTicket(order.task.StepOf(), order.worker.id);
   }
+  const Run* run = m_fleet.FindRun(order.task);
+  if (outcome != OrderOutcome::kUnknown && run != nullptr &&
+      run->run == order.run) {
+    m_pacer.OnAnswer(now - run->start_sent_at, now);
+  }
   if (outcome == OrderOutcome::kUnknown &&
       order.send_count < m_options.max_start_sends &&
       m_fleet.IsStartPending(order.task, order.run)) {
@@ -196,7 +202,11 @@
     m_next_full_plan = now + m_options.full_plan_interval;
   }
   DropReservations(full, now);
+  m_pacer.BeginPlan(m_fleet.CountOutstanding());
   for (const ReadyStep& step : FindReady(full, unix_ms, out)) {
+    if (!m_pacer.MayBind(step.policy->priority == 0)) {
+      break;
+    }
     PlaceStep(step, now, out);
   }
   const bool may_renew = now <= last_append + m_options.max_renew_after_append;
--- a/packages/jobs/src/scheduler_place.cc
+++ b/packages/jobs/src/scheduler_place.cc
@@ -134,6 +134,7 @@
                   {"free_cpu", std::to_string(FreeCapacity(worker).cpu_millis)},
                   {"slack_ms", std::to_string(step.slack_ms)}});
   m_fleet.Bind(task, run, worker.entry.boot.id, now);
+  m_pacer.OnBound();
   AddRecord(out, BindRecord{task, run_number, worker.entry.boot});
 }
 
@@ -143,6 +144,9 @@
   const StepProgress& progress = ProgressOf(step);
   size_t placed = 0;
   for (int32_t index : step.waiting) {
+    if (!m_pacer.MayBind(step.policy->priority == 0)) {
+      return;
+    }
     const Worker* worker = FindBestWorker(step, index, now);
     if (worker == nullptr) {
       break;
