--- a/packages/jobs/include/jobs/advice_tracker.h
+++ b/packages/jobs/include/jobs/advice_tracker.h
@@ -39,6 +39,8 @@
 
 class AdviceTracker {
  public:
+  using StepAdvice = std::map<std::string, WorkerAdvice, std::less<>>;
+
   // Sets the VMs that can send queries, including this one.
   void SetVms(std::span<const std::string> vms);
 
@@ -46,6 +48,14 @@
                             const WorkerBoot& worker,
                             base::MonoTime now) const;
 
+  // The answers for the step, by worker id; null if there are none.
+  const StepAdvice* AdviceFor(const StepRef& step) const;
+
+  // `advice` is the answer on the worker, or null.
+  static Eligibility EligibilityOf(const WorkerAdvice* advice,
+                                   const WorkerBoot& worker,
+                                   base::MonoTime now);
+
   // Returns the valid ticket of a worker whose eligibility is kEligible.
   const std::string& TicketOf(const StepRef& step,
                               std::string_view worker_id) const;
@@ -104,8 +114,7 @@
   std::string FindVmForQuery(double expected_ms, base::MonoTime now) const;
   void EndQuery(uint64_t query_id);
 
-  std::map<StepRef, std::map<std::string, WorkerAdvice, std::less<>>>
-      m_advice_by_step;
+  std::map<StepRef, StepAdvice> m_advice_by_step;
   std::map<uint64_t, Query> m_queries;
   std::map<StepRef, uint64_t> m_query_by_step;
   std::map<std::string, VmState> m_vms;
--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -26,6 +26,8 @@
 
 namespace azurespur::jobs {
 
+class StepView;
+struct SingleTaskWorkers;
 struct WorkerPreemption;
 
 // A step whose dependencies are done and that has tasks without a run.
@@ -134,17 +136,18 @@
   void PlaceGang(const ReadyStep& step,
                  base::MonoTime now,
                  SchedulerOutput& out);
+  // The lists are not sorted.
   GangCapacity FindGangCapacity(const ReadyStep& step,
                                 base::MonoTime now) const;
   void LogWaitingGang(const ReadyStep& step,
                       const GangCapacity& capacity,
                       base::MonoTime now);
   void BindGang(const ReadyStep& step,
-                const GangCapacity& capacity,
+                GangCapacity& capacity,
                 base::MonoTime now,
                 SchedulerOutput& out);
   void Reserve(const ReadyStep& step,
-               const GangCapacity& capacity,
+               GangCapacity& capacity,
                bool firm,
                base::MonoTime expires);
   // Returns true if tasks are being stopped for the gang.
@@ -154,7 +157,7 @@
                          base::MonoTime now,
                          SchedulerOutput& out);
   void QueryAdviceForGang(const ReadyStep& step,
-                          const GangCapacity& capacity,
+                          GangCapacity& capacity,
                           base::MonoTime now,
                           SchedulerOutput& out);
   void PlaceSingleTasks(const ReadyStep& step,
@@ -162,6 +165,7 @@
                         SchedulerOutput& out);
   void QueryAdviceForSingles(const ReadyStep& step,
                              size_t missing,
+                             SingleTaskWorkers& workers,
                              base::MonoTime now,
                              SchedulerOutput& out);
   void QueryAdvice(const ReadyStep& step,
@@ -169,16 +173,9 @@
                    base::MonoTime now,
                    SchedulerOutput& out);
   bool IsCompatible(const ReadyStep& step, const Worker& worker) const;
-  // Returns how many more tasks of the step the worker can take.
-  int64_t SlotsFor(const ReadyStep& step, const Worker& worker) const;
-  placement::Resources FreeCapacityFor(const ReadyStep& step,
-                                       const Worker& worker) const;
-  Eligibility EligibilityOf(const ReadyStep& step,
-                            const Worker& worker,
-                            base::MonoTime now) const;
-  const Worker* FindBestWorker(const ReadyStep& step,
-                               int32_t index,
-                               base::MonoTime now) const;
+  StepView ViewOf(const ReadyStep& step) const;
+  SingleTaskWorkers FindSingleTaskWorkers(const ReadyStep& step,
+                                          base::MonoTime now) const;
   void BindTask(const ReadyStep& step,
                 int32_t index,
                 int32_t run,
--- a/packages/jobs/src/advice_tracker.cc
+++ b/packages/jobs/src/advice_tracker.cc
@@ -43,24 +43,33 @@
 Eligibility AdviceTracker::EligibilityOf(const StepRef& step,
                                          const WorkerBoot& worker,
                                          base::MonoTime now) const {
-  const auto step_advice = m_advice_by_step.find(step);
-  if (step_advice == m_advice_by_step.end()) {
+  const StepAdvice* answers = AdviceFor(step);
+  if (answers == nullptr) {
     return Eligibility::kUnknown;
   }
-  const auto found = step_advice->second.find(worker.id);
-  if (found == step_advice->second.end()) {
-    return Eligibility::kUnknown;
-  }
-  const WorkerAdvice& advice = found->second;
-  if (advice.boot != worker) {
-    // A restarted worker may have other properties.
+  const auto found = answers->find(worker.id);
+  return EligibilityOf(found == answers->end() ? nullptr : &found->second,
+                       worker, now);
+}
+
+const AdviceTracker::StepAdvice* AdviceTracker::AdviceFor(
+    const StepRef& step) const {
+  const auto found = m_advice_by_step.find(step);
+  return found == m_advice_by_step.end() ? nullptr : &found->second;
+}
+
+Eligibility AdviceTracker::EligibilityOf(const WorkerAdvice* advice,
+                                         const WorkerBoot& worker,
+                                         base::MonoTime now) {
+  // A restarted worker may have other properties.
+  if (advice == nullptr || advice->boot != worker) {
     return Eligibility::kUnknown;
   }
-  if (!advice.eligible) {
+  if (!advice->eligible) {
     return Eligibility::kIneligible;
   }
-  return advice.expires > now ? Eligibility::kEligible
-                              : Eligibility::kEligibleWithoutTicket;
+  return advice->expires > now ? Eligibility::kEligible
+                               : Eligibility::kEligibleWithoutTicket;
 }
 
 const std::string& AdviceTracker::TicketOf(const StepRef& step,
--- a/packages/jobs/src/scheduler_gang.cc
+++ b/packages/jobs/src/scheduler_gang.cc
@@ -7,6 +7,7 @@
 #include "gang_preemption.h"
 #include "jobs/scheduler.h"
 #include "ready_step.h"
+#include "step_view.h"
 
 namespace azurespur::jobs {
 
@@ -27,19 +28,20 @@
 Scheduler::GangCapacity Scheduler::FindGangCapacity(const ReadyStep& step,
                                                     base::MonoTime now) const {
   const StepSpec& spec = SpecOf(step);
+  StepView view = ViewOf(step);
   GangCapacity capacity;
   for (const auto& [id, worker] : m_fleet.workers()) {
     ++m_counts.workers_examined;
     if (!AcceptsTasks(worker, now) || !IsCompatible(step, worker)) {
       continue;
     }
-    const Eligibility eligibility = EligibilityOf(step, worker, now);
+    const Eligibility eligibility = view.EligibilityOf(worker, now);
     if (eligibility == Eligibility::kIneligible) {
       continue;
     }
     capacity.max_slots += placement::CountFitting(
         spec.demand, worker.entry.capacity, MaxPerWorker(spec));
-    const int64_t slots = SlotsFor(step, worker);
+    const int64_t slots = view.SlotsFor(worker);
     if (eligibility == Eligibility::kUnknown) {
       capacity.unknown.emplace_back(&worker, slots);
       continue;
@@ -54,9 +56,6 @@
       capacity.ticket_slots += slots;
     }
   }
-  SortBySlots(capacity.with_ticket);
-  SortBySlots(capacity.eligible);
-  SortBySlots(capacity.unknown);
   return capacity;
 }
 
@@ -64,7 +63,7 @@
                           base::MonoTime now,
                           SchedulerOutput& out) {
   const int64_t count = SpecOf(step).count;
-  const GangCapacity capacity = FindGangCapacity(step, now);
+  GangCapacity capacity = FindGangCapacity(step, now);
   if (capacity.ticket_slots >= count) {
     BindGang(step, capacity, now, out);
     return;
@@ -118,9 +117,10 @@
 }
 
 void Scheduler::BindGang(const ReadyStep& step,
-                         const GangCapacity& capacity,
+                         GangCapacity& capacity,
                          base::MonoTime now,
                          SchedulerOutput& out) {
+  SortBySlots(capacity.with_ticket);
   const StepProgress& progress = ProgressOf(step);
   int32_t run = 0;
   for (const TaskProgress& task : progress.tasks) {
@@ -139,9 +139,10 @@
 
 // Reserves capacity for as many members as fit on eligible workers now.
 void Scheduler::Reserve(const ReadyStep& step,
-                        const GangCapacity& capacity,
+                        GangCapacity& capacity,
                         bool firm,
                         base::MonoTime expires) {
+  SortBySlots(capacity.eligible);
   const StepSpec& spec = SpecOf(step);
   Reservation reservation;
   reservation.firm = firm;
@@ -164,9 +165,10 @@
 // query covers as many unknown workers as one query may, so that the capacity
 // on eligible workers can be reserved.
 void Scheduler::QueryAdviceForGang(const ReadyStep& step,
-                                   const GangCapacity& capacity,
+                                   GangCapacity& capacity,
                                    base::MonoTime now,
                                    SchedulerOutput& out) {
+  SortBySlots(capacity.unknown);
   const StepSpec& spec = SpecOf(step);
   const double share = m_advice.EligibleShare(step.policy->name);
   const double wanted = static_cast<double>(spec.count) * kQueryMargin;
@@ -197,15 +199,16 @@
     return false;
   }
   const StepSpec& spec = SpecOf(step);
+  StepView view = ViewOf(step);
   std::vector<PreemptionCandidate> candidates;
   for (const auto& [id, worker] : m_fleet.workers()) {
     ++m_counts.workers_examined;
-    const Eligibility eligibility = EligibilityOf(step, worker, now);
+    const Eligibility eligibility = view.EligibilityOf(worker, now);
     if (AcceptsTasks(worker, now) && IsCompatible(step, worker) &&
         (eligibility == Eligibility::kEligible ||
          eligibility == Eligibility::kEligibleWithoutTicket)) {
       candidates.push_back(
-          {&worker, FreeCapacityFor(step, worker), MaxPerWorker(spec)});
+          {&worker, view.FreeCapacityFor(worker), MaxPerWorker(spec)});
     }
   }
   const std::vector<WorkerPreemption> plans = PlanGangPreemption(
--- a/packages/jobs/src/scheduler_place.cc
+++ b/packages/jobs/src/scheduler_place.cc
@@ -1,23 +1,19 @@
 // Placement of single tasks, and the choice of workers for advice queries.
 
 #include <algorithm>
-#include <limits>
+#include <string_view>
 #include <utility>
 
 #include "base/event_log.h"
 #include "jobs/scheduler.h"
 #include "ready_step.h"
+#include "single_task_workers.h"
+#include "step_view.h"
 
 namespace azurespur::jobs {
 
 namespace {
 
-int64_t TasksOfStep(const Worker& worker, const StepRef& step) {
-  return std::count_if(
-      worker.runs.begin(), worker.runs.end(),
-      [&step](const auto& entry) { return entry.first.StepOf() == step; });
-}
-
 bool HasLabel(const WorkerEntry& entry, const std::string& label) {
   return label.empty() || std::find(entry.labels.begin(), entry.labels.end(),
                                     label) != entry.labels.end();
@@ -43,76 +39,48 @@
          placement::Fits(spec.demand, worker.entry.capacity);
 }
 
-placement::Resources Scheduler::FreeCapacityFor(const ReadyStep& step,
-                                                const Worker& worker) const {
-  placement::Resources free = FreeCapacity(worker);
+// Reservations that are not firm leave their capacity to urgent tasks.
+StepView Scheduler::ViewOf(const ReadyStep& step) const {
+  StepView view(step, m_advice.AdviceFor(step.ref));
   const bool urgent = step.policy->priority == 0;
   for (const auto& [ref, reservation] : m_reservations) {
-    if (ref == step.ref || (urgent && !reservation.firm)) {
-      continue;
-    }
-    const auto kept = reservation.capacity.find(worker.entry.boot.id);
-    if (kept != reservation.capacity.end()) {
-      free = placement::Subtract(free, kept->second);
+    if (ref != step.ref && (reservation.firm || !urgent)) {
+      view.AddKept(reservation.capacity);
     }
   }
-  return free;
+  return view;
 }
 
-int64_t Scheduler::SlotsFor(const ReadyStep& step, const Worker& worker) const {
+SingleTaskWorkers Scheduler::FindSingleTaskWorkers(const ReadyStep& step,
+                                                   base::MonoTime now) const {
   const StepSpec& spec = SpecOf(step);
-  int64_t limit = spec.count;
-  if (spec.max_per_worker > 0) {
-    limit = spec.max_per_worker - TasksOfStep(worker, step.ref);
-  }
-  if (limit <= 0) {
-    return 0;
-  }
-  return placement::CountFitting(spec.demand, FreeCapacityFor(step, worker),
-                                 limit);
-}
-
-Eligibility Scheduler::EligibilityOf(const ReadyStep& step,
-                                     const Worker& worker,
-                                     base::MonoTime now) const {
-  return step.policy->advice
-             ? m_advice.EligibilityOf(step.ref, worker.entry.boot, now)
-             : Eligibility::kEligible;
-}
-
-// Best fit: prefers the worker with the least free capacity, in the preferred
-// rack if possible, and avoids workers with recent failures.
-const Worker* Scheduler::FindBestWorker(const ReadyStep& step,
-                                        int32_t index,
-                                        base::MonoTime now) const {
-  const StepSpec& spec = SpecOf(step);
-  const auto failed =
-      m_last_failed_worker.find({step.ref.job, step.ref.step, index});
-  const Worker* best = nullptr;
-  double best_score = std::numeric_limits<double>::max();
+  StepView view = ViewOf(step);
+  SingleTaskWorkers found;
   for (const auto& [id, worker] : m_fleet.workers()) {
     ++m_counts.workers_examined;
     // Cheapest check first: in a full cell most workers lack capacity.
     if (!placement::Fits(spec.demand, FreeCapacity(worker)) ||
-        !AcceptsTasks(worker, now) || !IsCompatible(step, worker) ||
-        EligibilityOf(step, worker, now) != Eligibility::kEligible ||
-        SlotsFor(step, worker) < 1) {
+        !AcceptsTasks(worker, now) || !IsCompatible(step, worker)) {
       continue;
     }
-    double score =
-        placement::DominantShare(FreeCapacity(worker), worker.entry.capacity);
-    const bool far = !spec.preferred_rack.empty() &&
-                     worker.entry.rack != spec.preferred_rack;
-    const bool failed_here =
-        failed != m_last_failed_worker.end() && failed->second == id;
-    score += far ? 2 : 0;
-    score += failed_here || worker.failures_in_row > 0 ? 1 : 0;
-    if (score < best_score) {
-      best = &worker;
-      best_score = score;
+    const Eligibility eligibility = view.EligibilityOf(worker, now);
+    const int64_t slots =
+        eligibility == Eligibility::kIneligible ? 0 : view.SlotsFor(worker);
+    if (slots == 0) {
+      continue;
+    }
+    if (eligibility == Eligibility::kEligible) {
+      const bool far = !spec.preferred_rack.empty() &&
+                       worker.entry.rack != spec.preferred_rack;
+      found.candidates.Add(
+          {&worker, view.FreeCapacityFor(worker), view.TasksLeft(worker), far});
+    } else {
+      auto& list =
+          eligibility == Eligibility::kUnknown ? found.unknown : found.expired;
+      list.emplace_back(&worker, slots);
     }
   }
-  return best;
+  return found;
 }
 
 void Scheduler::BindTask(const ReadyStep& step,
@@ -143,19 +111,26 @@
                                  base::MonoTime now,
                                  SchedulerOutput& out) {
   const StepProgress& progress = ProgressOf(step);
+  SingleTaskWorkers workers = FindSingleTaskWorkers(step, now);
   size_t placed = 0;
   for (int32_t index : step.waiting) {
-    const Worker* worker = FindBestWorker(step, index, now);
-    if (worker == nullptr) {
+    const auto failed =
+        m_last_failed_worker.find({step.ref.job, step.ref.step, index});
+    const size_t best = workers.candidates.FindBest(
+        failed == m_last_failed_worker.end() ? std::string_view()
+                                             : failed->second);
+    if (best == StepCandidates::kNone) {
       break;
     }
     const int32_t run = progress.tasks[static_cast<size_t>(index)].run + 1;
-    BindTask(step, index, run, *worker, now, out);
+    BindTask(step, index, run, workers.candidates.WorkerAt(best), now, out);
+    workers.candidates.OnBound(best, SpecOf(step).demand, now);
     ++placed;
   }
   if (placed < step.waiting.size() && step.policy->advice &&
       !m_advice.HasPendingQuery(step.ref)) {
-    QueryAdviceForSingles(step, step.waiting.size() - placed, now, out);
+    QueryAdviceForSingles(step, step.waiting.size() - placed, workers, now,
+                          out);
   }
 }
 
@@ -163,30 +138,11 @@
 // expired, then unknown ones, as many as the share of eligible ones suggests.
 void Scheduler::QueryAdviceForSingles(const ReadyStep& step,
                                       size_t missing,
+                                      SingleTaskWorkers& candidates,
                                       base::MonoTime now,
                                       SchedulerOutput& out) {
-  std::vector<std::pair<const Worker*, int64_t>> expired;
-  std::vector<std::pair<const Worker*, int64_t>> unknown;
-  const placement::Resources& demand = SpecOf(step).demand;
-  for (const auto& [id, worker] : m_fleet.workers()) {
-    ++m_counts.workers_examined;
-    if (!placement::Fits(demand, FreeCapacity(worker)) ||
-        !AcceptsTasks(worker, now) || !IsCompatible(step, worker)) {
-      continue;
-    }
-    const Eligibility eligibility = EligibilityOf(step, worker, now);
-    if (eligibility == Eligibility::kIneligible ||
-        eligibility == Eligibility::kEligible) {
-      continue;
-    }
-    const int64_t slots = SlotsFor(step, worker);
-    if (slots > 0) {
-      auto& list = eligibility == Eligibility::kUnknown ? unknown : expired;
-      list.emplace_back(&worker, slots);
-    }
-  }
-  SortBySlots(expired);
-  SortBySlots(unknown);
+  SortBySlots(candidates.expired);
+  SortBySlots(candidates.unknown);
   const double share = m_advice.EligibleShare(step.policy->name);
   const double wanted = static_cast<double>(missing) * kQueryMargin + 1;
   double expected = 0;
@@ -203,8 +159,8 @@
       expected += weight * static_cast<double>(useful);
     }
   };
-  add(expired, 1.0);
-  add(unknown, share);
+  add(candidates.expired, 1.0);
+  add(candidates.unknown, share);
   QueryAdvice(step, std::move(workers), now, out);
 }
 
