--- a/packages/cell/tests/node_fixture.h
+++ b/packages/cell/tests/node_fixture.h
@@ -83,7 +83,8 @@
 
 class LostDatagrams : public DatagramTransport {
  public:
-  void Send(std::string_view /*address*/, std::string_view /*bytes*/) override {
+  bool Send(std::string_view /*address*/, std::string_view /*bytes*/) override {
+    return true;
   }
   void Receive(Handler /*handler*/) override {}
 };
