Ask the leader less often for records that it may not have

Requests for records that did not come are now sent after 30, 60, 120 ... at most 2,000 ms; those that make progress every 30 ms as before, and each stream by itself.

--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -25,6 +25,7 @@
 #include "log_tail.h"
 #include "log_timing.h"
 #include "recent_records.h"
+#include "request_pacer.h"
 #include "speed_probe.h"
 
 namespace azurespur::cell {
@@ -204,7 +205,8 @@
   base::MonoTime m_last_heartbeat_sent{};
   base::MonoTime m_term_started{};
   base::MonoTime m_leader_heard{};
-  base::MonoTime m_next_records_request{};
+  RequestPacer m_intake_requests;
+  RequestPacer m_work_requests;
   base::MonoTime m_next_leader_heartbeat{};
   base::MonoTime m_next_election{};
   SpeedProbe m_speed_probe;
--- a/packages/cell/src/node_relay.cc
+++ b/packages/cell/src/node_relay.cc
@@ -16,7 +16,6 @@
 namespace {
 
 constexpr Millis kMaxLeaderDatagramAge{350};
-constexpr Millis kRecordsRequestInterval{30};
 
 }  // namespace
 
@@ -85,11 +84,12 @@
 
 void Node::CatchUpFromLeader(LogTail& tail, Stream stream, int64_t known_end) {
   const MonoTime now = m_clock.Now();
-  if (!tail.failing() || tail.next() >= known_end ||
-      now < m_next_records_request || !LeaderCanAppend(now)) {
+  RequestPacer& pacer =
+      stream == Stream::kWork ? m_work_requests : m_intake_requests;
+  if (!tail.failing() || tail.next() >= known_end || !LeaderCanAppend(now) ||
+      !pacer.ShouldRequest(tail.next(), now)) {
     return;
   }
-  m_next_records_request = now + kRecordsRequestInterval;
   SendTo(LeaderAddress(),
          RecordsRequest{stream, tail.next(), m_options.peer_address});
 }
