--- a/packages/cell/src/log_tail.cc
+++ b/packages/cell/src/log_tail.cc
@@ -108,7 +108,10 @@
 
 void LogTail::AdjustReadSize(const ReadResult& result, const ReadInfo& read) {
   if (result.status == ReadStatus::kFailed) {
-    m_read_size.OnFailure();
+    // A response that refuses says nothing about the size.
+    if (result.bytes == 0) {
+      m_read_size.OnFailure();
+    }
   } else if (result.records.empty() && read.from < result.end) {
     m_read_size.OnRecordTooLarge();
   } else {
@@ -147,13 +150,14 @@
       result.status == ReadStatus::kRead && m_next >= result.end;
   if (m_next > read.from || at_end) {
     m_reads_without_progress = 0;
-    m_next_progress_report = kReadsBeforeReport;
     return;
   }
-  if (++m_reads_without_progress < m_next_progress_report) {
+  const base::MonoTime now = m_clock.Now();
+  if (++m_reads_without_progress < kReadsBeforeReport ||
+      now < m_next_progress_report) {
     return;
   }
-  m_next_progress_report *= 2;
+  m_next_progress_report = now + kReportInterval;
   base::LogEvent(base::Severity::kWarning, "AZ9208",
                  "reads of the log stream made no progress",
                  {{"stream", m_topic},
--- a/packages/cell/src/log_tail.h
+++ b/packages/cell/src/log_tail.h
@@ -60,6 +60,7 @@
 
  private:
   static constexpr int kReadsBeforeReport = 5;
+  static constexpr base::Millis kReportInterval{2000};
 
   // What is known about a read besides its result.
   struct ReadInfo {
@@ -96,7 +97,7 @@
   int64_t m_kept_from = 0;  // Offset of the first one.
   size_t m_bytes_read = 0;
   int m_reads_without_progress = 0;
-  int m_next_progress_report = kReadsBeforeReport;
+  base::MonoTime m_next_progress_report{};
   bool m_reading = false;
   bool m_applying = false;
   bool m_caught_up = false;
