--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -30,6 +30,7 @@
 #include "peer_sender.h"
 #include "recent_records.h"
 #include "records_fan_out.h"
+#include "request_pacer.h"
 #include "speed_probe.h"
 #include "view_requirement.h"
 #include "view_waiters.h"
@@ -243,7 +244,8 @@
   base::MonoTime m_last_heartbeat_sent{};
   base::MonoTime m_term_started{};
   base::MonoTime m_leader_heard{};
-  base::MonoTime m_next_records_request{};
+  RequestPacer m_intake_requests;
+  RequestPacer m_work_requests;
   base::MonoTime m_next_leader_heartbeat{};
   base::MonoTime m_last_leader_heartbeat{};
   base::MonoTime m_next_election{};
