A job is unknown only once the stream was read to an end learnt after the question

What callers could see: 410 for an accepted job, from a VM that is behind by more than one read, and "no such job" for a cancellation of it.

Cause: FindState and Cancel polled once and took "not in the table" after a successful read for "no such job". A read is one page. They now wait until the intake stream is complete as of the question (ViewRequirement::not_before); the job is looked for again at the end of the wait. If that is not reached within the caller's time, 1 s at most, the answer is 503 and AZ9210 says how far the VM is. While reads fail, waiting questions read once in 100 ms.

A state: final ones never change and are answered at once. One that may still change is read again first if the view is over 3 s old (NodeOptions::max_job_state_age); if that fails it is answered all the same, and logged, as states only move forward, and since the table is all that there is while nobody can read the log.

--- a/packages/cell/include/cell/cell_node.h
+++ b/packages/cell/include/cell/cell_node.h
@@ -39,7 +39,8 @@
 
 // The result of CellNode::FindState().
 struct JobStateResult {
-  bool known = false;                   // False if the log can't be read now.
+  // False if the log could not be read far enough to know.
+  bool known = false;
   std::optional<jobs::JobState> state;  // Empty if there is no such job.
 };
 
--- a/packages/cell/include/cell/node_options.h
+++ b/packages/cell/include/cell/node_options.h
@@ -44,6 +44,9 @@
   base::Millis finished_job_retention{180000};
   // A count of pending jobs may be this old.
   base::Millis max_pending_count_age{2000};
+  // A state that may still change may be this old, unless the log can't be
+  // read.
+  base::Millis max_job_state_age{3000};
   // How long a question may wait for this VM to catch up with the streams.
   base::Millis max_catch_up_wait{1000};
   // Minimum time between two scheduling passes.
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -174,8 +174,15 @@
   void WhenCurrent(const ViewRequirement& requirement,
                    base::MonoTime deadline,
                    ViewWaiters::Done done);
+  // Calls `done` once the intake stream is read to an end that was learnt after
+  // this call: only then is a job that is not in the table known to be missing.
+  // Passes false if that is not reached and the job is not found meanwhile.
+  void WhenKnownOrMissing(jobs::JobId job,
+                          base::MonoTime deadline,
+                          ViewWaiters::Done done);
   // Reads the streams that waiting questions need.
   void PollForWaiters(base::MonoTime now);
+  void PollForWaiters(LogTail& tail, base::MonoTime now);
   // Logs that a question about `subject` met a view that is too old for it.
   void LogOldView(std::string_view question, const std::string& subject) const;
   bool CanForward(std::string_view record, base::MonoTime now) const;
--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -178,13 +178,15 @@
       CancelKnown(job, deadline, done);
       return;
     }
-    m_intake_tail.Poll([this, job, deadline, done](bool read) {
-      if (m_job_table.StateOf(job)) {
-        CancelKnown(job, deadline, done);
-      } else {
-        done(read ? IntakeOutcome::kNoSuchJob : IntakeOutcome::kNotAccepted);
-      }
-    });
+    WhenKnownOrMissing(job, deadline,
+                       [this, job, deadline, done](bool certain) {
+                         if (m_job_table.StateOf(job)) {
+                           CancelKnown(job, deadline, done);
+                         } else {
+                           done(certain ? IntakeOutcome::kNoSuchJob
+                                        : IntakeOutcome::kNotAccepted);
+                         }
+                       });
   });
   if (!posted) {
     done(IntakeOutcome::kNotAccepted);
@@ -202,16 +204,30 @@
 }
 
 void Node::FindState(jobs::JobId job,
-                     MonoTime /*deadline*/,
+                     MonoTime deadline,
                      std::function<void(JobStateResult)> done) {
-  const bool posted = Post([this, job, done] {
-    if (const auto state = m_job_table.StateOf(job)) {
+  const bool posted = Post([this, job, deadline, done] {
+    const auto state = m_job_table.StateOf(job);
+    if (!state) {
+      WhenKnownOrMissing(job, deadline, [this, job, done](bool certain) {
+        done({certain, m_job_table.StateOf(job)});
+      });
+      return;
+    }
+    // A final state can't be out of date. While the log can't be read, the
+    // table is the best that there is.
+    if (jobs::IsFinal(*state) || m_intake_tail.failing() ||
+        m_work_tail.failing()) {
       done({true, state});
       return;
     }
-    m_intake_tail.Poll([this, job, done](bool read) {
-      const auto state = m_job_table.StateOf(job);
-      done({read || state.has_value(), state});
+    ViewRequirement requirement;
+    requirement.max_age = m_options.max_job_state_age;
+    WhenCurrent(requirement, deadline, [this, job, done](bool current) {
+      if (!current) {
+        LogOldView("job state, answered all the same", jobs::FormatJobId(job));
+      }
+      done({true, m_job_table.StateOf(job)});
     });
   });
   if (!posted) {
@@ -219,6 +235,23 @@
   }
 }
 
+void Node::WhenKnownOrMissing(jobs::JobId job,
+                              MonoTime deadline,
+                              ViewWaiters::Done done) {
+  ViewRequirement requirement;
+  requirement.not_before = m_clock.Now();
+  requirement.needs_work = false;
+  WhenCurrent(requirement, deadline,
+              [this, job, done = std::move(done)](bool current) {
+                const bool known = m_job_table.StateOf(job).has_value();
+                if (!known && !current) {
+                  m_old_view_answers.Add(1);
+                  LogOldView("unknown job", jobs::FormatJobId(job));
+                }
+                done(known || current);
+              });
+}
+
 void Node::CountPending(std::string queue,
                         MonoTime deadline,
                         std::function<void(PendingCountResult)> done) {
@@ -259,15 +292,20 @@
 
 void Node::PollForWaiters(MonoTime now) {
   const ViewWaiters::Missing missing = m_view_waiters.FindMissing(View(), now);
-  if (missing.intake && !m_intake_tail.reading() &&
-      now >= m_intake_tail.last_attempt() + kMinWaiterPollInterval) {
-    m_intake_tail.Poll();
+  if (missing.intake) {
+    PollForWaiters(m_intake_tail, now);
   }
   // The leader's view of the work stream follows from its own appends.
-  if (missing.work && !m_term && !m_work_tail.reading() &&
-      m_intake_tail.caught_up() &&
-      now >= m_work_tail.last_attempt() + kMinWaiterPollInterval) {
-    m_work_tail.Poll();
+  if (missing.work && !m_term && m_intake_tail.caught_up()) {
+    PollForWaiters(m_work_tail, now);
+  }
+}
+
+void Node::PollForWaiters(LogTail& tail, MonoTime now) {
+  const Millis interval =
+      tail.failing() ? m_options.suspect_poll_interval : kMinWaiterPollInterval;
+  if (!tail.reading() && now >= tail.last_attempt() + interval) {
+    tail.Poll();
   }
 }
 
