--- a/packages/http/include/http/http_client.h
+++ b/packages/http/include/http/http_client.h
@@ -28,8 +28,12 @@
   base::MonoTime send_by{};
   // The request must reach the server at most once. libcurl sends a request
   // again when a connection that it used before closes without an answer, so
-  // such a call gets a new connection.
+  // such a call gets a new connection, unless `keep_connection` is set.
   bool send_once = false;
+  // With `send_once`: the call may use a connection that was used before. If it
+  // closes without an answer, the call ends with kUnknown. Has no effect on a
+  // call without a body.
+  bool keep_connection = false;
 };
 
 // Errors of a call. `kUnavailable`: nothing was sent, the server has not seen
--- a/packages/http/src/http_client.cc
+++ b/packages/http/src/http_client.cc
@@ -29,6 +29,7 @@
   HttpClient::Callback done;
   HttpResponse response;
   size_t max_bytes = 0;
+  size_t sent_bytes = 0;  // Of the body, if OnRead() passes it on.
   curl_slist* header_list = nullptr;
 
   ~Transfer() { curl_slist_free_all(header_list); }
@@ -44,6 +45,15 @@
   return bytes;
 }
 
+size_t OnRead(char* data, size_t size, size_t count, void* closure) {
+  auto* transfer = static_cast<Transfer*>(closure);
+  const std::string_view left =
+      std::string_view(transfer->call.body).substr(transfer->sent_bytes);
+  const size_t bytes = left.copy(data, size * count);
+  transfer->sent_bytes += bytes;
+  return bytes;
+}
+
 size_t OnHeader(char* data, size_t size, size_t count, void* closure) {
   auto* transfer = static_cast<Transfer*>(closure);
   std::string_view line(data, size * count);
@@ -74,6 +84,16 @@
   return request_bytes == 0 && uploaded == 0;
 }
 
+// Lets libcurl read the body once. It can't rewind such a body, so where it
+// would send the request again, after a connection closed without an answer, it
+// fails instead, before it sends a byte. Where no byte of the body was sent
+// before, the server has no whole request, and the repeat is harmless.
+void SetBodyReadOnce(CURL* easy, Transfer* transfer) {
+  curl_easy_setopt(easy, CURLOPT_POST, 1L);
+  curl_easy_setopt(easy, CURLOPT_READFUNCTION, &OnRead);
+  curl_easy_setopt(easy, CURLOPT_READDATA, transfer);
+}
+
 class Client : public HttpClient {
  public:
   explicit Client(const HttpClientOptions& options)
@@ -287,7 +307,10 @@
                    static_cast<long>(call.timeout.count()));
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(call.connect_timeout.count()));
-  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.send_once ? 1L : 0L);
+  const bool read_once =
+      call.send_once && call.keep_connection && !call.body.empty();
+  const bool fresh = call.send_once && !read_once;
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->header_list);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
@@ -295,7 +318,11 @@
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
   if (call.method != "GET") {
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
-    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+    if (read_once) {
+      SetBodyReadOnce(easy, transfer.get());
+    } else {
+      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
+    }
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                      static_cast<curl_off_t>(call.body.size()));
   }
--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -9,6 +9,7 @@
 
 #include "http/http_client.h"
 #include "http/http_server.h"
+#include "one_answer_server.h"
 
 namespace azurespur::http {
 
@@ -115,6 +116,60 @@
   CHECK(base::GetError(result).code == base::ErrorCode::kUnavailable);
 }
 
+// Guards against a start that libcurl sends a second time by itself: a worker
+// may have carried out the first, and a refusal of the second then says that
+// nothing runs.
+TEST_CASE("a call that is sent once is not repeated on a kept connection") {
+  OneAnswerServer server;
+  auto client = StartHttpClient();
+  HttpCall call;
+  call.method = "POST";
+  call.url = server.Url();
+  call.body = R"({"run":1})";
+  call.timeout = std::chrono::seconds(20);
+  call.send_once = true;
+  call.keep_connection = true;
+  REQUIRE(base::Ok(client->Fetch(call)));
+  const HttpResult second = client->Fetch(call);
+  REQUIRE(!base::Ok(second));
+  CHECK(base::GetError(second).code == base::ErrorCode::kUnknown);
+  client.reset();
+  server.Stop();
+  CHECK(server.requests() == 2);
+  CHECK(server.later_bytes() == 0);
+}
+
+// The same server shows that other calls are repeated, so that the test above
+// doesn't pass by chance.
+TEST_CASE("a call that may be repeated is, on a new connection") {
+  OneAnswerServer server;
+  auto client = StartHttpClient();
+  HttpCall call;
+  call.method = "POST";
+  call.url = server.Url();
+  call.body = R"({"run":1})";
+  call.timeout = std::chrono::seconds(20);
+  REQUIRE(base::Ok(client->Fetch(call)));
+  CHECK(base::Ok(client->Fetch(call)));
+  CHECK(server.connections() == 2);
+  CHECK(server.requests() == 3);
+}
+
+TEST_CASE("a call without a body that is sent once gets a new connection") {
+  OneAnswerServer server;
+  auto client = StartHttpClient();
+  HttpCall call;
+  call.method = "POST";
+  call.url = server.Url();
+  call.timeout = std::chrono::seconds(20);
+  call.send_once = true;
+  call.keep_connection = true;
+  REQUIRE(base::Ok(client->Fetch(call)));
+  CHECK(base::Ok(client->Fetch(call)));
+  CHECK(server.connections() == 2);
+  CHECK(server.requests() == 2);
+}
+
 TEST_CASE("a port in use is reported with address and port") {
   const auto ignore = [](HttpRequest, std::shared_ptr<HttpReply>) {};
   auto server = base::Value(StartHttpServer({}, ignore));
