--- a/packages/http/include/http/http_client.h
+++ b/packages/http/include/http/http_client.h
@@ -31,8 +31,7 @@
   // such a call gets a new connection, unless `keep_connection` is set.
   bool send_once = false;
   // With `send_once`: the call may use a connection that was used before. If it
-  // closes without an answer, the call ends with kUnknown. Has no effect on a
-  // call without a body.
+  // closes without an answer, the call ends with kUnknown.
   bool keep_connection = false;
 };
 
--- a/packages/http/src/http_client.cc
+++ b/packages/http/src/http_client.cc
@@ -29,7 +29,7 @@
   HttpClient::Callback done;
   HttpResponse response;
   size_t max_bytes = 0;
-  size_t sent_bytes = 0;  // Of the body, if OnRead() passes it on.
+  CURL* easy = nullptr;  // Set once the call is begun.
   curl_slist* header_list = nullptr;
 
   ~Transfer() { curl_slist_free_all(header_list); }
@@ -45,15 +45,6 @@
   return bytes;
 }
 
-size_t OnRead(char* data, size_t size, size_t count, void* closure) {
-  auto* transfer = static_cast<Transfer*>(closure);
-  const std::string_view left =
-      std::string_view(transfer->call.body).substr(transfer->sent_bytes);
-  const size_t bytes = left.copy(data, size * count);
-  transfer->sent_bytes += bytes;
-  return bytes;
-}
-
 size_t OnHeader(char* data, size_t size, size_t count, void* closure) {
   auto* transfer = static_cast<Transfer*>(closure);
   std::string_view line(data, size * count);
@@ -84,14 +75,15 @@
   return request_bytes == 0 && uploaded == 0;
 }
 
-// Lets libcurl read the body once. It can't rewind such a body, so where it
-// would send the request again, after a connection closed without an answer, it
-// fails instead, before it sends a byte. Where no byte of the body was sent
-// before, the server has no whole request, and the repeat is harmless.
-void SetBodyReadOnce(CURL* easy, Transfer* transfer) {
-  curl_easy_setopt(easy, CURLOPT_POST, 1L);
-  curl_easy_setopt(easy, CURLOPT_READFUNCTION, &OnRead);
-  curl_easy_setopt(easy, CURLOPT_READDATA, transfer);
+// Called before a request is sent, also before libcurl sends it again.
+int BeforeRequest(void* closure,
+                  char* /*remote_ip*/,
+                  char* /*local_ip*/,
+                  int /*remote_port*/,
+                  int /*local_port*/) {
+  const auto* transfer = static_cast<const Transfer*>(closure);
+  return NothingSent(transfer->easy) ? CURL_PREREQFUNC_OK
+                                     : CURL_PREREQFUNC_ABORT;
 }
 
 class Client : public HttpClient {
@@ -307,10 +299,13 @@
                    static_cast<long>(call.timeout.count()));
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(call.connect_timeout.count()));
-  const bool read_once =
-      call.send_once && call.keep_connection && !call.body.empty();
-  const bool fresh = call.send_once && !read_once;
+  const bool fresh = call.send_once && !call.keep_connection;
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
+  if (call.send_once) {
+    transfer->easy = easy;
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &BeforeRequest);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
+  }
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->header_list);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
@@ -318,11 +313,7 @@
   curl_easy_setopt(easy, CURLOPT_HEADERDATA, transfer.get());
   if (call.method != "GET") {
     curl_easy_setopt(easy, CURLOPT_CUSTOMREQUEST, call.method.c_str());
-    if (read_once) {
-      SetBodyReadOnce(easy, transfer.get());
-    } else {
-      curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
-    }
+    curl_easy_setopt(easy, CURLOPT_POSTFIELDS, call.body.data());
     curl_easy_setopt(easy, CURLOPT_POSTFIELDSIZE_LARGE,
                      static_cast<curl_off_t>(call.body.size()));
   }
