--- a/packages/http/src/http_client.cc
+++ b/packages/http/src/http_client.cc
@@ -30,6 +30,7 @@
   HttpClient::Callback done;
   HttpResponse response;
   size_t max_bytes = 0;
+  CURL* easy = nullptr;  // Set once the call is begun.
   curl_slist* header_list = nullptr;
   base::MonoTime began{};
   bool answered = false;  // The first byte of the response has arrived.
@@ -96,6 +97,17 @@
   return request_bytes == 0 && uploaded == 0;
 }
 
+// Called before a request is sent, also before libcurl sends it again.
+int BeforeRequest(void* closure,
+                  char* /*remote_ip*/,
+                  char* /*local_ip*/,
+                  int /*remote_port*/,
+                  int /*local_port*/) {
+  const auto* transfer = static_cast<const Transfer*>(closure);
+  return NothingSent(transfer->easy) ? CURL_PREREQFUNC_OK
+                                     : CURL_PREREQFUNC_ABORT;
+}
+
 class Client : public HttpClient {
  public:
   explicit Client(const HttpClientOptions& options)
@@ -325,7 +337,13 @@
                    static_cast<long>(call.timeout.count()));
   curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
                    static_cast<long>(call.connect_timeout.count()));
-  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.send_once ? 1L : 0L);
+  const bool fresh = call.send_once && !call.keep_connection;
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
+  if (call.send_once) {
+    transfer->easy = easy;
+    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &BeforeRequest);
+    curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
+  }
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->header_list);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
