--- a/packages/http/src/http_client.cc
+++ b/packages/http/src/http_client.cc
@@ -35,7 +35,6 @@
   base::MonoTime began{};
   bool answered = false;  // The first byte of the response has arrived.
   StallWatch<CURL*>* stalls = nullptr;  // Null without a stall timeout.
-  CURL* easy = nullptr;
 
   ~Transfer() { curl_slist_free_all(header_list); }
 };
@@ -340,7 +339,6 @@
   const bool fresh = call.send_once && !call.keep_connection;
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
   if (call.send_once) {
-    transfer->easy = easy;
     curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &BeforeRequest);
     curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
   }
