--- a/packages/cell/tests/fake_log.h
+++ b/packages/cell/tests/fake_log.h
@@ -39,6 +39,11 @@
       m_faults.pop_front();
     }
     ++appends;
+    size_t bytes = 0;
+    for (const std::string& record : request.records) {
+      bytes += record.size();
+    }
+    largest_append = std::max(largest_append, bytes);
     AppendResult result;
     if (fault == AppendFault::kNone || fault == AppendFault::kLoseResponse) {
       result = ApplyAppend(request);
@@ -80,6 +85,7 @@
   std::map<std::string, Topic> topics;
   bool readable = true;
   int appends = 0;
+  size_t largest_append = 0;  // In bytes.
   int reads = 0;
   int64_t last_from = 0;  // Of the last read.
 
--- a/packages/cell/tests/intake_writer_test.cc
+++ b/packages/cell/tests/intake_writer_test.cc
@@ -136,6 +136,21 @@
   CHECK(f.outcomes.back() == StoreOutcome::kNotStored);
 }
 
+// Four appends of 256 KB take 840 ms at 10 Mbit/s and end at 500 ms. None of
+// them would be stored, and their records were sent again in appends of that
+// size.
+TEST_CASE("all appends in flight fit through 10 Mbit/s before their timeout") {
+  WriterFixture f;
+  for (int i = 0; i < 400; ++i) {
+    f.Store(std::string(4000, 'r'));
+  }
+  f.RunUntilIdle();
+  CHECK(f.stored == 400);
+  constexpr size_t kInFlight = 4;
+  constexpr size_t kBytesIn500Ms = 625'000;
+  CHECK(kInFlight * f.log.largest_append <= kBytesIn500Ms / 2);
+}
+
 // A full mailbox refused the results of appends, so that their callers got no
 // answer and, after four of them, nothing was appended any more.
 TEST_CASE("the result of an append is not lost while the mailbox is full") {
