Append to the intake stream in batches of 64 KB

An append has 500 ms as long as the log is fast. Four in flight of 256 KB are 1 MB, 840 ms at 10 Mbit/s: after an outage of the log, or with large jobs, none of them could be stored, and their records were queued again. Four of 64 KB take 210 ms. Batches were weighed against a timeout that grows with their size: callers wait for the answer, so a smaller batch serves them better. 34 jobs a second of some hundred bytes stay far below 64 KB.

On 2 Mbit/s 256 KB take 1 s and still fail where all four are full.

--- a/packages/cell/src/intake_writer.cc
+++ b/packages/cell/src/intake_writer.cc
@@ -12,7 +12,7 @@
 namespace {
 
 constexpr size_t kMaxBatchRecords = 256;
-constexpr size_t kMaxBatchBytes = 256 << 10;
+constexpr size_t kMaxBatchBytes = 64 << 10;
 // Several appends may be in flight, so that one lost response doesn't delay all
 // callers.
 constexpr int kMaxInFlight = 4;
