--- a/packages/cell/tests/slow_link_test.cc
+++ b/packages/cell/tests/slow_link_test.cc
@@ -4,6 +4,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "log_tail.h"
 #include "slow_link_log.h"
@@ -118,6 +119,22 @@
   CHECK_FALSE(f.intake.failing());
 }
 
+// A VM that had read the first page answered that a job doesn't exist which
+// came later in the stream. Its cancellation was told as done, and the job ran.
+TEST_CASE("a poll does not succeed before the end of the stream is read") {
+  SlowLinkFixture f(kNarrowLink);
+  std::vector<bool> results;
+  f.intake.Poll([&results](bool ok) { results.push_back(ok); });
+  f.RunFor(Millis{500});
+  CHECK_FALSE(f.intake.caught_up());
+  CHECK(results == std::vector<bool>{false});
+  f.RunFor(Millis{12000});
+  REQUIRE(f.intake.at_end());
+  f.intake.Poll([&results](bool ok) { results.push_back(ok); });
+  f.RunFor(Millis{500});
+  CHECK(results == std::vector<bool>{false, true});
+}
+
 TEST_CASE("a wide link carries few and large pages") {
   SlowLinkFixture f(kNarrowLink * 20);
   f.RunFor(Millis{2000});
