A poll of a stream succeeds only at its end

FindState and Cancel poll the intake stream once and take a job that isn't in the table then for one that doesn't exist. The poll reported success after one read, whatever that reached: a fault before as well, for streams over 1 MB, and seen at once with first pages of 64 KB.

Poll() now reports success only if all records up to the end that its read saw are applied. A VM that is further behind says that it can't tell (503), and the client asks another one. Waiting for the pages that follow was weighed: on a narrow link that takes seconds.

--- a/packages/cell/src/log_tail.cc
+++ b/packages/cell/src/log_tail.cc
@@ -95,8 +95,12 @@
     m_kept = std::move(result.records);
     m_kept_from = read.from;
   }
+  // The page may end before the end of the stream. What follows is not waited
+  // for: callers on a VM that is far behind do better to ask another one.
+  const bool complete =
+      result.status == ReadStatus::kRead && m_next >= result.end;
   for (const auto& done : std::exchange(m_read_callbacks, {})) {
-    done(ok);
+    done(complete);
   }
   const bool more =
       ok && applied &&
--- a/packages/cell/src/log_tail.h
+++ b/packages/cell/src/log_tail.h
@@ -36,7 +36,8 @@
 
   // Reads from next() on, unless a read is in flight or records that were read
   // can't be applied yet. `done`, if any, runs after a read that was sent after
-  // this call, with true if the read succeeded.
+  // this call, with true if all records up to the end that the read reported
+  // are applied.
   void Poll(std::function<void(bool)> done = nullptr);
 
   // Takes records that are stored at `offset`. Applies those from next() on, or
