--- a/packages/cell/include/cell/cell_node.h
+++ b/packages/cell/include/cell/cell_node.h
@@ -79,6 +79,9 @@
   // Null until the first policy was read.
   virtual std::shared_ptr<const jobs::CellPolicy> policy() const = 0;
 
+  // When the policy was last known to be the newest; empty if never.
+  virtual std::optional<base::MonoTime> policy_as_of() const = 0;
+
   // True if the node can accept jobs now.
   virtual bool ready() const = 0;
 
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -78,6 +78,7 @@
                     base::MonoTime deadline,
                     std::function<void(PendingCountResult)> done) override;
   std::shared_ptr<const jobs::CellPolicy> policy() const override;
+  std::optional<base::MonoTime> policy_as_of() const override;
   bool ready() const override { return m_ready.load(); }
   void Dump(std::function<void(std::string)> done) override;
 
@@ -211,6 +212,7 @@
 
   mutable std::mutex m_policy_mutex;
   std::shared_ptr<const jobs::CellPolicy> m_policy;
+  std::optional<base::MonoTime> m_policy_as_of;
 
   // Used only on the node's thread.
   jobs::JobTable m_job_table;
--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -45,11 +45,13 @@
 
 void Node::PollPolicy() {
   m_policy_retry = MonoTime::max();
+  const MonoTime sent_at = m_clock.Now();
   m_dependencies.policy.Poll(
-      [this](base::Outcome<PolicySource::Policy> outcome) {
+      [this, sent_at](base::Outcome<PolicySource::Policy> outcome) {
         const bool ok = base::Ok(outcome) && base::Value(outcome) != nullptr;
         if (ok) {
           std::lock_guard<std::mutex> lock(m_policy_mutex);
+          m_policy_as_of = sent_at;
           const auto& latest = base::Value(outcome);
           if (!m_policy || latest->version > m_policy->version) {
             base::LogEvent(base::Severity::kInfo, "AZ9004",
@@ -81,6 +83,11 @@
   return m_policy;
 }
 
+std::optional<MonoTime> Node::policy_as_of() const {
+  std::lock_guard<std::mutex> lock(m_policy_mutex);
+  return m_policy_as_of;
+}
+
 void Node::Submit(jobs::JobSpec spec,
                   MonoTime deadline,
                   std::function<void(IntakeOutcome)> done) {
