Take no answer for missing because this VM is late

Cause: an order timed out after 350 ms also if it was this VM that handled the answer late. The worker then counted as unanswered and lost (its bindings were released unstarted, and it got no renewals of its lease), two such workers made hold orders more frequent, and starts were repeated and stopped: more work for a VM that was behind already.

The scheduler now sees how far this VM is behind: how late a tick comes, and how long after its timeout an unanswered order is handled. The delay counts for two seconds. It is added to the timeout of orders, which they carry now (350 ms, at most 2,500); while it counts, an unanswered hold order does not make a worker lost, up to three in a row, and is no sign of a degraded fleet.

--- a/packages/cell/tests/leader_simulation.h
+++ b/packages/cell/tests/leader_simulation.h
@@ -359,8 +359,8 @@
   }
 
   template <class Order>
-  static base::Millis OrderTimeout(const Order& /*order*/) {
-    return base::Millis{350};
+  static base::Millis OrderTimeout(const Order& order) {
+    return order.timeout;
   }
 
   jobs::OrderOutcome ServeStart(const jobs::StartOrder& order) {
--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -16,6 +16,7 @@
 
 #include "base/clock.h"
 #include "jobs/orders.h"
+#include "jobs/own_delay.h"
 #include "jobs/scheduler_options.h"
 #include "jobs/scheduler_output.h"
 #include "jobs/worker_entry.h"
@@ -70,6 +71,8 @@
 
   // Hold orders.
   int32_t holds_in_flight = 0;
+  // Hold orders in a row that stayed unanswered while this VM was behind.
+  int32_t late_holds = 0;
   base::MonoTime next_hold{};
   // When the most recent answered hold order was sent.
   base::MonoTime newest_hold_sent_at{};
@@ -116,6 +119,13 @@
   // Extends the worker's lease and returns its new end, on the worker's clock.
   int64_t ExtendLease(const Worker& worker, base::MonoTime now);
 
+  // Something due at `due` is handled only now.
+  void ObserveDelay(base::MonoTime due, base::MonoTime now) {
+    m_own_delay.Observe(due, now);
+  }
+  // How long to wait for the answer to an order that is sent now.
+  base::Millis OrderTimeout(base::MonoTime now) const;
+
   // Marks the task's run to be stopped.
   void RequestStop(const TaskRef& task);
 
@@ -170,6 +180,7 @@
                      bool may_renew,
                      SchedulerOutput& out);
   void SendStops(Worker& worker, base::MonoTime now, SchedulerOutput& out);
+  // Not while this VM is behind: the answer may have been in time.
   void RecordUnanswered(std::string_view worker_id, base::MonoTime now);
   // Returns true if several workers recently left orders unanswered.
   bool IsDegraded(base::MonoTime now) const;
@@ -197,6 +208,7 @@
                      SchedulerOutput& out);
 
   const SchedulerOptions m_options;
+  OwnDelay m_own_delay;
   std::map<std::string, Worker, std::less<>> m_workers;  // By id.
   std::map<TaskRef, std::string> m_index;  // Worker id of each run.
   // When each worker last left an order unanswered; entries expire.
--- a/packages/jobs/include/jobs/orders.h
+++ b/packages/jobs/include/jobs/orders.h
@@ -25,6 +25,8 @@
   std::string checkpoint;  // Empty: from the beginning.
   std::string ticket;      // Empty: the queue needs none.
   int32_t send_count = 1;  // Sends of this start; repeats are idempotent.
+  base::MonoTime sent_at{};
+  base::Millis timeout{0};  // For the answer.
 };
 
 struct StopOrder {
@@ -33,6 +35,7 @@
   TaskRef task;
   int32_t run = 0;
   uint64_t fence = 0;
+  base::Millis timeout{0};  // For the answer.
 };
 
 // Renews the lease of all runs on the worker and requests its report. It is a
@@ -44,6 +47,7 @@
   int64_t acked_end_number = 0;  // The worker discards ends up to here.
   std::optional<int64_t> lease_until_ms;  // On the worker's clock.
   base::Millis wait{0};                   // Longest wait for an end.
+  base::Millis timeout{0};                // For the answer, after `wait`.
   base::MonoTime sent_at{};
 };
 
--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -118,6 +118,8 @@
     int64_t max_slots = 0;
   };
 
+  // Notices if this tick comes late.
+  void ObserveTick(base::MonoTime now);
   void DropReservations(bool full, base::MonoTime now);
   // Unless `full`, returns only steps of urgent queues.
   std::vector<ReadyStep> FindReady(bool full,
@@ -222,6 +224,7 @@
   std::map<TaskRef, std::string> m_last_failed_worker;  // Worker id.
   UnsentBindings m_unsent;
   StartPacer m_pacer;
+  base::MonoTime m_last_tick{};
   base::MonoTime m_next_full_plan{};
   base::MonoTime m_next_prune{};
 };
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -340,6 +340,7 @@
     return;
   }
   worker->responsive = true;
+  worker->late_holds = 0;
   if (!worker->clock_known || report.clock_ms >= worker->clock_ms) {
     worker->clock_known = true;
     worker->clock_ms = report.clock_ms;
@@ -387,7 +388,8 @@
     Run* run = FindRun(worker, running.task, running.run);
     if (run == nullptr) {
       out.stops.push_back({worker.entry.boot, worker.entry.address,
-                           running.task, running.run, m_options.fence});
+                           running.task, running.run, m_options.fence,
+                           OrderTimeout(now)});
       continue;
     }
     seen.insert(running.task);
--- a/packages/jobs/src/fleet_holds.cc
+++ b/packages/jobs/src/fleet_holds.cc
@@ -43,7 +43,11 @@
   if (outcome == OrderOutcome::kUnknown) {
     RecordUnanswered(boot.id, now);
   }
-  if (worker->responsive) {
+  const bool late = outcome == OrderOutcome::kUnknown &&
+                    m_own_delay.Recent(now) > base::Millis{0} &&
+                    worker->late_holds < m_options.max_late_holds;
+  worker->late_holds += late ? 1 : 0;
+  if (worker->responsive && !late) {
     worker->responsive = false;
     worker->next_hold = now;  // Retries a single lost answer at once.
     base::LogEvent(base::Severity::kWarning, "AZ9108", "worker lost",
@@ -81,6 +85,7 @@
   order.fence = m_options.fence;
   order.acked_end_number = worker.ends_stored;
   order.sent_at = now;
+  order.timeout = OrderTimeout(now);
   if (worker.responsive && worker.clock_known) {
     if (may_renew) {
       order.lease_until_ms = ExtendLease(worker, now);
@@ -96,7 +101,15 @@
   out.holds.push_back(std::move(order));
 }
 
+base::Millis Fleet::OrderTimeout(base::MonoTime now) const {
+  return std::min(m_options.order_timeout + m_own_delay.Recent(now),
+                  m_options.max_order_timeout);
+}
+
 void Fleet::RecordUnanswered(std::string_view worker_id, base::MonoTime now) {
+  if (m_own_delay.Recent(now) > base::Millis{0}) {
+    return;
+  }
   m_last_unanswered[std::string(worker_id)] = now;
   std::erase_if(m_last_unanswered, [now](const auto& entry) {
     return entry.second + kUnansweredWindow < now;
@@ -133,7 +146,7 @@
     }
     run.stop_sent_at = now;
     out.stops.push_back({worker.entry.boot, worker.entry.address, task, run.run,
-                         m_options.fence});
+                         m_options.fence, OrderTimeout(now)});
   }
 }
 
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -113,6 +113,8 @@
   order.payload = job->spec.payload;
   order.lease_until_ms = m_fleet.ExtendLease(*worker, now);
   order.fence = m_options.fence;
+  order.sent_at = now;
+  order.timeout = m_fleet.OrderTimeout(now);
   order.checkpoint =
       job->spec.steps[step].gang ? progress.gang_checkpoint : task.checkpoint;
   if (NeedsTicket(*job)) {
@@ -128,6 +130,7 @@
   if (outcome == OrderOutcome::kBadTicket) {
     m_advice.InvalidateTicket(order.task.StepOf(), order.worker.id);
   }
+  m_fleet.ObserveDelay(order.sent_at + order.timeout, now);
   const Run* run = m_fleet.FindRun(order.task);
   if (outcome != OrderOutcome::kUnknown && run != nullptr &&
       run->run == order.run) {
@@ -138,6 +141,8 @@
       m_fleet.IsStartPending(order.task, order.run)) {
     StartOrder again = order;
     ++again.send_count;
+    again.sent_at = now;
+    again.timeout = m_fleet.OrderTimeout(now);
     out.starts.push_back(std::move(again));
     return;
   }
@@ -176,6 +181,7 @@
                              OrderOutcome outcome,
                              base::MonoTime now,
                              SchedulerOutput& out) {
+  m_fleet.ObserveDelay(order.sent_at + order.wait + order.timeout, now);
   m_fleet.OnHoldFailed(order.worker, outcome, now, out);
 }
 
@@ -194,6 +200,7 @@
                      int64_t unix_ms,
                      base::MonoTime last_append,
                      SchedulerOutput& out) {
+  ObserveTick(now);
   m_advice.Tick(now);
   StopFinalJobs();
   StopIncompleteGangs();
@@ -214,6 +221,13 @@
   PruneState(now);
 }
 
+void Scheduler::ObserveTick(base::MonoTime now) {
+  if (m_last_tick != base::MonoTime{}) {
+    m_fleet.ObserveDelay(m_last_tick + m_options.full_plan_interval, now);
+  }
+  m_last_tick = now;
+}
+
 // Non-firm reservations are rebuilt in each full plan, in the order of the
 // steps. Otherwise two gangs that each keep a part of the capacity that both
 // need would wait forever.
