--- a/packages/http/include/http/http_client.h
+++ b/packages/http/include/http/http_client.h
@@ -41,6 +41,9 @@
 
 struct HttpClientOptions {
   long max_connections_per_host = 64;
+  // Connections to all hosts together that are kept, in use or not. The oldest
+  // unused one is closed for a new one.
+  long max_kept_connections = 1024;
   size_t max_response_bytes = 16 << 20;
   size_t queue_size = 4096;
 };
--- a/packages/http/src/http_client.cc
+++ b/packages/http/src/http_client.cc
@@ -101,7 +101,8 @@
     curl_multi_setopt(m_multi, CURLMOPT_TIMERDATA, this);
     curl_multi_setopt(m_multi, CURLMOPT_MAX_HOST_CONNECTIONS,
                       options.max_connections_per_host);
-    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS, 1024L);
+    curl_multi_setopt(m_multi, CURLMOPT_MAXCONNECTS,
+                      options.max_kept_connections);
     m_thread = std::thread([this] { Run(); });
   }
   Client(const Client&) = delete;
