--- a/packages/jobs/include/jobs/scheduler_options.h
+++ b/packages/jobs/include/jobs/scheduler_options.h
@@ -24,7 +24,6 @@
   // Replaces busy_hold_wait while several workers leave orders unanswered,
   // because a lost hold order delays the reports of all ends on its worker.
   base::Millis degraded_hold_wait{200};
-  // Between hold orders to a worker that does not answer.
   // For the answer to an order, after a long poll's wait. While this VM is
   // behind, its delay is added, up to the maximum.
   base::Millis order_timeout{350};
@@ -32,6 +31,7 @@
   // A worker that leaves more hold orders in a row unanswered counts as lost
   // even while this VM is behind.
   int32_t max_late_holds = 3;
+  // Between hold orders to a worker that does not answer.
   base::Millis silent_retry_interval{250};
   base::Millis stop_retry_interval{500};  // Between repeated stops of a run.
   base::Millis max_binding_age{1000};     // Older bindings are not started.
