--- a/packages/cell/tests/leader_term_test.cc
+++ b/packages/cell/tests/leader_term_test.cc
@@ -45,6 +45,34 @@
     }
   }
 
+  // Makes the scheduler bind the task of a new job.
+  void BindTask() {
+    jobs::CellPolicy policy;
+    policy.queues["q"].service = "s";
+    policy.queues["q"].max_attempts = 1;
+    jobs::WorkerEntry worker;
+    worker.boot = {"w", 1};
+    worker.service = "s";
+    worker.address = "addr";
+    worker.capacity = {10, 10, 0};
+    jobs::JobSpec job;
+    job.id = 1;
+    job.queue = "q";
+    job.steps.resize(1);
+    job.steps[0].count = 1;
+    job.steps[0].demand = {1, 1, 0};
+    table.Submit(job, clock.now);
+    jobs::Scheduler& scheduler = term->scheduler();
+    jobs::HoldOrder hold;
+    hold.worker = worker.boot;
+    jobs::WorkerReport report;
+    report.boot_unix_ms = 1;
+    scheduler.SetPolicy(policy);
+    scheduler.SetWorkers({&worker, 1}, clock.now, term->output());
+    scheduler.OnReport(hold, report, clock.now, term->output());
+    scheduler.Tick(clock.now, 0, clock.now, term->output());
+  }
+
   // Returns the jobs of the stored records in order, with 0 for a yield.
   std::vector<jobs::JobId> Stored() {
     std::vector<jobs::JobId> stored;
@@ -107,6 +135,23 @@
   CHECK(f.Stored() == std::vector<jobs::JobId>{1, 2, 0});
 }
 
+// Guards against starts, and with them leases, of a leader that was suspended
+// after it appended the binding: its successor counts the leases from then.
+TEST_CASE("a binding is started only if its append was sent of late") {
+  for (const auto& [suspended, starts] :
+       {std::pair(Millis{3000}, 1U), std::pair(Millis{8000}, 0U)}) {
+    TermFixture f;
+    f.BindTask();
+    f.term->AppendPending(f.clock.now, 0);
+    f.clock.now += suspended;
+    f.log.DeliverResponses();
+    while (auto mail = f.mailbox.Pop()) {
+      (*mail)();
+    }
+    CHECK(f.term->output().starts.size() == starts);
+  }
+}
+
 TEST_CASE("a fenced leader stores no more records") {
   TermFixture f;
   AppendRequest later;
