Start a binding for as long as the leader may renew leases, and no longer

A binding's age counts from the sending of its append now, and is limited by max_renew_after_append (7 s) in place of 1 s from the handling of the answer. A late leader no longer gives up valid bindings, and a suspended one starts nothing that its successor does not know of; job, ticket and worker are checked at the start as before.

--- a/packages/cell/src/leader_term.cc
+++ b/packages/cell/src/leader_term.cc
@@ -131,7 +131,7 @@
   const Batch batch = std::exchange(m_batch, {});
   m_on_stored(result.offset, batch.records);
   for (const jobs::PendingRecord& pending : batch.pending) {
-    m_scheduler.OnStored(pending, now, m_clock.Now(), m_output);
+    m_scheduler.OnStored(pending, sent_at, m_clock.Now(), m_output);
   }
   m_yield_stored = m_yielding && m_queue.empty();
 }
--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -40,7 +40,7 @@
 // How many stored bindings were released before their start was sent.
 struct UnsentBindings {
   int64_t job_over = 0;   // The job is gone or has a final state.
-  int64_t too_old = 0;    // Older than `max_binding_age`.
+  int64_t too_old = 0;    // The start would extend a lease too late.
   int64_t no_ticket = 0;  // Advice no longer allows the start.
   int64_t no_worker = 0;  // The worker is lost or draining, or a stop came.
 };
@@ -60,9 +60,10 @@
                   SchedulerOutput& out);
   void SetAdviceVms(std::span<const std::string> vms) { m_advice.SetVms(vms); }
 
-  // The record was stored and applied to the table.
+  // The record was stored and applied to the table; its append was sent at
+  // `append_sent_at`.
   void OnStored(const PendingRecord& stored,
-                base::MonoTime stored_at,
+                base::MonoTime append_sent_at,
                 base::MonoTime now,
                 SchedulerOutput& out);
 
@@ -198,11 +199,11 @@
   // there is none.
   int64_t* ReasonNotToStart(const BindRecord& bind,
                             const Job* job,
-                            base::MonoTime stored_at,
+                            base::MonoTime append_sent_at,
                             base::MonoTime now);
   bool NeedsTicket(const Job& job) const;
   void SendStart(const BindRecord& bind,
-                 base::MonoTime stored_at,
+                 base::MonoTime append_sent_at,
                  base::MonoTime now,
                  SchedulerOutput& out);
   void StopIncompleteGangs();
--- a/packages/jobs/include/jobs/scheduler_options.h
+++ b/packages/jobs/include/jobs/scheduler_options.h
@@ -16,8 +16,9 @@
   // unreachable worker can be rescheduled earlier; with a longer one they
   // survive a longer network partition of their failure domain.
   base::Millis lease{8500};
-  // A leader renews leases for at most this long after its last append, so that
-  // a successor knows when an unreachable worker has stopped its runs.
+  // A leader renews leases, and starts tasks, for at most this long after the
+  // append concerned, so that a successor knows when an unreachable worker has
+  // stopped its runs.
   base::Millis max_renew_after_append{7000};
   base::Millis busy_hold_wait{1000};  // Long poll of a worker with runs.
   base::Millis idle_hold_wait{2000};  // Long poll of an idle worker.
@@ -34,7 +35,6 @@
   int32_t max_late_holds = 3;
   base::Millis silent_retry_interval{250};
   base::Millis stop_retry_interval{500};  // Between repeated stops of a run.
-  base::Millis max_binding_age{1000};     // Older bindings are not started.
   // A start that stays unanswered after so many sends is followed by stops.
   int32_t max_start_sends = 3;
   // Between hold orders while reported ends are not yet stored.
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -52,14 +52,14 @@
 }
 
 void Scheduler::OnStored(const PendingRecord& stored,
-                         base::MonoTime stored_at,
+                         base::MonoTime append_sent_at,
                          base::MonoTime now,
                          SchedulerOutput& out) {
   if (stored.end_number > 0) {
     m_fleet.OnEndStored(stored);
   }
   if (const auto* bind = std::get_if<BindRecord>(&stored.record)) {
-    SendStart(*bind, stored_at, now, out);
+    SendStart(*bind, append_sent_at, now, out);
   } else if (const auto* end = std::get_if<EndRecord>(&stored.record)) {
     if (end->kind == EndKind::kFailed) {
       m_last_failed_worker[end->task] = stored.worker.id;
@@ -74,12 +74,12 @@
 
 int64_t* Scheduler::ReasonNotToStart(const BindRecord& bind,
                                      const Job* job,
-                                     base::MonoTime stored_at,
+                                     base::MonoTime append_sent_at,
                                      base::MonoTime now) {
   if (job == nullptr || IsFinal(job->state)) {
     return &m_unsent.job_over;
   }
-  if (now > stored_at + m_options.max_binding_age) {
+  if (now > append_sent_at + m_options.max_renew_after_append) {
     return &m_unsent.too_old;
   }
   const bool allowed = !NeedsTicket(*job) ||
@@ -89,11 +89,11 @@
 }
 
 void Scheduler::SendStart(const BindRecord& bind,
-                          base::MonoTime stored_at,
+                          base::MonoTime append_sent_at,
                           base::MonoTime now,
                           SchedulerOutput& out) {
   const Job* job = m_table.Find(bind.task.job);
-  int64_t* reason = ReasonNotToStart(bind, job, stored_at, now);
+  int64_t* reason = ReasonNotToStart(bind, job, append_sent_at, now);
   const Worker* worker = reason == nullptr
                              ? m_fleet.BeginStart(bind.task, bind.run, now)
                              : nullptr;
