--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -139,6 +139,12 @@
   // The lists are not sorted.
   GangCapacity FindGangCapacity(const ReadyStep& step,
                                 base::MonoTime now) const;
+  // Finds only the slots with a valid ticket.
+  GangCapacity FindTicketCapacity(const ReadyStep& step,
+                                  base::MonoTime now) const;
+  // Returns true if the gang waits for advice, so that only tickets that it
+  // already has can let it start, and no log line about it is due.
+  bool NeedsOnlyTickets(const ReadyStep& step, base::MonoTime now) const;
   void LogWaitingGang(const ReadyStep& step,
                       const GangCapacity& capacity,
                       base::MonoTime now);
--- a/packages/jobs/src/scheduler_gang.cc
+++ b/packages/jobs/src/scheduler_gang.cc
@@ -59,15 +59,56 @@
   return capacity;
 }
 
+Scheduler::GangCapacity Scheduler::FindTicketCapacity(
+    const ReadyStep& step,
+    base::MonoTime now) const {
+  GangCapacity capacity;
+  const AdviceTracker::StepAdvice* answers = m_advice.AdviceFor(step.ref);
+  if (answers == nullptr) {
+    return capacity;
+  }
+  StepView view = ViewOf(step);
+  for (const auto& [id, advice] : *answers) {
+    const auto found = m_fleet.workers().find(id);
+    if (!advice.eligible || found == m_fleet.workers().end()) {
+      continue;
+    }
+    ++m_counts.workers_examined;
+    const Worker& worker = found->second;
+    if (!AcceptsTasks(worker, now) || !IsCompatible(step, worker) ||
+        view.EligibilityOf(worker, now) != Eligibility::kEligible) {
+      continue;
+    }
+    const int64_t slots = view.SlotsFor(worker);
+    if (slots > 0) {
+      capacity.with_ticket.emplace_back(&worker, slots);
+      capacity.ticket_slots += slots;
+    }
+  }
+  return capacity;
+}
+
+bool Scheduler::NeedsOnlyTickets(const ReadyStep& step,
+                                 base::MonoTime now) const {
+  const auto next_log = m_next_wait_log.find(step.ref);
+  return step.policy->advice && m_advice.HasPendingQuery(step.ref) &&
+         next_log != m_next_wait_log.end() && now < next_log->second;
+}
+
 void Scheduler::PlaceGang(const ReadyStep& step,
                           base::MonoTime now,
                           SchedulerOutput& out) {
   const int64_t count = SpecOf(step).count;
-  GangCapacity capacity = FindGangCapacity(step, now);
+  const bool only_tickets = NeedsOnlyTickets(step, now);
+  GangCapacity capacity = only_tickets ? FindTicketCapacity(step, now)
+                                       : FindGangCapacity(step, now);
   if (capacity.ticket_slots >= count) {
     BindGang(step, capacity, now, out);
     return;
   }
+  if (only_tickets) {
+    return;
+  }
   LogWaitingGang(step, capacity, now);
   if (capacity.max_slots < count ||
       (step.policy->advice && m_advice.HasPendingQuery(step.ref))) {
--- a/packages/jobs/tests/plan_cost_test.cc
+++ b/packages/jobs/tests/plan_cost_test.cc
@@ -77,12 +77,31 @@
   f.AddQueue("batch", 2);
   f.AddWorkers(kWorkers, 10);
   f.Run(Millis{200});
-  f.Submit(1, "batch", 2 * kWorkers, 5);
+  constexpr int kTasks = 2 * kWorkers;
+  f.Submit(1, "batch", kTasks, 5);
   const PlanCounts before = f.scheduler.plan_counts();
   RunToFullPlan(f);
   const PlanCounts after = f.scheduler.plan_counts();
-  CHECK(after.tasks_placed == before.tasks_placed + 2 * kWorkers);
+  CHECK(after.tasks_placed == before.tasks_placed + kTasks);
   CHECK(after.workers_examined <= before.workers_examined + kWorkers);
 }
 
+// Guards against a look at every worker for a gang that can only wait for the
+// answer to its query.
+TEST_CASE("a gang whose query is unanswered looks at no unadvised worker") {
+  SchedulerFixture f;
+  f.AddQueue("gangs", 1).advice = AdvicePolicy{80, 1, 1000000};
+  f.AddWorkers(kWorkers, 10);
+  f.Run(Millis{200});
+  f.Submit(1, "gangs", 4, 5, /*gang=*/true);
+  RunToFullPlan(f);
+  REQUIRE(f.sent_queries.size() == 1);
+  const PlanCounts before = f.scheduler.plan_counts();
+  RunToFullPlan(f);
+  const PlanCounts after = f.scheduler.plan_counts();
+  CHECK(after.steps_planned > before.steps_planned);
+  CHECK(after.workers_examined == before.workers_examined);
+  CHECK(f.CountRunning(1) == 0);
+}
+
 }  // namespace azurespur::jobs
