--- a/bench/jobs/crest_cell.cc
+++ b/bench/jobs/crest_cell.cc
@@ -46,6 +46,7 @@
       m_scheduler(SchedulerOptions{}, m_table),
       m_jobs_per_second(jobs_per_second) {
   std::vector<std::string> names;
+  names.reserve(static_cast<size_t>(vms));
   for (int i = 0; i < vms; ++i) {
     names.push_back("vm-" + std::to_string(i));
   }
--- a/packages/http/tests/one_answer_server.h
+++ b/packages/http/tests/one_answer_server.h
@@ -11,6 +11,7 @@
 #include <array>
 #include <atomic>
 #include <cstdint>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -27,10 +28,12 @@
     socklen_t size = sizeof(address);
     auto* generic = reinterpret_cast<sockaddr*>(&address);
     m_listener = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    bind(m_listener, generic, size);
-    getsockname(m_listener, generic, &size);
+    if (bind(m_listener, generic, size) != 0 ||
+        getsockname(m_listener, generic, &size) != 0 ||
+        listen(m_listener, kBacklog) != 0) {
+      throw std::runtime_error("no port to listen on");
+    }
     m_port = ntohs(address.sin_port);
-    listen(m_listener, 8);
     m_thread = std::thread([this] { Run(); });
   }
   OneAnswerServer(const OneAnswerServer&) = delete;
@@ -60,6 +63,8 @@
   int64_t later_bytes() const { return m_later_bytes.load(); }
 
  private:
+  static constexpr int kBacklog = 8;
+
   void Run() {
     for (;;) {
       const int connection = accept(m_listener, nullptr, nullptr);
