--- a/packages/cell/tests/node_fixture.h
+++ b/packages/cell/tests/node_fixture.h
@@ -81,11 +81,16 @@
   std::function<void(base::Outcome<Policy>)> m_done;
 };
 
-class LostDatagrams : public DatagramTransport {
+// Delivers none of the node's datagrams and keeps them for the test.
+class HeldDatagrams : public DatagramTransport {
  public:
-  void Send(std::string_view /*address*/, std::string_view /*bytes*/) override {
+  void Send(std::string_view /*address*/, std::string_view bytes) override {
+    sent.emplace_back(bytes);
   }
-  void Receive(Handler /*handler*/) override {}
+  void Receive(Handler handler) override { deliver = std::move(handler); }
+
+  std::vector<std::string> sent;
+  Handler deliver;  // To the node.
 };
 
 struct NodeFixture {
@@ -155,7 +160,7 @@
   IdleAdvice advice;
   EmptyDirectory directory;
   HeldPolicySource policy;
-  LostDatagrams datagrams;
+  HeldDatagrams datagrams;
   FakeClock clock;
   base::Metrics metrics;
   Node node{MakeOptions(),
