Forwarded records are numbered differently in each life of a VM

The number of the first record is random instead of 1, so an outcome that the leader sent to the VM's former life matches nothing and is dropped. The case that failed before passes (cell_test, 59 cases). No message changes.

--- a/packages/cell/src/intake_forwarder.h
+++ b/packages/cell/src/intake_forwarder.h
@@ -24,7 +24,10 @@
   using Send = std::function<
       void(uint64_t id, const std::string& record, base::Millis wait)>;
 
-  explicit IntakeForwarder(Send send) : m_send(std::move(send)) {}
+  // Records are numbered from `first_id` on. It must differ between the lives
+  // of a VM, so that no outcome for a former life is taken.
+  explicit IntakeForwarder(Send send, uint64_t first_id = 1)
+      : m_send(std::move(send)), m_next_id(first_id) {}
 
   // True if the record fits into a message.
   static bool Fits(std::string_view record);
@@ -58,7 +61,7 @@
 
   const Send m_send;
   std::map<uint64_t, ForwardedRecord> m_records;
-  uint64_t m_next_id = 1;
+  uint64_t m_next_id;
 };
 
 }  // namespace azurespur::cell
--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -20,6 +20,12 @@
 constexpr Millis kSweepInterval{5000};
 constexpr Millis kSpeedProbeInterval{400};
 
+uint64_t RandomId() {
+  std::random_device seed;
+  std::mt19937_64 random(seed());
+  return random();
+}
+
 }  // namespace
 
 Node::Node(const NodeOptions& options,
@@ -64,7 +70,8 @@
       m_intake_forwarder(
           [this](uint64_t id, const std::string& record, Millis wait) {
             SendForward(id, record, wait);
-          }) {
+          },
+          RandomId()) {
   std::random_device seed;
   std::mt19937_64 random(seed());
   m_nonce = random();
