--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -27,6 +27,12 @@
 constexpr Millis kSpeedProbeInterval{400};
 constexpr Millis kRefusedMailLogInterval{1000};
 
+uint64_t RandomId() {
+  std::random_device seed;
+  std::mt19937_64 random(seed());
+  return random();
+}
+
 }  // namespace
 
 Node::Node(const NodeOptions& options,
@@ -75,7 +81,8 @@
       m_intake_forwarder(
           [this](uint64_t id, const std::string& record, Millis wait) {
             SendForward(id, record, wait);
-          }),
+          },
+          RandomId()),
       m_fan_out(m_peer_sender, options.resources.link_mbps, metrics) {
   std::random_device seed;
   std::mt19937_64 random(seed());
