Never refuse the completion of a leader's append

Callers saw a leader that appended nothing more: its term waited for a result that a full mailbox had refused, held its place as leader, and was replaced after 1.5 s.

The new test failed before (the second record is never stored, 102 of 103 cases passed) and passes now, 103 of 103.

--- a/packages/cell/src/leader_term.cc
+++ b/packages/cell/src/leader_term.cc
@@ -89,7 +89,7 @@
   auto self = weak_from_this();
   base::Mailbox& mailbox = m_mailbox;
   m_log.Append(std::move(request), [&mailbox, self, now](AppendResult result) {
-    mailbox.Push([self, now, result] {
+    base::PushCompletion(mailbox, [self, now, result] {
       if (const auto term = self.lock()) {
         term->OnAppend(result, now);
       }
--- a/packages/cell/tests/leader_term_test.cc
+++ b/packages/cell/tests/leader_term_test.cc
@@ -124,6 +124,20 @@
   CHECK_FALSE(f.term->lost());
 }
 
+// Guards against a leader that appends nothing more, and so is replaced, since
+// the result of one append found the mailbox full.
+TEST_CASE("the result of a leader's append is not lost in a full mailbox") {
+  TermFixture f;
+  f.Add(1);
+  f.term->AppendPending(f.clock.now, 0);
+  while (f.mailbox.Push([] {})) {
+  }
+  f.log.DeliverResponses();
+  f.Add(2);
+  f.Run(Millis{400});
+  CHECK(f.Stored() == std::vector<jobs::JobId>{1, 2});
+}
+
 TEST_CASE("a yield is stored after all pending records") {
   TermFixture f;
   f.Add(1);
