Repeat a start only where it may still begin, and soon

A start without an answer was repeated whatever had become of its worker, though the first send asks whether it drains or has left. Since orders wait longer while the leader is behind, the three sends could spread over 7.5 s: a task could begin 5 s after the worker had said that it drains, and one member of a gang 5 s after the others, which give up before.

A repeat now asks the same of the worker, and the timeout of a start is at most 650 ms, so that all sends fit into 2 s. Hold orders and stops keep the longer one.

--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -123,8 +123,11 @@
   void ObserveDelay(base::MonoTime due, base::MonoTime now) {
     m_own_delay.Observe(due, now);
   }
-  // How long to wait for the answer to an order that is sent now.
+  // How long to wait for the answer to a hold order or a stop that is sent now.
   base::Millis OrderTimeout(base::MonoTime now) const;
+  // The same for a start. Shorter, so that all its sends arrive, or fail, before
+  // the other members of its gang give up.
+  base::Millis StartTimeout(base::MonoTime now) const;
 
   // Marks the task's run to be stopped.
   void RequestStop(const TaskRef& task);
@@ -163,9 +166,9 @@
   const std::map<std::string, Worker, std::less<>>& workers() const {
     return m_workers;
   }
-  // Returns true if the run's start was sent but not answered, and no stop was
-  // requested.
-  bool IsStartPending(const TaskRef& task, int32_t run) const;
+  // Returns true if the run's start was sent but not answered, no stop was
+  // requested, and the worker has neither left nor begun to drain.
+  bool MayRepeatStart(const TaskRef& task, int32_t run) const;
   // Null if the task has no run.
   const Run* FindRun(const TaskRef& task) const;
   // Bindings that are being stored and starts without an answer.
--- a/packages/jobs/include/jobs/scheduler_options.h
+++ b/packages/jobs/include/jobs/scheduler_options.h
@@ -29,6 +29,7 @@
   // behind, its delay is added, up to the maximum.
   base::Millis order_timeout{350};
   base::Millis max_order_timeout{2500};
+  base::Millis max_start_timeout{650};  // The same for each send of a start.
   // A worker that leaves more hold orders in a row unanswered counts as lost
   // even while this VM is behind.
   int32_t max_late_holds = 3;
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -99,10 +99,15 @@
   return &m_workers.find(found->second)->second.runs.at(task);
 }
 
-bool Fleet::IsStartPending(const TaskRef& task, int32_t run_number) const {
-  const Run* run = FindRun(task);
-  return run != nullptr && run->run == run_number &&
-         run->phase == RunPhase::kStarting && !run->stop_requested;
+bool Fleet::MayRepeatStart(const TaskRef& task, int32_t run_number) const {
+  const auto found = m_index.find(task);
+  if (found == m_index.end()) {
+    return false;
+  }
+  const Worker& worker = m_workers.find(found->second)->second;
+  const Run& run = worker.runs.at(task);
+  return run.run == run_number && run.phase == RunPhase::kStarting &&
+         !run.stop_requested && worker.listed && !worker.entry.draining;
 }
 
 int64_t Fleet::CountOutstanding() const {
--- a/packages/jobs/src/fleet_holds.cc
+++ b/packages/jobs/src/fleet_holds.cc
@@ -106,6 +106,10 @@
                   m_options.max_order_timeout);
 }
 
+base::Millis Fleet::StartTimeout(base::MonoTime now) const {
+  return std::min(OrderTimeout(now), m_options.max_start_timeout);
+}
+
 void Fleet::RecordUnanswered(std::string_view worker_id, base::MonoTime now) {
   if (m_own_delay.Recent(now) > base::Millis{0}) {
     return;
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -115,7 +115,7 @@
   order.lease_until_ms = m_fleet.ExtendLease(*worker, now);
   order.fence = m_options.fence;
   order.sent_at = now;
-  order.timeout = m_fleet.OrderTimeout(now);
+  order.timeout = m_fleet.StartTimeout(now);
   order.checkpoint =
       job->spec.steps[step].gang ? progress.gang_checkpoint : task.checkpoint;
   if (NeedsTicket(*job)) {
@@ -139,11 +139,11 @@
   }
   if (outcome == OrderOutcome::kUnknown &&
       order.send_count < m_options.max_start_sends &&
-      m_fleet.IsStartPending(order.task, order.run)) {
+      m_fleet.MayRepeatStart(order.task, order.run)) {
     StartOrder again = order;
     ++again.send_count;
     again.sent_at = now;
-    again.timeout = m_fleet.OrderTimeout(now);
+    again.timeout = m_fleet.StartTimeout(now);
     out.starts.push_back(std::move(again));
     return;
   }
