Give a worker in doubt no task and no longer lease

While the leader is behind, a missing answer to a hold order may be its own fault, up to three in a row. Each round took a long poll, a longer timeout and a renewed lease, so that the runs of a worker that died were released after 15 to 20 s where it was 8.8 s, and new tasks were bound there meanwhile.

Now one missing answer is forgiven. Until the worker answers it gets no task and no longer lease, and hold orders to it don't wait for an end.

--- a/packages/jobs/include/jobs/scheduler_options.h
+++ b/packages/jobs/include/jobs/scheduler_options.h
@@ -32,7 +32,7 @@
   base::Millis max_start_timeout{650};  // The same for each send of a start.
   // A worker that leaves more hold orders in a row unanswered counts as lost
   // even while this VM is behind.
-  int32_t max_late_holds = 3;
+  int32_t max_late_holds = 1;
   // Between hold orders to a worker that does not answer.
   base::Millis silent_retry_interval{250};
   base::Millis stop_retry_interval{500};  // Between repeated stops of a run.
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -67,8 +67,9 @@
 }  // namespace
 
 bool AcceptsTasks(const Worker& worker, base::MonoTime now) {
-  return worker.listed && worker.responsive && worker.clock_known &&
-         !worker.entry.draining && worker.avoid_until <= now;
+  return worker.listed && worker.responsive && worker.late_holds == 0 &&
+         worker.clock_known && !worker.entry.draining &&
+         worker.avoid_until <= now;
 }
 
 placement::Resources FreeCapacity(const Worker& worker) {
--- a/packages/jobs/src/fleet_holds.cc
+++ b/packages/jobs/src/fleet_holds.cc
@@ -86,7 +86,8 @@
   order.acked_end_number = worker.ends_stored;
   order.sent_at = now;
   order.timeout = OrderTimeout(now);
-  if (worker.responsive && worker.clock_known) {
+  // A worker in doubt gets no longer lease, and has to answer at once.
+  if (worker.responsive && worker.late_holds == 0 && worker.clock_known) {
     if (may_renew) {
       order.lease_until_ms = ExtendLease(worker, now);
     }
