--- a/packages/cell/src/leader_choice.cc
+++ b/packages/cell/src/leader_choice.cc
@@ -94,7 +94,8 @@
   std::vector<double> speeds;
   for (const LeaderCandidate& follower : followers) {
     // One that is less suited would yield back.
-    if (!IsClearlyBetterSuited(leader.suitability, follower.suitability)) {
+    if (follower.ready &&
+        !IsClearlyBetterSuited(leader.suitability, follower.suitability)) {
       speeds.push_back(follower.work_micros);
     }
   }
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -150,6 +150,8 @@
   void TickLeader(base::MonoTime now);
   void SendLeaderHeartbeat(base::MonoTime now);
   void YieldIfUnsuited(base::MonoTime now);
+  // True if this VM would win an election now.
+  bool CanTakeOver() const;
   LeaderCandidate OwnCandidate(size_t peers) const;
   std::vector<LeaderCandidate> FollowerCandidates() const;
   void LogTermStart() const;
--- a/packages/cell/src/node_leader.cc
+++ b/packages/cell/src/node_leader.cc
@@ -244,6 +244,11 @@
   m_term->Yield();
 }
 
+// Readiness alone stays true on a VM that has fallen behind the streams.
+bool Node::CanTakeOver() const {
+  return m_ready.load() && m_intake_tail.at_end() && m_work_tail.at_end();
+}
+
 LeaderCandidate Node::OwnCandidate(size_t peers) const {
   return {m_speed_probe.WorkMicros(),
           LeaderSuitability(m_options.resources, peers), m_ready.load()};
--- a/packages/cell/src/node_peers.cc
+++ b/packages/cell/src/node_peers.cc
@@ -163,7 +163,7 @@
   m_last_heartbeat_sent = now;
   SendTo(leader, FollowerHeartbeat{m_options.vm, m_options.peer_address,
                                    m_speed_probe.WorkMicros(),
-                                   m_options.resources, m_ready.load()});
+                                   m_options.resources, CanTakeOver()});
 }
 
 }  // namespace azurespur::cell
--- a/packages/cell/tests/leader_choice_test.cc
+++ b/packages/cell/tests/leader_choice_test.cc
@@ -115,6 +115,17 @@
   CHECK(FindYieldReason(slow, wide) == YieldReason::kSlow);
 }
 
+// Guards against leaders that yield in turn: a VM that can't take over is no
+// reason to yield.
+TEST_CASE("a slow leader does not yield to a VM that is not ready") {
+  LeaderCandidate slow = Candidate({});
+  slow.work_micros = 200;
+  LeaderCandidate fast = Candidate({});
+  fast.ready = false;
+  CHECK(FindYieldReason(slow, std::vector<LeaderCandidate>{fast}) ==
+        YieldReason::kNone);
+}
+
 // Else the narrow VM would yield back at once.
 TEST_CASE("a slow leader does not yield to one that is clearly less suited") {
   LeaderCandidate slow = Candidate(kWide);
