Let a full mailbox refuse no drain, and pace reads of a log that refuses

A drain was posted like a client's call: with a full mailbox SIGTERM did nothing until the process was killed. And a VM whose kept records wait for the intake stream sent its next read from the callback of the failed one, as fast as the log refused them.

Neither has a test of its own: the first is one call of PushCompletion, which has one; the wiring of the second has no fixture yet.

--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -105,7 +105,7 @@
 }
 
 void Node::Drain(Millis timeout) {
-  Post([this] {
+  base::PushCompletion(m_mailbox, [this] {
     m_draining = true;
     m_ready.store(false);
     if (m_term) {
--- a/packages/cell/src/node_streams.cc
+++ b/packages/cell/src/node_streams.cc
@@ -41,9 +41,12 @@
   if (mark != nullptr && mark->intake_end > m_intake_tail.next()) {
     if (!m_waiting_for_intake) {
       m_waiting_for_intake = true;
-      m_intake_tail.Poll([this](bool) {
+      m_intake_tail.Poll([this](bool read) {
         m_waiting_for_intake = false;
-        m_work_tail.Poll();
+        // After a failed read PollStreams() paces the next one.
+        if (read) {
+          m_work_tail.Poll();
+        }
       });
     }
     CatchUpFromLeader(m_intake_tail, Stream::kIntake, mark->intake_end);
