Limit the appends of a leader in bytes

With checkpoints of some kilobytes in ends a narrow link can't carry it within the timeout of 500 ms, and it is repeated for ever. The new test fails without the limit.

--- a/packages/cell/src/leader_term.cc
+++ b/packages/cell/src/leader_term.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr size_t kMaxBatchRecords = 512;
+// 10 Mbit/s carry it in a tenth of the shortest timeout of an append.
+constexpr size_t kMaxBatchBytes = 64 << 10;
 constexpr base::Millis kResendDelay{40};
 
 jobs::SchedulerOptions WithFence(jobs::SchedulerOptions options,
@@ -66,8 +68,11 @@
     m_batch.records.push_back(
         jobs::EncodeWork(jobs::HeartbeatRecord{m_epoch, intake_end}));
   }
-  while (!m_queue.empty() && m_batch.pending.size() < kMaxBatchRecords) {
+  size_t bytes = 0;
+  while (!m_queue.empty() && m_batch.pending.size() < kMaxBatchRecords &&
+         bytes < kMaxBatchBytes) {
     m_batch.records.push_back(jobs::EncodeWork(m_queue.front().record));
+    bytes += m_batch.records.back().size();
     m_batch.pending.push_back(std::move(m_queue.front()));
     m_queue.pop_front();
   }
--- a/packages/cell/tests/leader_term_test.cc
+++ b/packages/cell/tests/leader_term_test.cc
@@ -138,6 +138,20 @@
   CHECK(f.Stored() == std::vector<jobs::JobId>{1, 2});
 }
 
+// Guards against an append that a narrow link can't carry within its timeout
+// and that is repeated for ever.
+TEST_CASE("an append of a leader is limited in bytes") {
+  TermFixture f;
+  jobs::EndRecord end;
+  end.checkpoint = std::string(4000, 'c');
+  for (int i = 0; i < 100; ++i) {
+    jobs::AddRecord(f.term->output(), end);
+  }
+  f.Run(Millis{400});
+  CHECK(f.log.topics[std::string(kWorkTopic)].records.size() >= 101);
+  CHECK(f.log.largest_append <= (64 << 10) + 5000);
+}
+
 TEST_CASE("a yield is stored after all pending records") {
   TermFixture f;
   f.Add(1);
