Let only a plan of all waiting steps give away a free VM for advice

The same steps kept all VMs busy.

Ruled out: VMs without a link (28 followers are registered), failed queries (a handful), and the pacer (0 to 500 tasks/s are placed).

--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -188,6 +188,10 @@
                              SingleTaskWorkers& workers,
                              base::MonoTime now,
                              SchedulerOutput& out);
+  // Returns true if the plan being made sees all steps that are as urgent.
+  bool PlansInOrder(const ReadyStep& step) const;
+  // Returns true if the step may start an advice query in this plan.
+  bool MayQueryAdvice(const ReadyStep& step) const;
   void QueryAdvice(const ReadyStep& step,
                    std::vector<WorkerBoot> workers,
                    base::MonoTime now,
@@ -237,6 +241,7 @@
   StartPacer m_pacer;
   base::MonoTime m_last_tick{};
   base::MonoTime m_next_full_plan{};
+  bool m_plan_is_full = false;  // The plan being made.
   base::MonoTime m_next_prune{};
   mutable PlanCounts m_counts;
   PlanCounts m_logged_counts;
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -207,6 +207,7 @@
   StopFinalJobs();
   StopIncompleteGangs();
   const bool full = now >= m_next_full_plan;
+  m_plan_is_full = full;
   if (full) {
     m_next_full_plan = now + m_options.full_plan_interval;
   }
--- a/packages/jobs/src/scheduler_gang.cc
+++ b/packages/jobs/src/scheduler_gang.cc
@@ -114,7 +114,8 @@
       (step.policy->advice && m_advice.HasPendingQuery(step.ref))) {
     return;
   }
-  if (capacity.eligible_slots >= count) {
+  const bool may_query = MayQueryAdvice(step);
+  if (capacity.eligible_slots >= count && may_query) {
     Reserve(step, capacity, /*firm=*/true, now + kFirmReservationTime);
     std::vector<WorkerBoot> workers;
     for (const auto& [id, kept] : m_reservations[step.ref].capacity) {
@@ -124,14 +125,15 @@
     return;
   }
   const bool keeps_room = m_reservations.count(step.ref) > 0;
-  if (!keeps_room && Preempt(step, now, out)) {
+  if (!keeps_room && PlansInOrder(step) && capacity.eligible_slots < count &&
+      Preempt(step, now, out)) {
     return;
   }
   if (!keeps_room && m_waiting_gangs < kMaxWaitingGangs) {
     ++m_waiting_gangs;
     Reserve(step, capacity, /*firm=*/false, now);
   }
-  if (step.policy->advice) {
+  if (may_query) {
     QueryAdviceForGang(step, capacity, now, out);
   }
 }
--- a/packages/jobs/src/scheduler_place.cc
+++ b/packages/jobs/src/scheduler_place.cc
@@ -131,8 +131,7 @@
     workers.candidates.OnBound(best, SpecOf(step).demand, now);
     ++placed;
   }
-  if (placed < step.waiting.size() && step.policy->advice &&
-      !m_advice.HasPendingQuery(step.ref)) {
+  if (placed < step.waiting.size() && MayQueryAdvice(step)) {
     QueryAdviceForSingles(step, step.waiting.size() - placed, workers, now,
                           out);
   }
@@ -168,6 +167,16 @@
   QueryAdvice(step, std::move(workers), now, out);
 }
 
+bool Scheduler::PlansInOrder(const ReadyStep& step) const {
+  return m_plan_is_full || step.policy->priority == 0;
+}
+
+// The most urgent of the waiting steps gets the next free VM.
+bool Scheduler::MayQueryAdvice(const ReadyStep& step) const {
+  return step.policy->advice && PlansInOrder(step) &&
+         !m_advice.HasPendingQuery(step.ref);
+}
+
 void Scheduler::QueryAdvice(const ReadyStep& step,
                             std::vector<WorkerBoot> workers,
                             base::MonoTime now,
