Keep firm room for a gang only while its query is in flight

A gang that knew enough workers but had no valid tickets kept their room for 1.6 s, again in each plan, also where no VM was free to ask for tickets. Up to 30 gangs kept room from each other and from all others.

Now the query is started first, and without a free VM the gang waits like any other. The test failed before with 0 tasks. It asked for 4 and asks for 16 now, which is stricter: I had counted room for three waiting gangs, but these are past their objective, so the other job is planned before them.

--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -166,10 +166,15 @@
                 GangCapacity& capacity,
                 base::MonoTime now,
                 SchedulerOutput& out);
-  void Reserve(const ReadyStep& step,
-               GangCapacity& capacity,
-               bool firm,
-               base::MonoTime expires);
+  // Returns capacity for as many members as fit on eligible workers now.
+  static Reservation MakeReservation(const ReadyStep& step,
+                                     GangCapacity& capacity);
+  // Reserves capacity for the whole gang and asks for tickets there. Does
+  // neither, and returns false, if no VM is free for the query.
+  bool ReserveAndQuery(const ReadyStep& step,
+                       GangCapacity& capacity,
+                       base::MonoTime now,
+                       SchedulerOutput& out);
   // Returns true if tasks are being stopped for the gang.
   bool Preempt(const ReadyStep& step, base::MonoTime now, SchedulerOutput& out);
   void ExecutePreemption(const ReadyStep& step,
@@ -192,7 +197,8 @@
   bool PlansInOrder(const ReadyStep& step) const;
   // Returns true if the step may start an advice query in this plan.
   bool MayQueryAdvice(const ReadyStep& step) const;
-  void QueryAdvice(const ReadyStep& step,
+  // Returns false if no VM is free for the query.
+  bool QueryAdvice(const ReadyStep& step,
                    std::vector<WorkerBoot> workers,
                    base::MonoTime now,
                    SchedulerOutput& out);
--- a/packages/jobs/src/scheduler_gang.cc
+++ b/packages/jobs/src/scheduler_gang.cc
@@ -115,13 +115,8 @@
     return;
   }
   const bool may_query = MayQueryAdvice(step);
-  if (capacity.eligible_slots >= count && may_query) {
-    Reserve(step, capacity, /*firm=*/true, now + kFirmReservationTime);
-    std::vector<WorkerBoot> workers;
-    for (const auto& [id, kept] : m_reservations[step.ref].capacity) {
-      workers.push_back(m_fleet.workers().find(id)->second.entry.boot);
-    }
-    QueryAdvice(step, std::move(workers), now, out);
+  if (capacity.eligible_slots >= count && may_query &&
+      ReserveAndQuery(step, capacity, now, out)) {
     return;
   }
   const bool keeps_room = m_reservations.count(step.ref) > 0;
@@ -131,9 +126,9 @@
   }
   if (!keeps_room && m_waiting_gangs < kMaxWaitingGangs) {
     ++m_waiting_gangs;
-    Reserve(step, capacity, /*firm=*/false, now);
+    m_reservations[step.ref] = MakeReservation(step, capacity);
   }
-  if (may_query) {
+  if (may_query && capacity.eligible_slots < count) {
     QueryAdviceForGang(step, capacity, now, out);
   }
 }
@@ -180,16 +175,11 @@
   m_reservations.erase(step.ref);
 }
 
-// Reserves capacity for as many members as fit on eligible workers now.
-void Scheduler::Reserve(const ReadyStep& step,
-                        GangCapacity& capacity,
-                        bool firm,
-                        base::MonoTime expires) {
+Scheduler::Reservation Scheduler::MakeReservation(const ReadyStep& step,
+                                                  GangCapacity& capacity) {
   SortBySlots(capacity.eligible);
   const StepSpec& spec = SpecOf(step);
   Reservation reservation;
-  reservation.firm = firm;
-  reservation.expires = expires;
   int64_t left = spec.count;
   for (const auto& [worker, slots] : capacity.eligible) {
     const int64_t taken = std::min(slots, left);
@@ -200,7 +190,26 @@
         placement::Multiply(spec.demand, taken);
     left -= taken;
   }
+  return reservation;
+}
+
+// Capacity that no query is about would stand idle until a VM is free.
+bool Scheduler::ReserveAndQuery(const ReadyStep& step,
+                                GangCapacity& capacity,
+                                base::MonoTime now,
+                                SchedulerOutput& out) {
+  Reservation reservation = MakeReservation(step, capacity);
+  std::vector<WorkerBoot> workers;
+  for (const auto& [id, kept] : reservation.capacity) {
+    workers.push_back(m_fleet.workers().find(id)->second.entry.boot);
+  }
+  if (!QueryAdvice(step, std::move(workers), now, out)) {
+    return false;
+  }
+  reservation.firm = true;
+  reservation.expires = now + kFirmReservationTime;
   m_reservations[step.ref] = std::move(reservation);
+  return true;
 }
 
 // If the free capacity is likely to suffice, queries as many workers as the
--- a/packages/jobs/src/scheduler_place.cc
+++ b/packages/jobs/src/scheduler_place.cc
@@ -177,19 +177,21 @@
          !m_advice.HasPendingQuery(step.ref);
 }
 
-void Scheduler::QueryAdvice(const ReadyStep& step,
+bool Scheduler::QueryAdvice(const ReadyStep& step,
                             std::vector<WorkerBoot> workers,
                             base::MonoTime now,
                             SchedulerOutput& out) {
   if (workers.empty()) {
-    return;
+    return false;
   }
   auto query =
       m_advice.StartQuery(step.ref, step.policy->name, *step.policy->advice,
                           std::move(workers), now);
-  if (query) {
-    out.queries.push_back(std::move(*query));
+  if (!query) {
+    return false;
   }
+  out.queries.push_back(std::move(*query));
+  return true;
 }
 
 }  // namespace azurespur::jobs
--- a/packages/jobs/tests/advice_order_test.cc
+++ b/packages/jobs/tests/advice_order_test.cc
@@ -71,8 +71,9 @@
   f.Run(Millis{100});
   f.Submit(kFiller + 1, "filler", 20, 5);
   f.Run(Millis{100});
-  // One gang has asked, and three of those that wait keep room.
-  CHECK(f.CountRunning(kFiller + 1) == 4);
+  // One gang has asked and keeps room for its four members. The others are past
+  // their objective and come after the filler.
+  CHECK(f.CountRunning(kFiller + 1) == 16);
 }
 
 }  // namespace azurespur::jobs
