--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -125,8 +125,8 @@
   }
   // How long to wait for the answer to a hold order or a stop that is sent now.
   base::Millis OrderTimeout(base::MonoTime now) const;
-  // The same for a start. Shorter, so that all its sends arrive, or fail, before
-  // the other members of its gang give up.
+  // The same for a start. Shorter, so that all its sends arrive, or fail,
+  // before the other members of its gang give up.
   base::Millis StartTimeout(base::MonoTime now) const;
 
   // Marks the task's run to be stopped.
