--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -166,10 +166,15 @@
                 GangCapacity& capacity,
                 base::MonoTime now,
                 SchedulerOutput& out);
-  void Reserve(const ReadyStep& step,
-               GangCapacity& capacity,
-               bool firm,
-               base::MonoTime expires);
+  // Returns capacity for as many members as fit on eligible workers now.
+  static Reservation MakeReservation(const ReadyStep& step,
+                                     GangCapacity& capacity);
+  // Reserves capacity for the whole gang and asks for tickets there. Does
+  // neither, and returns false, if no VM is free for the query.
+  bool ReserveAndQuery(const ReadyStep& step,
+                       GangCapacity& capacity,
+                       base::MonoTime now,
+                       SchedulerOutput& out);
   // Returns true if tasks are being stopped for the gang.
   bool Preempt(const ReadyStep& step, base::MonoTime now, SchedulerOutput& out);
   void ExecutePreemption(const ReadyStep& step,
@@ -188,7 +193,12 @@
                              SingleTaskWorkers& workers,
                              base::MonoTime now,
                              SchedulerOutput& out);
-  void QueryAdvice(const ReadyStep& step,
+  // Returns true if the plan being made sees all steps that are as urgent.
+  bool PlansInOrder(const ReadyStep& step) const;
+  // Returns true if the step may start an advice query in this plan.
+  bool MayQueryAdvice(const ReadyStep& step) const;
+  // Returns false if no VM is free for the query.
+  bool QueryAdvice(const ReadyStep& step,
                    std::vector<WorkerBoot> workers,
                    base::MonoTime now,
                    SchedulerOutput& out);
@@ -237,6 +247,7 @@
   StartPacer m_pacer;
   base::MonoTime m_last_tick{};
   base::MonoTime m_next_full_plan{};
+  bool m_plan_is_full = false;  // The plan being made.
   base::MonoTime m_next_prune{};
   mutable PlanCounts m_counts;
   PlanCounts m_logged_counts;
--- a/packages/jobs/src/fleet_holds.cc
+++ b/packages/jobs/src/fleet_holds.cc
@@ -86,7 +86,8 @@
   order.acked_end_number = worker.ends_stored;
   order.sent_at = now;
   order.timeout = OrderTimeout(now);
-  if (worker.responsive && worker.clock_known) {
+  // A worker in doubt gets no longer lease, and has to answer at once.
+  if (worker.responsive && worker.late_holds == 0 && worker.clock_known) {
     if (may_renew) {
       order.lease_until_ms = ExtendLease(worker, now);
     }
@@ -106,6 +107,10 @@
                   m_options.max_order_timeout);
 }
 
+base::Millis Fleet::StartTimeout(base::MonoTime now) const {
+  return std::min(OrderTimeout(now), m_options.max_start_timeout);
+}
+
 void Fleet::RecordUnanswered(std::string_view worker_id, base::MonoTime now) {
   if (m_own_delay.Recent(now) > base::Millis{0}) {
     return;
--- a/packages/jobs/src/scheduler_place.cc
+++ b/packages/jobs/src/scheduler_place.cc
@@ -131,8 +131,7 @@
     workers.candidates.OnBound(best, SpecOf(step).demand, now);
     ++placed;
   }
-  if (placed < step.waiting.size() && step.policy->advice &&
-      !m_advice.HasPendingQuery(step.ref)) {
+  if (placed < step.waiting.size() && MayQueryAdvice(step)) {
     QueryAdviceForSingles(step, step.waiting.size() - placed, workers, now,
                           out);
   }
@@ -168,19 +167,31 @@
   QueryAdvice(step, std::move(workers), now, out);
 }
 
-void Scheduler::QueryAdvice(const ReadyStep& step,
+bool Scheduler::PlansInOrder(const ReadyStep& step) const {
+  return m_plan_is_full || step.policy->priority == 0;
+}
+
+// The most urgent of the waiting steps gets the next free VM.
+bool Scheduler::MayQueryAdvice(const ReadyStep& step) const {
+  return step.policy->advice && PlansInOrder(step) &&
+         !m_advice.HasPendingQuery(step.ref);
+}
+
+bool Scheduler::QueryAdvice(const ReadyStep& step,
                             std::vector<WorkerBoot> workers,
                             base::MonoTime now,
                             SchedulerOutput& out) {
   if (workers.empty()) {
-    return;
+    return false;
   }
   auto query =
       m_advice.StartQuery(step.ref, step.policy->name, *step.policy->advice,
                           std::move(workers), now);
-  if (query) {
-    out.queries.push_back(std::move(*query));
+  if (!query) {
+    return false;
   }
+  out.queries.push_back(std::move(*query));
+  return true;
 }
 
 }  // namespace azurespur::jobs
