--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/outcome.h"
 #include "jobs/job_spec.h"
 #include "jobs/records.h"
 #include "jobs/task_ref.h"
@@ -54,6 +55,16 @@
 // Returns true if all steps that `step` depends on are done.
 bool StepIsReady(const Job& job, size_t step);
 
+class JobTable;
+
+// A snapshot of `table` for DecodeJobTable(). Times are stored as ages, since
+// `now` means something on this VM only.
+std::string EncodeJobTable(const JobTable& table, base::MonoTime now);
+
+// Errors: kInvalid.
+base::Outcome<JobTable> DecodeJobTable(std::string_view bytes,
+                                       base::MonoTime now);
+
 class JobTable {
  public:
   // Returns false if the job is already known.
@@ -86,6 +97,10 @@
   bool leader_yielded() const { return m_yielded; }
 
  private:
+  friend std::string EncodeJobTable(const JobTable& table, base::MonoTime now);
+  friend base::Outcome<JobTable> DecodeJobTable(std::string_view bytes,
+                                                base::MonoTime now);
+
   struct FinalState {
     JobState state;
     base::MonoTime since;
--- /dev/null
+++ b/packages/jobs/src/job_table_snapshot.cc
@@ -0,0 +1,184 @@
+#include "job_table_snapshot.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "jobs/job_table.h"
+#include "wire/codec.h"
+
+namespace azurespur::jobs {
+
+namespace {
+
+// More than callers may submit. Keeps a damaged count from taking all memory.
+constexpr int32_t kMaxTasksPerStep = 1 << 16;
+
+base::Error Malformed(const std::string& what) {
+  return {base::ErrorCode::kInvalid, "job table snapshot: " + what};
+}
+
+bool IsTouched(const TaskProgress& task) {
+  return task.phase != TaskPhase::kWaiting || task.run > 0;
+}
+
+// Numbers workers in the order in which they are first asked for.
+class WorkerNumbers {
+ public:
+  int32_t NumberOf(const WorkerBoot& worker) {
+    if (worker.id.empty()) {
+      return -1;
+    }
+    const auto [entry, added] =
+        m_numbers.emplace(worker, static_cast<int32_t>(m_numbers.size()));
+    if (added) {
+      m_workers.push_back(worker);
+    }
+    return entry->second;
+  }
+
+  std::vector<WorkerBoot> TakeAll() { return std::move(m_workers); }
+
+ private:
+  std::map<WorkerBoot, int32_t> m_numbers;
+  std::vector<WorkerBoot> m_workers;
+};
+
+StepSnapshot SaveStep(const StepProgress& step, WorkerNumbers& workers) {
+  StepSnapshot saved;
+  saved.failed_runs = step.failed_runs;
+  saved.last_failed_run = step.last_failed_run;
+  saved.gang_checkpoint = step.gang_checkpoint;
+  for (size_t i = 0; i < step.tasks.size(); ++i) {
+    const TaskProgress& task = step.tasks[i];
+    if (IsTouched(task)) {
+      saved.tasks.push_back(
+          {static_cast<int32_t>(i), static_cast<uint8_t>(task.phase), task.run,
+           task.failures, workers.NumberOf(task.worker), task.checkpoint});
+    }
+  }
+  return saved;
+}
+
+bool HasValidCounts(const JobSpec& spec) {
+  return std::all_of(spec.steps.begin(), spec.steps.end(),
+                     [](const StepSpec& step) {
+                       return step.count >= 0 && step.count <= kMaxTasksPerStep;
+                     });
+}
+
+bool IsKnownState(uint8_t state) {
+  return state <= static_cast<uint8_t>(JobState::kCancelled);
+}
+
+// Returns false if the snapshot contradicts itself.
+bool RestoreTask(const TaskSnapshot& saved,
+                 const std::vector<WorkerBoot>& workers,
+                 StepProgress& step) {
+  if (saved.index < 0 ||
+      static_cast<size_t>(saved.index) >= step.tasks.size() ||
+      saved.phase > static_cast<uint8_t>(TaskPhase::kDone) ||
+      saved.worker >= static_cast<int32_t>(workers.size())) {
+    return false;
+  }
+  TaskProgress& task = step.tasks[static_cast<size_t>(saved.index)];
+  task.phase = static_cast<TaskPhase>(saved.phase);
+  task.run = saved.run;
+  task.failures = saved.failures;
+  task.checkpoint = saved.checkpoint;
+  if (saved.worker >= 0) {
+    task.worker = workers[static_cast<size_t>(saved.worker)];
+  }
+  step.bound += task.phase == TaskPhase::kBound ? 1 : 0;
+  step.done += task.phase == TaskPhase::kDone ? 1 : 0;
+  return true;
+}
+
+bool RestoreStep(const StepSnapshot& saved,
+                 const std::vector<WorkerBoot>& workers,
+                 StepProgress& step) {
+  step.failed_runs = saved.failed_runs;
+  step.last_failed_run = saved.last_failed_run;
+  step.gang_checkpoint = saved.gang_checkpoint;
+  for (const TaskSnapshot& task : saved.tasks) {
+    if (!RestoreTask(task, workers, step)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+std::string EncodeJobTable(const JobTable& table, base::MonoTime now) {
+  JobTableSnapshot saved;
+  saved.leader = table.m_leader;
+  saved.yielded = table.m_yielded;
+  WorkerNumbers workers;
+  saved.jobs.reserve(table.m_jobs.size());
+  for (const auto& [id, job] : table.m_jobs) {
+    JobSnapshot& entry = saved.jobs.emplace_back();
+    entry.spec = job.spec;
+    for (const StepProgress& step : job.steps) {
+      entry.steps.push_back(SaveStep(step, workers));
+    }
+    entry.state = static_cast<uint8_t>(job.state);
+    entry.accepted_age_ms = base::MillisBetween(job.accepted_at, now);
+    entry.state_age_ms = base::MillisBetween(job.state_since, now);
+    const auto cancelled = table.m_cancel_offsets.find(id);
+    if (cancelled != table.m_cancel_offsets.end()) {
+      entry.cancel_offset = cancelled->second;
+    }
+  }
+  saved.final_jobs.reserve(table.m_final.size());
+  for (const auto& [id, final] : table.m_final) {
+    saved.final_jobs.push_back({id, static_cast<uint8_t>(final.state),
+                                base::MillisBetween(final.since, now)});
+  }
+  saved.workers = workers.TakeAll();
+  return wire::Encode(saved);
+}
+
+base::Outcome<JobTable> DecodeJobTable(std::string_view bytes,
+                                       base::MonoTime now) {
+  auto decoded = wire::Decode<JobTableSnapshot>(bytes);
+  if (!base::Ok(decoded)) {
+    return base::GetError(decoded);
+  }
+  JobTableSnapshot& saved = base::Value(decoded);
+  JobTable table;
+  table.m_leader = saved.leader;
+  table.m_yielded = saved.yielded;
+  for (JobSnapshot& entry : saved.jobs) {
+    const JobId id = entry.spec.id;
+    if (!IsKnownState(entry.state) || !HasValidCounts(entry.spec) ||
+        entry.steps.size() != entry.spec.steps.size() ||
+        !table.Submit(entry.spec, now - base::Millis{entry.accepted_age_ms})) {
+      return Malformed("job " + FormatJobId(id));
+    }
+    Job& job = table.m_jobs.at(id);
+    for (size_t s = 0; s < entry.steps.size(); ++s) {
+      if (!RestoreStep(entry.steps[s], saved.workers, job.steps[s])) {
+        return Malformed("step " + std::to_string(s) + " of job " +
+                         FormatJobId(id));
+      }
+    }
+    const auto state = static_cast<JobState>(entry.state);
+    if (state != JobState::kQueued) {
+      table.SetState(job, state, now - base::Millis{entry.state_age_ms});
+    }
+    if (entry.cancel_offset >= 0) {
+      table.m_cancel_offsets.emplace(id, entry.cancel_offset);
+    }
+  }
+  for (const FinalJobSnapshot& entry : saved.final_jobs) {
+    const auto state = static_cast<JobState>(entry.state);
+    if (!IsKnownState(entry.state) || !IsFinal(state)) {
+      return Malformed("final state of job " + FormatJobId(entry.id));
+    }
+    table.m_final[entry.id] = {state, now - base::Millis{entry.age_ms}};
+  }
+  return table;
+}
+
+}  // namespace azurespur::jobs
--- /dev/null
+++ b/packages/jobs/src/job_table_snapshot.h
@@ -0,0 +1,83 @@
+// The stored form of a job table.
+
+#ifndef JOBS_SRC_JOB_TABLE_SNAPSHOT_H_
+#define JOBS_SRC_JOB_TABLE_SNAPSHOT_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "jobs/job_spec.h"
+#include "jobs/records.h"
+#include "jobs/task_ref.h"
+
+namespace azurespur::jobs {
+
+// A task that is bound or done, or has had a run. Other tasks are not stored.
+struct TaskSnapshot {
+  int32_t index = 0;
+  uint8_t phase = 0;  // A TaskPhase.
+  int32_t run = 0;
+  int32_t failures = 0;
+  int32_t worker = -1;  // Index in JobTableSnapshot::workers; -1: none.
+  std::string checkpoint;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(index, phase, run, failures, worker, checkpoint);
+  }
+};
+
+struct StepSnapshot {
+  std::vector<TaskSnapshot> tasks;
+  int32_t failed_runs = 0;
+  int32_t last_failed_run = 0;
+  std::string gang_checkpoint;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(tasks, failed_runs, last_failed_run, gang_checkpoint);
+  }
+};
+
+struct JobSnapshot {
+  JobSpec spec;
+  std::vector<StepSnapshot> steps;
+  uint8_t state = 0;  // A JobState.
+  int64_t accepted_age_ms = 0;
+  int64_t state_age_ms = 0;
+  int64_t cancel_offset = -1;  // -1: none.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(spec, steps, state, accepted_age_ms, state_age_ms, cancel_offset);
+  }
+};
+
+struct FinalJobSnapshot {
+  JobId id = 0;
+  uint8_t state = 0;  // A JobState.
+  int64_t age_ms = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, state, age_ms);
+  }
+};
+
+struct JobTableSnapshot {
+  LeaderRecord leader;
+  bool yielded = false;
+  std::vector<WorkerBoot> workers;
+  std::vector<JobSnapshot> jobs;
+  std::vector<FinalJobSnapshot> final_jobs;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(leader, yielded, workers, jobs, final_jobs);
+  }
+};
+
+}  // namespace azurespur::jobs
+
+#endif  // JOBS_SRC_JOB_TABLE_SNAPSHOT_H_
--- /dev/null
+++ b/packages/jobs/tests/job_table_snapshot_test.cc
@@ -0,0 +1,224 @@
+// A VM that starts must come to the same view from a snapshot and the records
+// after it as from all records. The streams of a day are too long for a VM with
+// a narrow link, and a log removes its oldest records.
+
+#include <doctest/doctest.h>
+#include <rapidcheck.h>
+
+#include <cstdlib>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "jobs/job_table.h"
+
+namespace azurespur::jobs {
+
+namespace {
+
+using base::Millis;
+using base::MonoTime;
+
+constexpr MonoTime kNow{Millis{100000}};
+constexpr int kJobs = 4;
+constexpr int32_t kTasks = 3;
+
+using AnyRecord = std::variant<IntakeRecord, WorkRecord>;
+
+JobSpec MakeJob(JobId id) {
+  JobSpec spec;
+  spec.id = id;
+  spec.queue = id % 2 == 0 ? "even" : "odd";
+  spec.payload = "payload " + std::to_string(id);
+  StepSpec single;
+  single.count = kTasks;
+  StepSpec gang;
+  gang.count = kTasks;
+  gang.gang = true;
+  gang.after = {0};
+  spec.steps = {single, gang};
+  return spec;
+}
+
+AnyRecord RandomRecord(int64_t intake_end) {
+  const auto pick = [](int end) { return *rc::gen::inRange(0, end); };
+  const auto job = static_cast<JobId>(pick(kJobs));
+  const TaskRef task{job, pick(2), pick(kTasks)};
+  const int32_t run = pick(4) + 1;
+  switch (pick(9)) {
+    case 0:
+    case 1:
+      return IntakeRecord(MakeJob(job));
+    case 2:
+      return IntakeRecord(CancelRecord{job});
+    case 3:
+    case 4:
+      return WorkRecord(
+          BindRecord{task, run, {"w" + std::to_string(pick(3)), 7}});
+    case 5:
+      return WorkRecord(EndRecord{task, run, static_cast<EndKind>(pick(3)),
+                                  pick(2) == 0 ? "" : "checkpoint"});
+    case 6:
+      return WorkRecord(JobStartedRecord{job});
+    case 7:
+      return WorkRecord(HeartbeatRecord{1, intake_end});
+    default:
+      if (pick(4) == 0) {
+        return WorkRecord(JobFailedRecord{job});
+      }
+      return pick(2) == 0 ? WorkRecord(YieldRecord{1})
+                          : WorkRecord(LeaderRecord{1, "vm", "address"});
+  }
+}
+
+// Applies records and counts those of the intake stream.
+struct Replica {
+  JobTable table;
+  int64_t intake_next = 0;
+
+  void Apply(const AnyRecord& record, MonoTime now) {
+    if (const auto* intake = std::get_if<IntakeRecord>(&record)) {
+      table.Apply(*intake, intake_next++, now);
+    } else {
+      table.Apply(std::get<WorkRecord>(record), now);
+    }
+  }
+};
+
+void CheckSameTask(const TaskProgress& a, const TaskProgress& b) {
+  RC_ASSERT(a.phase == b.phase);
+  RC_ASSERT(a.run == b.run);
+  RC_ASSERT(a.failures == b.failures);
+  RC_ASSERT(a.worker == b.worker);
+  RC_ASSERT(a.checkpoint == b.checkpoint);
+}
+
+void CheckSameJob(const Job& a, const Job& b) {
+  RC_ASSERT(EncodeIntake(a.spec) == EncodeIntake(b.spec));
+  RC_ASSERT(a.state == b.state);
+  RC_ASSERT(a.accepted_at == b.accepted_at);
+  RC_ASSERT(a.state_since == b.state_since);
+  RC_ASSERT(a.steps.size() == b.steps.size());
+  for (size_t s = 0; s < a.steps.size(); ++s) {
+    RC_ASSERT(a.steps[s].done == b.steps[s].done);
+    RC_ASSERT(a.steps[s].bound == b.steps[s].bound);
+    RC_ASSERT(a.steps[s].failed_runs == b.steps[s].failed_runs);
+    RC_ASSERT(a.steps[s].last_failed_run == b.steps[s].last_failed_run);
+    RC_ASSERT(a.steps[s].gang_checkpoint == b.steps[s].gang_checkpoint);
+    RC_ASSERT(a.steps[s].tasks.size() == b.steps[s].tasks.size());
+    for (size_t i = 0; i < a.steps[s].tasks.size(); ++i) {
+      CheckSameTask(a.steps[s].tasks[i], b.steps[s].tasks[i]);
+    }
+  }
+}
+
+void CheckSameTable(const JobTable& a, const JobTable& b) {
+  RC_ASSERT(a.epoch() == b.epoch());
+  RC_ASSERT(a.leader().vm == b.leader().vm);
+  RC_ASSERT(a.leader().address == b.leader().address);
+  RC_ASSERT(a.leader_yielded() == b.leader_yielded());
+  RC_ASSERT(a.jobs().size() == b.jobs().size());
+  for (const auto& [id, job] : a.jobs()) {
+    const Job* other = b.Find(id);
+    RC_ASSERT(other != nullptr);
+    CheckSameJob(job, *other);
+  }
+  for (JobId id = 0; id < kJobs; ++id) {
+    RC_ASSERT(a.StateOf(id) == b.StateOf(id));
+  }
+  RC_ASSERT(a.CountPending("even") == b.CountPending("even"));
+  RC_ASSERT(a.CountPending("odd") == b.CountPending("odd"));
+}
+
+JobTable TableWithBoundTask() {
+  JobTable table;
+  table.Submit(MakeJob(1), kNow);
+  table.Apply(WorkRecord(LeaderRecord{3, "vm", "address"}), kNow);
+  table.Apply(WorkRecord(BindRecord{{1, 0, 2}, 1, {"w1", 7}}), kNow);
+  return table;
+}
+
+}  // namespace
+
+// Guards against a job that a restarted VM doesn't know, or knows otherwise
+// than the other VMs.
+TEST_CASE("a snapshot and the records after it give the same table as all") {
+  ::setenv("RC_PARAMS", "seed=20261205 max_success=300", /*overwrite=*/0);
+  const bool ok = rc::check("snapshot at any place", [] {
+    Replica whole;
+    Replica restored;
+    const int records = *rc::gen::inRange(1, 120);
+    const int snapshot_at = *rc::gen::inRange(0, records);
+    for (int i = 0; i < records; ++i) {
+      const MonoTime now = kNow + Millis{i};
+      if (i == snapshot_at) {
+        auto table = DecodeJobTable(EncodeJobTable(whole.table, now), now);
+        RC_ASSERT(base::Ok(table));
+        restored.table = std::move(base::Value(table));
+        restored.intake_next = whole.intake_next;
+        CheckSameTable(whole.table, restored.table);
+      }
+      const AnyRecord record = RandomRecord(whole.intake_next);
+      whole.Apply(record, now);
+      if (i >= snapshot_at) {
+        restored.Apply(record, now);
+        CheckSameTable(whole.table, restored.table);
+      }
+    }
+    const MonoTime late = kNow + Millis{records + 50};
+    whole.table.RemoveExpired(late, Millis{100});
+    restored.table.RemoveExpired(late, Millis{100});
+    CheckSameTable(whole.table, restored.table);
+  });
+  CHECK(ok);
+}
+
+TEST_CASE("the ages in a snapshot count on the clock of the VM that reads it") {
+  JobTable table;
+  table.Submit(MakeJob(1), kNow);
+  table.Apply(WorkRecord(JobFailedRecord{1}), kNow);
+  const std::string bytes = EncodeJobTable(table, kNow + Millis{400});
+  const MonoTime other_clock{Millis{5}};
+  auto restored = DecodeJobTable(bytes, other_clock);
+  REQUIRE(base::Ok(restored));
+  JobTable& read = base::Value(restored);
+  read.RemoveExpired(other_clock + Millis{500}, Millis{1000});
+  CHECK(read.StateOf(1) == JobState::kFailed);
+  read.RemoveExpired(other_clock + Millis{700}, Millis{1000});
+  CHECK_FALSE(read.StateOf(1).has_value());
+}
+
+TEST_CASE("a truncated snapshot is an error at every length") {
+  const std::string bytes = EncodeJobTable(TableWithBoundTask(), kNow);
+  for (size_t length = 0; length < bytes.size(); ++length) {
+    CHECK_FALSE(base::Ok(DecodeJobTable(bytes.substr(0, length), kNow)));
+  }
+}
+
+TEST_CASE("a snapshot with a damaged byte is an error or a whole table") {
+  const std::string bytes = EncodeJobTable(TableWithBoundTask(), kNow);
+  for (size_t i = 0; i < bytes.size(); ++i) {
+    std::string damaged = bytes;
+    damaged[i] = static_cast<char>(~damaged[i]);
+    auto table = DecodeJobTable(damaged, kNow);
+    if (!base::Ok(table)) {
+      continue;
+    }
+    for (const auto& [id, job] : base::Value(table).jobs()) {
+      CHECK(job.steps.size() == job.spec.steps.size());
+    }
+  }
+}
+
+// 24 of 31 VMs have 10 Mbit/s, which carry 1.25 MB/s.
+TEST_CASE("a snapshot of ten thousand finished jobs fits into a second") {
+  JobTable table;
+  for (JobId id = 1; id <= 10000; ++id) {
+    table.Submit(MakeJob(id), kNow);
+    table.Apply(WorkRecord(JobFailedRecord{id}), kNow);
+  }
+  CHECK(EncodeJobTable(table, kNow).size() < 1250000);
+}
+
+}  // namespace azurespur::jobs
