Tests that fail: a VM that starts late on a narrow link, or after records were removed

One that starts after the retention skips what is gone and says "no such job" of jobs that run (LOST), or counts too few pending ones (MIXED).

--- a/packages/cell/include/cell/cell_node.h
+++ b/packages/cell/include/cell/cell_node.h
@@ -15,6 +15,7 @@
 #include "cell/fenced_log.h"
 #include "cell/node_dependencies.h"
 #include "cell/node_options.h"
+#include "cell/snapshot_store.h"
 #include "jobs/job_spec.h"
 #include "jobs/job_table.h"
 
@@ -35,6 +36,7 @@
   WorkerDirectory& directory;
   PolicySource& policy;
   DatagramTransport& datagrams;
+  SnapshotStore& snapshots;
 };
 
 // The result of CellNode::FindState().
--- /dev/null
+++ b/packages/cell/src/cell_snapshot.h
@@ -0,0 +1,50 @@
+// A snapshot of the cell's state and its parts in the snapshot store. Does no
+// I/O and reads no clock.
+//
+// Snapshots are stored in two slots by turns, so that one of them is whole
+// while the other is written.
+
+#ifndef CELL_SRC_CELL_SNAPSHOT_H_
+#define CELL_SRC_CELL_SNAPSHOT_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "cell/snapshot_store.h"
+
+namespace azurespur::cell {
+
+// 10 Mbit/s carry it in a tenth of the shortest timeout of a write.
+inline constexpr size_t kMaxSnapshotPartBytes = 48 << 10;
+
+// The state after all records of the intake stream before `intake_next`, and of
+// the work stream before `work_next`.
+struct CellSnapshot {
+  int64_t intake_next = 0;
+  int64_t work_next = 0;
+  int64_t unix_ms = 0;  // When it was taken.
+  std::string table;    // See jobs::EncodeJobTable().
+};
+
+struct SnapshotPart {
+  std::string key;
+  std::string value;
+};
+
+struct StoredSnapshot {
+  CellSnapshot snapshot;
+  int slot = 0;
+};
+
+std::vector<SnapshotPart> SplitSnapshot(const CellSnapshot& snapshot, int slot);
+
+// Returns the newest snapshot of which all parts are there, or nothing.
+std::optional<StoredSnapshot> FindNewestSnapshot(
+    const SnapshotStore::Values& values);
+
+}  // namespace azurespur::cell
+
+#endif  // CELL_SRC_CELL_SNAPSHOT_H_
--- a/packages/cell/tests/fake_log.h
+++ b/packages/cell/tests/fake_log.h
@@ -27,6 +27,7 @@
  public:
   struct Topic {
     std::vector<std::string> records;
+    int64_t first = 0;  // Records before it were removed.
     uint64_t epoch = 0;
     std::map<uint64_t, int64_t> offset_of_sequence;  // Of the current epoch.
   };
@@ -63,6 +64,12 @@
     const Topic& topic = topics[request.topic];
     ReadResult result;
     result.status = readable ? ReadStatus::kRead : ReadStatus::kFailed;
+    result.first = topic.first;
+    if (readable && request.from < topic.first) {
+      result.status = ReadStatus::kTrimmed;
+      m_responses.push_back([done = std::move(done), result] { done(result); });
+      return;
+    }
     result.end = static_cast<int64_t>(topic.records.size());
     for (int64_t i = request.from; readable && i < result.end; ++i) {
       result.records.push_back(topic.records[static_cast<size_t>(i)]);
--- a/packages/cell/tests/node_fixture.h
+++ b/packages/cell/tests/node_fixture.h
@@ -94,6 +94,35 @@
   Handler deliver;  // To the node.
 };
 
+// Answers at once.
+class FakeSnapshotStore : public SnapshotStore {
+ public:
+  void Write(SnapshotWrite write,
+             std::function<void(AppendResult)> done) override {
+    ++writes;
+    if (!reachable) {
+      done({AppendStatus::kRefused, 0});
+      return;
+    }
+    values[write.key] = std::move(write.value);
+    done({AppendStatus::kAppended, 0});
+  }
+
+  void ReadAll(std::function<void(base::Outcome<Values>)> done) override {
+    ++reads;
+    if (!reachable) {
+      done(base::Error{base::ErrorCode::kUnavailable, "not reachable"});
+      return;
+    }
+    done(values);
+  }
+
+  Values values;
+  bool reachable = true;
+  int writes = 0;
+  int reads = 0;
+};
+
 struct NodeFixture {
   // A follower: another VM leads and appends records without end.
   NodeFixture() { node.Begin(); }
@@ -162,10 +191,11 @@
   EmptyDirectory directory;
   HeldPolicySource policy;
   HeldDatagrams datagrams;
+  FakeSnapshotStore snapshots;
   FakeClock clock;
   base::Metrics metrics;
   Node node{MakeOptions(),
-            {log, workers, advice, directory, policy, datagrams},
+            {log, workers, advice, directory, policy, datagrams, snapshots},
             clock,
             metrics};
   // The answer to the last AskPending(), once there is one.
