--- a/packages/cell/src/log_tail.cc
+++ b/packages/cell/src/log_tail.cc
@@ -26,7 +26,7 @@
   if (done) {
     m_waiting_callbacks.push_back(std::move(done));
   }
-  if (m_reading) {
+  if (m_reading || m_held) {
     return;
   }
   const bool blocked = !ApplyKept();
@@ -87,7 +87,8 @@
                    {{"stream", m_topic},
                     {"next", std::to_string(m_next)},
                     {"first", std::to_string(result.first)}});
-    m_next = std::max(m_next, result.first);
+    m_oldest = result.first;
+    Hold();
   }
   AdjustReadSize(result, read);
   Observe(result, read);
@@ -103,10 +104,8 @@
   for (const auto& done : std::exchange(m_read_callbacks, {})) {
     done(complete);
   }
-  const bool more =
-      ok && applied &&
-      (result.status == ReadStatus::kTrimmed || m_next < result.end);
-  if (!m_reading && (more || !m_waiting_callbacks.empty())) {
+  const bool more = ok && applied && m_next < result.end;
+  if (!m_reading && !m_held && (more || !m_waiting_callbacks.empty())) {
     StartRead();
   }
 }
@@ -175,7 +174,21 @@
                                   read.sent_at, read.received_at))}});
 }
 
+void LogTail::StartFrom(int64_t next) {
+  m_held = false;
+  m_next = next;
+  m_known_end = 0;
+  m_kept.clear();
+  m_caught_up = false;
+  m_freshness = {};
+  m_freshness.Advance(next);
+  m_last_attempt = {};
+}
+
 void LogTail::AddRecords(int64_t offset, std::span<const std::string> records) {
+  if (m_held) {
+    return;
+  }
   if (offset > m_next || records.empty()) {
     Poll();
   } else {
@@ -197,7 +210,7 @@
 
 bool LogTail::ApplyFrom(int64_t offset, std::span<const std::string> records) {
   const auto end = offset + static_cast<int64_t>(records.size());
-  if (offset > m_next || end <= m_next || m_applying) {
+  if (offset > m_next || end <= m_next || m_applying || m_held) {
     return true;  // Applied meanwhile by another path, or not applicable yet.
   }
   m_applying = true;
--- a/packages/cell/src/log_tail.h
+++ b/packages/cell/src/log_tail.h
@@ -35,16 +35,29 @@
           base::Metrics& metrics,
           Apply apply);
 
-  // Reads from next() on, unless a read is in flight or records that were read
-  // can't be applied yet. `done`, if any, runs after a read that was sent after
-  // this call, with true if all records up to the end that the read reported
-  // are applied.
+  // Reads from next() on, unless a read is in flight, the tail is held, or
+  // records that were read can't be applied yet. `done`, if any, runs after a
+  // read that was sent after this call, with true if all records up to the end
+  // that the read reported are applied.
   void Poll(std::function<void(bool)> done = nullptr);
 
   // Takes records that are stored at `offset`. Applies those from next() on, or
   // starts a read if there is a gap before them.
   void AddRecords(int64_t offset, std::span<const std::string> records);
 
+  // Stops reading, and ignores records, until StartFrom(). A read that finds
+  // the next record removed does so too.
+  void Hold() { m_held = true; }
+  bool held() const { return m_held; }
+
+  // Goes on from `next`, with a view that counts as current only once the end
+  // of the stream is reached again.
+  void StartFrom(int64_t next);
+
+  // Offset of the oldest record that is left, if one that was to be read was
+  // removed; else 0.
+  int64_t oldest() const { return m_oldest; }
+
   // For an end that was learnt without a read; see StreamFreshness.
   void LearnEnd(int64_t end, base::MonoTime as_of);
 
@@ -105,6 +118,8 @@
   int m_reads_without_progress = 0;
   StreamFreshness m_freshness;
   base::MonoTime m_next_progress_report{};
+  int64_t m_oldest = 0;
+  bool m_held = false;
   bool m_reading = false;
   bool m_applying = false;
   bool m_caught_up = false;
--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -51,6 +51,7 @@
       m_mailbox_rejections(metrics.GetCounter("azurespur_mail_refused_total")),
       m_old_view_answers(metrics.GetCounter("azurespur_view_too_old_total")),
       m_store_time(metrics.GetDistribution("azurespur_store_ms")),
+      m_metrics(metrics),
       m_load(metrics),
       m_peer_sender(dependencies.datagrams, metrics),
       m_log_timing(options.append_timeout),
@@ -87,6 +88,8 @@
   std::random_device seed;
   std::mt19937_64 random(seed());
   m_nonce = random();
+  m_intake_tail.Hold();
+  m_work_tail.Hold();
   m_jitter = Millis{static_cast<int64_t>(
       random() % static_cast<uint64_t>(kMaxJitter.count()))};
 }
@@ -167,6 +170,7 @@
   m_intake_writer.Tick(now);
   m_intake_forwarder.Tick(now, LeaderCanAppend(now));
   m_view_waiters.Tick(View(), now);
+  ReadSnapshotIfNeeded(now);
   PollForWaiters(now);
   PollStreams(now);
   PollDirectory(now);
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -20,6 +20,8 @@
 #include "base/metrics.h"
 #include "cell/cell_node.h"
 #include "cell/messages.h"
+#include "cell/snapshot_store.h"
+#include "cell_snapshot.h"
 #include "intake_forwarder.h"
 #include "intake_writer.h"
 #include "leader_choice.h"
@@ -31,6 +33,7 @@
 #include "recent_records.h"
 #include "records_fan_out.h"
 #include "request_pacer.h"
+#include "snapshot_writer.h"
 #include "speed_probe.h"
 #include "view_requirement.h"
 #include "view_waiters.h"
@@ -105,6 +108,14 @@
   void OnIntakeStored(int64_t offset, const std::vector<std::string>& records);
   void OnWorkStored(int64_t offset, const std::vector<std::string>& records);
 
+  // Snapshots.
+  void ReadSnapshotIfNeeded(base::MonoTime now);
+  void OnSnapshotRead(const base::Outcome<SnapshotStore::Values>& values,
+                      base::MonoTime sent_at);
+  // Returns false if the snapshot is of no use.
+  bool Restore(const CellSnapshot& snapshot);
+  void WriteSnapshotIfDue(base::MonoTime now);
+
   // Datagrams between peers.
   void OnDatagram(std::string_view bytes);
   void OnMessage(const RecordsNotice& notice);
@@ -221,6 +232,7 @@
   base::Counter& m_mailbox_rejections;
   base::Counter& m_old_view_answers;
   base::Distribution& m_store_time;
+  base::Metrics& m_metrics;
   NodeLoad m_load;
   PeerSender m_peer_sender;
   base::Mailbox m_mailbox{kMailboxSize};
@@ -246,6 +258,7 @@
   RecentRecords m_recent_work{kRecentRecordsBytes};
   LeaderInfo m_announced_leader;  // The latest leader that a datagram named.
   std::shared_ptr<LeaderTerm> m_term;
+  std::shared_ptr<SnapshotWriter> m_snapshot_writer;  // Null between terms.
   std::map<std::string, PeerState> m_peers;  // By VM; maintained by the leader.
   std::vector<std::string>
       m_leader_peers;  // Addresses of the leader's live followers.
@@ -271,6 +284,8 @@
   int64_t m_logged_refused_mail = 0;
   base::MonoTime m_policy_retry =
       base::MonoTime::max();  // Set while no poll is in flight.
+  base::MonoTime m_next_snapshot_read{};
+  bool m_snapshot_read_in_flight = false;
   bool m_directory_read = false;
   bool m_directory_poll_in_flight = false;
   bool m_scheduling_needed = true;
--- a/packages/cell/src/node_leader.cc
+++ b/packages/cell/src/node_leader.cc
@@ -140,6 +140,9 @@
       [this](int64_t offset, const std::vector<std::string>& records) {
         OnWorkStored(offset, records);
       });
+  m_snapshot_writer =
+      std::make_shared<SnapshotWriter>(m_dependencies.snapshots, m_mailbox,
+                                       m_clock, m_log_timing, m_metrics, epoch);
   if (const auto current = policy()) {
     m_term->scheduler().SetPolicy(*current);
   }
@@ -165,6 +168,7 @@
   m_leading.Set(0);
   m_fan_out.Flush(m_clock.Now(), OwnLeaderInfo(), PeerAddresses());
   m_term.reset();
+  m_snapshot_writer.reset();
   m_peers.clear();
   m_work_tail.Poll();
   if (m_draining) {
@@ -179,6 +183,7 @@
   SendLeaderHeartbeat(now);
   m_fan_out.FlushIfDue(now, OwnLeaderInfo(), PeerAddresses());
   YieldIfUnsuited(now);
+  WriteSnapshotIfDue(now);
   if (m_scheduling_needed && now >= m_next_scheduling && m_directory_read &&
       !m_term->yielding()) {
     m_scheduling_needed = false;
