--- a/packages/cell/include/cell/snapshot_store.h
+++ b/packages/cell/include/cell/snapshot_store.h
@@ -16,7 +16,7 @@
 
 struct SnapshotWrite {
   std::string key;
-  std::string value;  // At most kMaxSnapshotPartBytes and a short header.
+  std::string value;  // Empty: the key is removed.
   Producer producer;  // Fences former leaders; makes a retry harmless.
   base::Millis timeout{500};
 };
@@ -29,7 +29,7 @@
 
   // The callbacks run on another thread and must not block.
 
-  // Replaces the value of a key. The result has no offset.
+  // Replaces or removes the value of a key. The result has no offset.
   virtual void Write(SnapshotWrite write,
                      std::function<void(AppendResult)> done) = 0;
 
--- a/packages/cell/src/cell_snapshot.cc
+++ b/packages/cell/src/cell_snapshot.cc
@@ -105,6 +105,12 @@
   return parts;
 }
 
+bool HasParts(const SnapshotStore::Values& values) {
+  return std::any_of(values.begin(), values.end(), [](const auto& entry) {
+    return entry.first != kSnapshotWriterKey;
+  });
+}
+
 std::optional<StoredSnapshot> FindNewestSnapshot(
     const SnapshotStore::Values& values) {
   std::optional<StoredSnapshot> newest;
--- a/packages/cell/src/cell_snapshot.h
+++ b/packages/cell/src/cell_snapshot.h
@@ -2,7 +2,7 @@
 // I/O and reads no clock.
 //
 // Snapshots are stored in two slots by turns, so that one of them is whole
-// while the other is written.
+// while the other is written. The older one is removed then.
 
 #ifndef CELL_SRC_CELL_SNAPSHOT_H_
 #define CELL_SRC_CELL_SNAPSHOT_H_
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "cell/snapshot_store.h"
@@ -20,6 +21,10 @@
 // 10 Mbit/s carry it in a tenth of the shortest timeout of a write.
 inline constexpr size_t kMaxSnapshotPartBytes = 48 << 10;
 
+// Names the leader that wrote last. Written first in each term, so that writes
+// of a former leader that are still on their way have no effect.
+inline constexpr std::string_view kSnapshotWriterKey = "writer";
+
 // The state after all records of the intake stream before `intake_next`, and of
 // the work stream before `work_next`.
 struct CellSnapshot {
@@ -41,6 +46,9 @@
 
 std::vector<SnapshotPart> SplitSnapshot(const CellSnapshot& snapshot, int slot);
 
+// True if there are parts of any snapshot, whole or not.
+bool HasParts(const SnapshotStore::Values& values);
+
 // Returns the newest snapshot of which all parts are there, or nothing.
 std::optional<StoredSnapshot> FindNewestSnapshot(
     const SnapshotStore::Values& values);
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -285,6 +285,8 @@
   base::MonoTime m_policy_retry =
       base::MonoTime::max();  // Set while no poll is in flight.
   base::MonoTime m_next_snapshot_read{};
+  int m_snapshot_read_failures = 0;     // In a row.
+  int m_incomplete_snapshot_reads = 0;  // In a row.
   bool m_snapshot_read_in_flight = false;
   bool m_directory_read = false;
   bool m_directory_poll_in_flight = false;
--- a/packages/cell/src/node_snapshots.cc
+++ b/packages/cell/src/node_snapshots.cc
@@ -15,6 +15,9 @@
 namespace {
 
 constexpr base::Millis kReadRetryDelay{100};
+// A snapshot may be replaced while it is read. Parts that stay incomplete are
+// those of a leader that was lost before it had stored any other snapshot.
+constexpr int kMaxIncompleteReads = 5;
 
 }  // namespace
 
@@ -38,13 +41,22 @@
   m_snapshot_read_in_flight = false;
   const MonoTime now = m_clock.Now();
   if (!base::Ok(values)) {
-    base::LogEvent(base::Severity::kWarning, "AZ9214",
-                   "snapshots can't be read; retrying",
-                   {{"reason", base::GetError(values).message}});
+    if (m_snapshot_read_failures++ == 0) {
+      base::LogEvent(base::Severity::kWarning, "AZ9214",
+                     "snapshots can't be read; retrying",
+                     {{"reason", base::GetError(values).message}});
+    }
     m_next_snapshot_read = now + kReadRetryDelay;
     return;
   }
+  m_snapshot_read_failures = 0;
   const auto newest = FindNewestSnapshot(base::Value(values));
+  if (!newest && HasParts(base::Value(values)) &&
+      ++m_incomplete_snapshot_reads < kMaxIncompleteReads) {
+    m_next_snapshot_read = now + kReadRetryDelay;
+    return;
+  }
+  m_incomplete_snapshot_reads = 0;
   if (newest && Restore(newest->snapshot)) {
     base::LogEvent(
         base::Severity::kInfo, "AZ9212", "state restored from a snapshot",
--- a/packages/cell/src/snapshot_writer.cc
+++ b/packages/cell/src/snapshot_writer.cc
@@ -35,16 +35,18 @@
       m_log_timing(timing),
       m_written(metrics.GetCounter("azurespur_snapshots_written_total")),
       m_bytes(metrics.GetCounter("azurespur_snapshot_bytes")),
-      m_epoch(epoch) {}
+      m_epoch(epoch) {
+  m_parts.push_back({std::string(kSnapshotWriterKey), std::to_string(epoch)});
+}
 
 void SnapshotWriter::Tick(base::MonoTime now) {
   if (m_in_flight || m_fenced || now < m_next_try) {
     return;
   }
-  if (!m_known) {
-    ReadNewest();
-  } else if (!m_parts.empty()) {
+  if (!m_parts.empty()) {
     SendPart();
+  } else if (!m_known) {
+    ReadNewest();
   }
 }
 
@@ -66,9 +68,18 @@
   m_records = snapshot.intake_next + snapshot.work_next;
   m_unix_ms = snapshot.unix_ms;
   m_size = snapshot.table.size();
+  m_slot = 1 - m_slot;
+  std::set<std::string> keys;
   for (SnapshotPart& part : SplitSnapshot(snapshot, m_slot)) {
+    keys.insert(part.key);
+    m_stored_keys.erase(part.key);
     m_parts.push_back(std::move(part));
   }
+  // Writes are made in order, so this snapshot is whole by then.
+  m_removals = m_stored_keys.size();
+  for (const std::string& key : std::exchange(m_stored_keys, keys)) {
+    m_parts.push_back({key, {}});
+  }
   Tick(m_began);
 }
 
@@ -96,9 +107,14 @@
     return;
   }
   m_known = true;
+  for (const auto& [key, value] : base::Value(values)) {
+    if (key != kSnapshotWriterKey) {
+      m_stored_keys.insert(key);
+    }
+  }
   if (const auto newest = FindNewestSnapshot(base::Value(values))) {
     const CellSnapshot& snapshot = newest->snapshot;
-    m_slot = 1 - newest->slot;
+    m_slot = newest->slot;
     m_records = snapshot.intake_next + snapshot.work_next;
     m_unix_ms = snapshot.unix_ms;
     m_size = snapshot.table.size();
@@ -130,11 +146,10 @@
     case AppendStatus::kAppended:
       ++m_next_sequence;
       m_parts.pop_front();
-      if (m_parts.empty()) {
-        OnWritten();
-      } else {
-        SendPart();
+      if (m_known && m_parts.size() == m_removals) {
+        LogWritten();
       }
+      Tick(m_clock.Now());
       return;
     case AppendStatus::kRefused:
     case AppendStatus::kUnknown:
@@ -154,7 +169,7 @@
                   {"parts_left", std::to_string(m_parts.size())}});
 }
 
-void SnapshotWriter::OnWritten() {
+void SnapshotWriter::LogWritten() {
   m_written.Add(1);
   m_bytes.Set(static_cast<int64_t>(m_size));
   base::LogEvent(
@@ -163,7 +178,6 @@
        {"records", std::to_string(m_records)},
        {"bytes", std::to_string(m_size)},
        {"ms", std::to_string(base::MillisBetween(m_began, m_clock.Now()))}});
-  m_slot = 1 - m_slot;
 }
 
 }  // namespace azurespur::cell
--- a/packages/cell/src/snapshot_writer.h
+++ b/packages/cell/src/snapshot_writer.h
@@ -8,6 +8,8 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <set>
+#include <string>
 
 #include "base/clock.h"
 #include "base/mailbox.h"
@@ -43,7 +45,7 @@
   void OnNewest(const base::Outcome<SnapshotStore::Values>& values);
   void SendPart();
   void OnPart(const AppendResult& result);
-  void OnWritten();
+  void LogWritten();
 
   SnapshotStore& m_store;
   base::Mailbox& m_mailbox;
@@ -53,13 +55,17 @@
   base::Counter& m_bytes;
   const uint64_t m_epoch;
   uint64_t m_next_sequence = 0;
-  bool m_known = false;  // Whether the newest snapshot is known.
-  int m_slot = 0;        // Of the next snapshot.
+  bool m_known = false;                 // Whether the newest snapshot is known.
+  int m_slot = 0;                       // Of the newest snapshot.
+  std::set<std::string> m_stored_keys;  // Of both slots.
   // Of the newest snapshot, or of the one being stored.
   int64_t m_records = 0;  // Of both streams.
   int64_t m_unix_ms = 0;
   size_t m_size = 0;
-  std::deque<SnapshotPart> m_parts;  // Not stored yet.
+  // What is to be written next. Parts without a value remove what is stored
+  // besides this snapshot.
+  std::deque<SnapshotPart> m_parts;
+  size_t m_removals = 0;  // How many of them.
   base::MonoTime m_began{};
   bool m_in_flight = false;
   bool m_fenced = false;
--- a/packages/cell/tests/node_fixture.h
+++ b/packages/cell/tests/node_fixture.h
@@ -104,7 +104,11 @@
       done({AppendStatus::kRefused, 0});
       return;
     }
-    values[write.key] = std::move(write.value);
+    if (write.value.empty()) {
+      values.erase(write.key);
+    } else {
+      values[write.key] = std::move(write.value);
+    }
     done({AppendStatus::kAppended, 0});
   }
 
--- a/packages/cell/tests/node_snapshot_test.cc
+++ b/packages/cell/tests/node_snapshot_test.cc
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 #include "cell_snapshot.h"
 #include "node_fixture.h"
@@ -182,6 +183,19 @@
   CHECK(f.FindState(kOldJob).state == jobs::JobState::kQueued);
 }
 
+// The leader replaced the parts one by one while they were read.
+TEST_CASE("a VM that finds no snapshot whole asks again before it reads all") {
+  SnapshotFixture f;
+  f.RemoveOldRecords();
+  auto whole = std::exchange(f.snapshots.values, {});
+  f.snapshots.values["0/0"] = std::string("x");
+  f.Pass(Millis{100});
+  CHECK_FALSE(f.node.ready());
+  f.snapshots.values = whole;
+  f.Pass(Millis{500});
+  CHECK(f.FindState(kOldJob).state == jobs::JobState::kQueued);
+}
+
 // A frozen VM, or one that was cut off, may miss more than the log keeps.
 TEST_CASE("a running VM that misses removed records goes on from a snapshot") {
   SnapshotFixture f;
--- a/packages/cell/tests/snapshot_writer_test.cc
+++ b/packages/cell/tests/snapshot_writer_test.cc
@@ -103,6 +103,31 @@
   CHECK(f.NewestStored() == 1);
 }
 
+// Two whole snapshots would take a VM that starts twice as long to read.
+TEST_CASE("the older snapshot is removed once the newer one is whole") {
+  WriterFixture f;
+  f.writer->Write(f.SnapshotAt(1));
+  f.Run();
+  const size_t parts = f.store.values.size();
+  f.BeginTerm(2);
+  f.Run();
+  f.writer->Write(f.SnapshotAt(kManyRecords + 1));
+  f.Run();
+  CHECK(f.store.values.size() == parts);
+  CHECK(f.NewestStored() == kManyRecords + 1);
+}
+
+TEST_CASE("parts that a lost leader left are removed as well") {
+  WriterFixture f;
+  f.BeginTerm(2);
+  f.store.values["0/7"] = std::string("part of nothing");
+  f.Run();
+  f.writer->Write(f.SnapshotAt(kManyRecords));
+  f.Run();
+  CHECK(f.store.values.count("0/7") == 0);
+  CHECK(f.NewestStored() == kManyRecords);
+}
+
 // Guards against a cell without a snapshot: a leader that writes over the only
 // whole one may be lost on its way.
 TEST_CASE("a new leader leaves the newest snapshot whole until its own is") {
