--- a/packages/cell/tests/cell_snapshot_test.cc
+++ b/packages/cell/tests/cell_snapshot_test.cc
@@ -92,4 +92,15 @@
   CHECK_FALSE(FindNewestSnapshot(values));
 }
 
+// Guards against a gap in the intake stream: a quiet work stream ends at the
+// same record in both snapshots.
+TEST_CASE("of two snapshots at the same work record, the later intake wins") {
+  SnapshotStore::Values values;
+  CellSnapshot later = MakeSnapshot(80, 100);
+  later.intake_next += 5;
+  Store(MakeSnapshot(80, 100), 0, values);
+  Store(later, 1, values);
+  CHECK(FindNewestSnapshot(values)->slot == 1);
+}
+
 }  // namespace azurespur::cell
