--- a/packages/cell/src/log_tail.cc
+++ b/packages/cell/src/log_tail.cc
@@ -51,6 +51,7 @@
   m_metrics.asked_bytes.Set(static_cast<int64_t>(request.max_bytes));
   ReadInfo read;
   read.from = m_next;
+  read.starts = m_starts;
   read.sent_at = m_last_attempt;
   m_log.Read(std::move(request), [this, read](ReadResult result) mutable {
     read.received_at = m_clock.Now();
@@ -63,6 +64,13 @@
 
 void LogTail::OnRead(ReadResult result, const ReadInfo& read) {
   m_reading = false;
+  if (read.starts != m_starts) {
+    // Says nothing of what is read now. The next poll starts a read.
+    for (const auto& done : std::exchange(m_read_callbacks, {})) {
+      done(false);
+    }
+    return;
+  }
   const bool ok = result.status != ReadStatus::kFailed;
   if (ok == m_failing) {
     m_failing = !ok;
@@ -175,6 +183,7 @@
 }
 
 void LogTail::StartFrom(int64_t next) {
+  ++m_starts;
   m_held = false;
   m_next = next;
   m_known_end = 0;
--- a/packages/cell/src/log_tail.h
+++ b/packages/cell/src/log_tail.h
@@ -84,6 +84,7 @@
   // What is known about a read besides its result.
   struct ReadInfo {
     int64_t from = 0;  // Offset of the first record.
+    int starts = 0;    // m_starts when it was sent.
     base::MonoTime sent_at{};
     base::MonoTime received_at{};
   };
@@ -119,6 +120,7 @@
   StreamFreshness m_freshness;
   base::MonoTime m_next_progress_report{};
   int64_t m_oldest = 0;
+  int m_starts = 0;  // Calls of StartFrom().
   bool m_held = false;
   bool m_reading = false;
   bool m_applying = false;
