--- a/packages/cell/src/cell_snapshot.cc
+++ b/packages/cell/src/cell_snapshot.cc
@@ -91,13 +91,14 @@
   const std::string_view table = snapshot.table;
   const size_t count = std::max<size_t>(
       1, (table.size() + kMaxSnapshotPartBytes - 1) / kMaxSnapshotPartBytes);
+  const uint64_t checksum = ChecksumOf(table);
   std::vector<SnapshotPart> parts;
   for (size_t i = 0; i < count; ++i) {
     StoredPart part{snapshot.intake_next,
                     snapshot.work_next,
                     snapshot.unix_ms,
                     static_cast<int32_t>(count),
-                    ChecksumOf(table),
+                    checksum,
                     std::string(table.substr(i * kMaxSnapshotPartBytes,
                                              kMaxSnapshotPartBytes))};
     parts.push_back({KeyOf(slot, static_cast<int32_t>(i)), wire::Encode(part)});
@@ -111,17 +112,30 @@
   });
 }
 
-std::optional<StoredSnapshot> FindNewestSnapshot(
-    const SnapshotStore::Values& values) {
-  std::optional<StoredSnapshot> newest;
+std::vector<StoredSnapshot> FindSnapshots(const SnapshotStore::Values& values) {
+  std::vector<StoredSnapshot> found;
   for (int slot = 0; slot < kSlots; ++slot) {
-    auto snapshot = JoinParts(values, slot);
-    if (snapshot &&
-        (!newest || snapshot->work_next > newest->snapshot.work_next)) {
-      newest = StoredSnapshot{std::move(*snapshot), slot};
+    if (auto snapshot = JoinParts(values, slot)) {
+      found.push_back({std::move(*snapshot), slot});
     }
   }
-  return newest;
+  const auto place = [](const StoredSnapshot& one) {
+    return std::pair(one.snapshot.work_next, one.snapshot.intake_next);
+  };
+  std::sort(found.begin(), found.end(),
+            [&place](const StoredSnapshot& a, const StoredSnapshot& b) {
+              return place(a) > place(b);
+            });
+  return found;
+}
+
+std::optional<StoredSnapshot> FindNewestSnapshot(
+    const SnapshotStore::Values& values) {
+  std::vector<StoredSnapshot> found = FindSnapshots(values);
+  if (found.empty()) {
+    return std::nullopt;
+  }
+  return std::move(found.front());
 }
 
 }  // namespace azurespur::cell
--- a/packages/cell/src/cell_snapshot.h
+++ b/packages/cell/src/cell_snapshot.h
@@ -49,7 +49,10 @@
 // True if there are parts of any snapshot, whole or not.
 bool HasParts(const SnapshotStore::Values& values);
 
-// Returns the newest snapshot of which all parts are there, or nothing.
+// Returns the snapshots of which all parts are there, the newest first.
+std::vector<StoredSnapshot> FindSnapshots(const SnapshotStore::Values& values);
+
+// Returns the newest of them, or nothing.
 std::optional<StoredSnapshot> FindNewestSnapshot(
     const SnapshotStore::Values& values);
 
