--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -234,7 +234,9 @@
       if (!current) {
         LogOldView("job state, answered all the same", jobs::FormatJobId(job));
       }
-      done({true, m_job_table.StateOf(job)});
+      // A snapshot without the job may have replaced the table meanwhile.
+      const auto latest = m_job_table.StateOf(job);
+      done({latest.has_value(), latest});
     });
   });
   if (!posted) {
