A VM that lacks removed records says so, and passes its gap on to nobody

No election starts while a tail is held. Not for ever: where nobody has the records, a cell that refuses to say more would serve no one.

--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -114,6 +114,12 @@
                       base::MonoTime sent_at);
   // Returns false if the snapshot is of no use.
   bool Restore(const CellSnapshot& snapshot);
+  void LogRestored(const CellSnapshot& snapshot, base::MonoTime sent_at) const;
+  // Goes on from the oldest records, without those that were removed.
+  void SkipRemovedRecords(base::MonoTime now);
+  // True if this VM has skipped records of late, so that its table may lack
+  // jobs that others know.
+  bool LacksRecords(base::MonoTime now) const;
   void WriteSnapshotIfDue(base::MonoTime now);
 
   // Datagrams between peers.
@@ -285,6 +291,7 @@
   base::MonoTime m_policy_retry =
       base::MonoTime::max();  // Set while no poll is in flight.
   base::MonoTime m_next_snapshot_read{};
+  base::MonoTime m_lacks_records_until{};
   int m_snapshot_read_failures = 0;     // In a row.
   int m_incomplete_snapshot_reads = 0;  // In a row.
   bool m_snapshot_read_in_flight = false;
--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -253,11 +253,12 @@
   WhenCurrent(requirement, deadline,
               [this, job, done = std::move(done)](bool current) {
                 const bool known = m_job_table.StateOf(job).has_value();
-                if (!known && !current) {
+                const bool whole = current && !LacksRecords(m_clock.Now());
+                if (!known && !whole) {
                   m_old_view_answers.Add(1);
                   LogOldView("unknown job", jobs::FormatJobId(job));
                 }
-                done(known || current);
+                done(known || whole);
               });
 }
 
@@ -268,7 +269,7 @@
     ViewRequirement requirement;
     requirement.max_age = m_options.max_pending_count_age;
     WhenCurrent(requirement, deadline, [this, queue, done](bool current) {
-      if (current) {
+      if (current && !LacksRecords(m_clock.Now())) {
         done({m_job_table.CountPending(queue)});
         return;
       }
--- a/packages/cell/src/node_leader.cc
+++ b/packages/cell/src/node_leader.cc
@@ -24,6 +24,8 @@
 constexpr Millis kElectionDelayAfterYield{3000};
 // Delay before a VM that lost an election starts another one.
 constexpr Millis kElectionRetryDelay{100};
+// Lets a VM with the whole state be elected first.
+constexpr Millis kLacksRecordsDelay{1000};
 // A new leader starts its term with a worker list that it read as a follower,
 // unless the list is older than this.
 constexpr Millis kMaxWorkerEntriesAge{1500};
@@ -32,7 +34,7 @@
 
 void Node::StartElectionIfDue(MonoTime now) {
   if (m_election_in_flight || m_term || m_work_tail.reading() ||
-      now < m_next_election) {
+      m_work_tail.held() || m_intake_tail.held() || now < m_next_election) {
     return;
   }
   ElectionView view;
@@ -51,6 +53,9 @@
   timing.unreachable_leader_timeout = m_options.unreachable_leader_timeout;
   const LeaderCandidate self = OwnCandidate(m_leader_peers.size());
   timing.jitter = m_jitter + CandidateDelay(self, m_best_peer_suitability);
+  if (LacksRecords(now)) {
+    timing.jitter += kLacksRecordsDelay;
+  }
   if (!ShouldStartElection(view, timing, m_started, now)) {
     return;
   }
@@ -251,7 +256,8 @@
 
 // Readiness alone stays true on a VM that has fallen behind the streams.
 bool Node::CanTakeOver() const {
-  return m_ready.load() && m_intake_tail.at_end() && m_work_tail.at_end();
+  return m_ready.load() && m_intake_tail.at_end() && m_work_tail.at_end() &&
+         !LacksRecords(m_clock.Now());
 }
 
 LeaderCandidate Node::OwnCandidate(size_t peers) const {
