--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -234,7 +234,9 @@
       if (!current) {
         LogOldView("job state, answered all the same", jobs::FormatJobId(job));
       }
-      done({true, m_job_table.StateOf(job)});
+      // A snapshot without the job may have replaced the table meanwhile.
+      const auto latest = m_job_table.StateOf(job);
+      done({latest.has_value(), latest});
     });
   });
   if (!posted) {
@@ -251,11 +253,12 @@
   WhenCurrent(requirement, deadline,
               [this, job, done = std::move(done)](bool current) {
                 const bool known = m_job_table.StateOf(job).has_value();
-                if (!known && !current) {
+                const bool whole = current && !LacksRecords(m_clock.Now());
+                if (!known && !whole) {
                   m_old_view_answers.Add(1);
                   LogOldView("unknown job", jobs::FormatJobId(job));
                 }
-                done(known || current);
+                done(known || whole);
               });
 }
 
@@ -266,7 +269,7 @@
     ViewRequirement requirement;
     requirement.max_age = m_options.max_pending_count_age;
     WhenCurrent(requirement, deadline, [this, queue, done](bool current) {
-      if (current) {
+      if (current && !LacksRecords(m_clock.Now())) {
         done({m_job_table.CountPending(queue)});
         return;
       }
