Let a report take as long as it keeps arriving

Callers saw nothing by itself: a leader with a narrow link, elected while 350 workers have much to report, would drop the answers that its link was still carrying, ask again for reports of the same size, and fill its link with them.

Cause: a hold order allowed 350 ms beyond its wait for the whole answer, whatever it carries and however many arrive at the same time.

- A report may take 3 s beyond the first byte's time, so that the next hold order still renews the lease, and fails once it stops arriving for 350 ms.
The wait of the long poll counts for the first byte only.
- A report may also stand behind others at the link: its first byte comes late, though its worker answered in time.
While responses fill 70% of the stated link (200 ms window), an order's silence is excused, together with its timeout for 2.5 s at most, as where this VM is behind.
On a link that is not full, or whose rate is not stated, a silent worker is noticed as fast as before.

Ruled out as fixes: a longer fixed time (notices silent workers later everywhere), and fewer orders at a time (silent workers would hold places).

--- a/packages/http/include/http/http_client.h
+++ b/packages/http/include/http/http_client.h
@@ -25,6 +25,12 @@
   // The call also ends once no byte of the response has arrived for this long.
   // Zero: no such limit.
   std::chrono::milliseconds stall_timeout{0};
+  // Added to `stall_timeout` until the first byte: how long the server may wait
+  // before it answers a long poll.
+  std::chrono::milliseconds answer_wait{0};
+  // Added to `stall_timeout` at most while other responses fill the link, so
+  // that an answer may be on its way behind them.
+  std::chrono::milliseconds max_link_wait{0};
   std::chrono::milliseconds connect_timeout{500};
   // The call is not sent once this time is reached; it then ends with
   // kUnavailable. Zero: no limit.
@@ -49,6 +55,7 @@
   long max_kept_connections = 1024;
   size_t max_response_bytes = 16 << 20;
   size_t queue_size = 4096;
+  double link_mbps = 0;  // 0 if unknown: the link never counts as full.
 };
 
 class HttpClient {
--- a/packages/http/src/http_client.cc
+++ b/packages/http/src/http_client.cc
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include "base/ring.h"
+#include "link_meter.h"
 #include "stall_watch.h"
 
 namespace azurespur::http {
@@ -35,12 +36,14 @@
   base::MonoTime began{};
   bool answered = false;  // The first byte of the response has arrived.
   StallWatch<CURL*>* stalls = nullptr;  // Null without a stall timeout.
+  LinkMeter* link = nullptr;            // Null if the link is unknown.
 
   ~Transfer() { curl_slist_free_all(header_list); }
 };
 
-void OnBytes(Transfer& transfer) {
-  if (transfer.answered && transfer.stalls == nullptr) {
+void OnBytes(Transfer& transfer, size_t bytes) {
+  if (transfer.answered && transfer.stalls == nullptr &&
+      transfer.link == nullptr) {
     return;
   }
   const base::MonoTime now = base::SystemClock().Now();
@@ -52,12 +55,15 @@
   if (transfer.stalls != nullptr) {
     transfer.stalls->OnBytes(transfer.easy, now);
   }
+  if (transfer.link != nullptr) {
+    transfer.link->OnBytes(bytes, now);
+  }
 }
 
 size_t OnBody(char* data, size_t size, size_t count, void* closure) {
   auto* transfer = static_cast<Transfer*>(closure);
   const size_t bytes = size * count;
-  OnBytes(*transfer);
+  OnBytes(*transfer, bytes);
   if (transfer->response.body.size() + bytes > transfer->max_bytes) {
     return 0;
   }
@@ -67,7 +73,7 @@
 
 size_t OnHeader(char* data, size_t size, size_t count, void* closure) {
   auto* transfer = static_cast<Transfer*>(closure);
-  OnBytes(*transfer);
+  OnBytes(*transfer, size * count);
   std::string_view line(data, size * count);
   while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
     line.remove_suffix(1);
@@ -111,6 +117,7 @@
  public:
   explicit Client(const HttpClientOptions& options)
       : m_options(options),
+        m_link(options.link_mbps),
         m_ring(options.queue_size),
         m_multi(curl_multi_init()),
         m_epoll(epoll_create1(EPOLL_CLOEXEC)),
@@ -180,6 +187,7 @@
   void AbortAll();
 
   const HttpClientOptions m_options;
+  LinkMeter m_link;
   base::Ring<std::unique_ptr<Transfer>> m_ring;
   CURLM* m_multi;
   const int m_epoll;
@@ -302,7 +310,8 @@
 // Runs after the ready sockets were handled, so that bytes count that arrived
 // while this thread did not run.
 void Client::EndStalled() {
-  for (CURL* easy : m_stalls.Stalled(base::SystemClock().Now())) {
+  const base::MonoTime now = base::SystemClock().Now();
+  for (CURL* easy : m_stalls.Stalled(now, m_link.IsFull(now))) {
     Finish(easy, CURLE_OPERATION_TIMEDOUT);
   }
 }
@@ -356,9 +365,12 @@
   }
   transfer->easy = easy;
   transfer->began = base::SystemClock().Now();
+  transfer->link = m_link.known() ? &m_link : nullptr;
   if (call.stall_timeout.count() > 0) {
     transfer->stalls = &m_stalls;
-    m_stalls.Add(easy, call.stall_timeout, transfer->began);
+    m_stalls.Add(easy,
+                 {call.stall_timeout, call.answer_wait, call.max_link_wait},
+                 transfer->began);
   }
   m_active[easy] = std::move(transfer);
   curl_multi_add_handle(m_multi, easy);
--- a/packages/jobs/include/jobs/orders.h
+++ b/packages/jobs/include/jobs/orders.h
@@ -47,7 +47,11 @@
   int64_t acked_end_number = 0;  // The worker discards ends up to here.
   std::optional<int64_t> lease_until_ms;  // On the worker's clock.
   base::Millis wait{0};                   // Longest wait for an end.
-  base::Millis timeout{0};                // For the answer, after `wait`.
+  // For the first byte of the report, after `wait`, and for each later one.
+  base::Millis timeout{0};
+  // Added to `timeout` at most while other answers fill this VM's link.
+  base::Millis max_link_wait{0};
+  base::Millis max_transfer{0};  // Of the report; added to `timeout`.
   base::MonoTime sent_at{};
 };
 
--- a/packages/jobs/include/jobs/scheduler_options.h
+++ b/packages/jobs/include/jobs/scheduler_options.h
@@ -26,9 +26,13 @@
   // because a lost hold order delays the reports of all ends on its worker.
   base::Millis degraded_hold_wait{200};
   // For the answer to an order, after a long poll's wait. While this VM is
-  // behind, its delay is added, up to the maximum.
+  // behind, its delay is added, up to the maximum. A report may take as long
+  // while other answers fill the link.
   base::Millis order_timeout{350};
   base::Millis max_order_timeout{2500};
+  // For a report that keeps arriving. The next hold order has to renew the
+  // lease after the wait and the transfer of the last one.
+  base::Millis max_report_transfer{3000};
   base::Millis max_start_timeout{650};  // The same for each send of a start.
   // A worker that leaves more hold orders in a row unanswered counts as lost
   // even while this VM is behind.
--- a/packages/jobs/src/fleet_holds.cc
+++ b/packages/jobs/src/fleet_holds.cc
@@ -86,6 +86,8 @@
   order.acked_end_number = worker.ends_stored;
   order.sent_at = now;
   order.timeout = OrderTimeout(now);
+  order.max_link_wait = m_options.max_order_timeout - order.timeout;
+  order.max_transfer = m_options.max_report_transfer;
   // A worker in doubt gets no longer lease, and has to answer at once.
   if (worker.responsive && worker.late_holds == 0 && worker.clock_known) {
     if (may_renew) {
