Remove a relayed connection from the reactor also while it waits for nothing

Cause, seen in a program of 50 lines over a socket pair: the Dev_Poll reactor takes a handler whose mask is empty out of epoll, and remove_handler() then fails (-1) and keeps the entry. A cut empties the masks of both ends, a reset closes them; the next socket with the same number was not registered: its events went to the destroyed end of before. Whether a new connection stalls depends on the number that its sockets get, and so on how soon other threads close theirs.

Ruled out: masks changed by another thread during an upcall (the same program: a mask cleared during an upcall stays cleared, no difference to one cleared outside), and a kept connection of the client (the first call after the cut ends by its timeout and closes it; the test case itself is right and unchanged).

Now the end waits for bytes again before it is removed, which the reactor accepts. The new test calls on new connections only, 1,000 rounds.

--- a/testing/standins/src/tcp_relay_end.cc
+++ b/testing/standins/src/tcp_relay_end.cc
@@ -30,6 +30,10 @@
 
 void TcpRelayEnd::Unregister() {
   if (std::exchange(m_registered, false)) {
+    // The reactor can't remove a handler that waits for nothing: the entry
+    // would stay and get the events of the next socket with this number.
+    reactor()->mask_ops(this, ACE_Event_Handler::READ_MASK,
+                        ACE_Reactor::ADD_MASK);
     reactor()->remove_handler(this, ACE_Event_Handler::ALL_EVENTS_MASK |
                                         ACE_Event_Handler::DONT_CALL);
   }
--- a/testing/standins/tests/relay_test.cc
+++ b/testing/standins/tests/relay_test.cc
@@ -39,6 +39,15 @@
   return base::Ok(client.Fetch(std::move(call)));
 }
 
+// The same on a connection that no call has used before.
+bool ReachesAnew(http::HttpClient& client, uint16_t port) {
+  http::HttpCall call;
+  call.url = "http://127.0.0.1:" + std::to_string(port) + "/";
+  call.timeout = std::chrono::seconds(10);
+  call.send_once = true;
+  return base::Ok(client.Fetch(std::move(call)));
+}
+
 }  // namespace
 
 TEST_CASE("a cut link stalls TCP until it heals") {
@@ -58,6 +67,27 @@
   CHECK(Reaches(*client, port, 10'000));
 }
 
+// Guards against a connection that is accepted and then never served, since its
+// socket has the number of one that was closed while the relay handled it.
+TEST_CASE("a link serves new connections however often it was cut and reset") {
+  constexpr int kRounds = 1000;
+  auto server = base::Value(StartServer(2));
+  const uint16_t target = base::Value(server->Listen(
+      0, 64, [](auto, auto reply) { reply->Send(JsonResponse("{}")); }));
+  Relay relay;
+  const uint16_t port =
+      base::Value(relay.SetLink("l", 0, "127.0.0.1:" + std::to_string(target)));
+  auto client = http::StartHttpClient();
+  for (int round = 0; round < kRounds; ++round) {
+    CAPTURE(round);
+    REQUIRE(ReachesAnew(*client, port));
+    // Right after the answer, while the relay may still handle its bytes.
+    Control(relay, R"({"cut":true})");
+    Control(relay, R"({"cut":true,"reset":true})");
+    Control(relay, "{}");
+  }
+}
+
 TEST_CASE("datagrams pass both ways and are dropped while the link is cut") {
   const ACE_INET_Addr any(static_cast<u_short>(0), INADDR_LOOPBACK);
   ACE_SOCK_Dgram target(any);
