--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -188,6 +188,27 @@
   CHECK(server.requests() == 3);
 }
 
+// Guards against calls on new connections that leave more and more unused ones
+// open at a server that limits them.
+TEST_CASE("at the limit, a new connection to a host replaces an unused one") {
+  HttpServerOptions server_options;
+  server_options.max_connections = 8;
+  auto server = base::Value(StartHttpServer(
+      server_options,
+      [](HttpRequest, std::shared_ptr<HttpReply> reply) { reply->Send({}); }));
+  HttpClientOptions options;
+  options.max_connections_per_host = 2;
+  auto client = StartHttpClient(options);
+  HttpCall call;
+  call.url = Url(*server, "/");
+  call.timeout = std::chrono::seconds(20);
+  call.send_once = true;
+  for (int i = 0; i < 40; ++i) {
+    CAPTURE(i);
+    CHECK(base::Ok(client->Fetch(call)));
+  }
+}
+
 TEST_CASE("a port in use is reported with address and port") {
   const auto ignore = [](HttpRequest, std::shared_ptr<HttpReply>) {};
   auto server = base::Value(StartHttpServer({}, ignore));
