Test the rate of starts while the log is slow (fails)

A leader with processor time to spare, 350 workers with room and a demand of 740 starts a second, in virtual time. While an append takes 600 ms, 230 starts a second are made; the demand less a tenth would be 666. Urgent tasks wait 1,230 ms at most.

The simulated leader now takes costs, room and the time of an append, and can have silent workers.

--- a/packages/cell/tests/leader_simulation.h
+++ b/packages/cell/tests/leader_simulation.h
@@ -45,14 +45,18 @@
 
 class LeaderSimulation : public FencedLog {
  public:
-  explicit LeaderSimulation(int worker_count) {
+  // `worker_cpu` is the capacity of a worker; a task needs 10.
+  explicit LeaderSimulation(int worker_count,
+                            const SimulationCosts& costs = {},
+                            int64_t worker_cpu = 100)
+      : m_costs(costs) {
     for (int i = 0; i < worker_count; ++i) {
       jobs::WorkerEntry entry;
       entry.boot = {"w" + std::to_string(i), 1};
       entry.service = "s";
       entry.address = "addr";
       entry.rack = "r";
-      entry.capacity = {100, 1000000, 0};
+      entry.capacity = {worker_cpu, 1000000, 0};
       m_entries.push_back(entry);
     }
     AddQueue("batch", 1);
@@ -61,7 +65,6 @@
     m_term->scheduler().SetWorkers(m_entries, m_clock.now, m_term->output());
   }
 
-  // `table_at_arrival` is charged to the node's thread with the next mail.
   void Submit(const std::string& queue, int32_t count, base::Millis duration) {
     jobs::JobSpec spec;
     spec.id = ++m_last_job;
@@ -116,6 +119,10 @@
 
   // All work takes so many times its cost, as if other processes computed.
   int slowdown = 1;
+  // The log takes this long for an append.
+  base::Millis append_time{0};
+  std::set<std::string> silent;           // Workers that are cut off.
+  std::map<std::string, int64_t> starts;  // Of runs, by worker.
   int64_t done = 0;      // Tasks that ended at their workers as done.
   int64_t stopped = 0;   // Tasks stopped before their end.
   int64_t lapsed = 0;    // Tasks whose lease lapsed.
@@ -250,11 +257,15 @@
     const auto count = static_cast<int64_t>(request.records.size());
     const int64_t offset = m_stored;
     m_stored += count;
-    Exchange([](std::function<void()> respond) { respond(); },
-             base::Millis{5000},
-             [answer = std::move(answer), offset](bool /*in_time*/) {
-               answer({AppendStatus::kAppended, offset});
-             });
+    Exchange(
+        std::string(),
+        [this](std::function<void()> respond) {
+          m_events.emplace(m_clock.now + append_time, std::move(respond));
+        },
+        base::Millis{5000},
+        [answer = std::move(answer), offset](bool /*in_time*/) {
+          answer({AppendStatus::kAppended, offset});
+        });
   }
 
   void Read(ReadRequest /*request*/,
@@ -274,31 +285,48 @@
     }
   }
 
-  // Sends a call. `serve` runs at the other end and calls its argument to
-  // respond. `on_result` runs on the HTTP client's thread; its argument is
-  // false if the response came after `timeout`.
-  void Exchange(std::function<void(std::function<void()>)> serve,
+  // Sends a call to `worker`, or to the log if it is empty. `serve` runs at the
+  // other end and calls its argument to respond. `on_result` runs on the HTTP
+  // client's thread; its argument is false if the response came after `timeout`
+  // or, from a silent worker, never.
+  void Exchange(const std::string& worker,
+                std::function<void(std::function<void()>)> serve,
                 base::Millis timeout,
                 std::function<void(bool)> on_result) {
     const base::MonoTime deadline = m_clock.now + timeout;
-    const auto respond = [this, deadline, on_result = std::move(on_result)] {
-      m_events.emplace(m_clock.now + kLatency, [this, deadline, on_result] {
-        m_http.push_back(
-            {slowdown * m_costs.http_receive, [this, deadline, on_result] {
-               on_result(m_clock.now <= deadline);
-             }});
-      });
+    const auto finish = [this, deadline, on_result = std::move(on_result)] {
+      m_http.push_back(
+          {slowdown * m_costs.http_receive, [this, deadline, on_result] {
+             on_result(m_clock.now <= deadline);
+           }});
+    };
+    const auto time_out = [this, deadline, finish] {
+      m_events.emplace(std::max(deadline + base::Millis{1}, m_clock.now),
+                       finish);
+    };
+    const auto respond = [this, worker, finish, time_out] {
+      if (silent.count(worker) > 0) {
+        time_out();
+      } else {
+        m_events.emplace(m_clock.now + kLatency, finish);
+      }
     };
-    m_http.push_back({m_costs.http_send, [this, serve, respond] {
-                        m_events.emplace(m_clock.now + kLatency,
-                                         [serve, respond] { serve(respond); });
-                      }});
+    m_http.push_back(
+        {m_costs.http_send, [this, worker, serve, respond, time_out] {
+           if (silent.count(worker) > 0) {
+             time_out();
+           } else {
+             m_events.emplace(m_clock.now + kLatency,
+                              [serve, respond] { serve(respond); });
+           }
+         }});
   }
 
   void SendStart(const jobs::StartOrder& order) {
     Spend(m_costs.per_order);
     const auto outcome = std::make_shared<jobs::OrderOutcome>();
     Exchange(
+        order.worker.id,
         [this, order, outcome](const std::function<void()>& respond) {
           *outcome = ServeStart(order);
           respond();
@@ -317,6 +345,7 @@
   void SendStop(const jobs::StopOrder& order) {
     Spend(m_costs.per_order);
     Exchange(
+        order.worker.id,
         [this, order](const std::function<void()>& respond) {
           FakeWorker& worker = m_workers[order.worker.id];
           worker.refused.insert({order.task, order.run});
@@ -343,6 +372,7 @@
     Spend(m_costs.per_order);
     const auto report = std::make_shared<jobs::WorkerReport>();
     Exchange(
+        order.worker.id,
         [this, order, report](const std::function<void()>& respond) {
           ServeHold(order, report, respond);
         },
@@ -383,6 +413,7 @@
     }
     const uint64_t life = ++m_lives;
     worker.running[order.task] = {order.run, life};
+    ++starts[order.worker.id];
     const jobs::Job* job = m_table.Find(order.task.job);
     if (job->spec.queue == "urgent") {
       const base::MonoTime submitted = m_submitted[order.task.job];
@@ -473,7 +504,7 @@
         });
   }
 
-  SimulationCosts m_costs;
+  const SimulationCosts m_costs;
   NodeOptions m_options;
   FakeClock m_clock;
   base::Mailbox m_mailbox{16384};
