--- a/packages/cell/tests/leader_simulation.h
+++ b/packages/cell/tests/leader_simulation.h
@@ -260,6 +260,10 @@
     Exchange(
         std::string(),
         [this](std::function<void()> respond) {
+          if (append_time == base::Millis{0}) {
+            respond();
+            return;
+          }
           m_events.emplace(m_clock.now + append_time, std::move(respond));
         },
         base::Millis{5000},
