--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -123,10 +123,6 @@
   void ObserveDelay(base::MonoTime due, base::MonoTime now) {
     m_own_delay.Observe(due, now);
   }
-  // How far this VM was behind lately.
-  base::Millis RecentDelay(base::MonoTime now) const {
-    return m_own_delay.Recent(now);
-  }
   // How long to wait for the answer to a hold order or a stop that is sent now.
   base::Millis OrderTimeout(base::MonoTime now) const;
   // The same for a start. Shorter, so that all its sends arrive, or fail,
--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -245,7 +245,6 @@
   std::map<TaskRef, std::string> m_last_failed_worker;  // Worker id.
   UnsentBindings m_unsent;
   StartPacer m_pacer;
-  base::MonoTime m_last_append_sent_at{};  // Of the newest stored record.
   base::MonoTime m_last_tick{};
   base::MonoTime m_next_full_plan{};
   bool m_plan_is_full = false;  // The plan being made.
--- a/packages/jobs/include/jobs/start_pacer.h
+++ b/packages/jobs/include/jobs/start_pacer.h
@@ -21,18 +21,12 @@
   // Returns true if the plan may bind another step. Urgent steps may use twice
   // the limit.
   bool MayBind(bool urgent);
-  void OnBound() {
-    ++m_outstanding;
-    ++m_bound_since_append;
-  }
+  void OnBound() { ++m_outstanding; }
 
-  // An append took so long, without the delay of this VM itself.
-  void OnAppend(base::Micros took);
   // A start was answered, `took` after its binding was stored.
   void OnAnswer(base::Micros took, base::MonoTime now);
 
-  // Includes the bindings that a slow log holds.
-  int64_t limit() const;
+  int64_t limit() const { return static_cast<int64_t>(m_limit); }
   // Mean time from the storing of a binding to the answer to its start.
   base::Micros start_time() const { return m_start_time; }
 
@@ -40,11 +34,9 @@
   void UpdateLimit();
 
   int64_t m_outstanding = 0;
-  int64_t m_bound_since_append = 0;
-  double m_limit = 128;           // While storing takes no time.
-  base::Micros m_append_time{0};  // Of the newest ones.
-  bool m_was_limited = false;     // Since the last update of the limit.
-  base::Micros m_sum{0};          // Of the answers since the last update.
+  double m_limit = 128;
+  bool m_was_limited = false;  // Since the last update of the limit.
+  base::Micros m_sum{0};       // Of the answers since the last update.
   int64_t m_answers = 0;
   base::Micros m_start_time{0};
   base::MonoTime m_next_update{};
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -56,10 +56,6 @@
                          base::MonoTime append_sent_at,
                          base::MonoTime now,
                          SchedulerOutput& out) {
-  if (append_sent_at != m_last_append_sent_at) {
-    m_last_append_sent_at = append_sent_at;
-    m_pacer.OnAppend(now - append_sent_at - m_fleet.RecentDelay(now));
-  }
   if (stored.end_number > 0) {
     m_fleet.OnEndStored(stored);
   }
--- a/packages/jobs/src/start_pacer.cc
+++ b/packages/jobs/src/start_pacer.cc
@@ -14,12 +14,6 @@
 // when a slow store recovers.
 constexpr double kMinLimit = 64;
 constexpr double kMaxLimit = 512;
-// Two appends of a leader, one in flight and the next, less a fifth for other
-// records. With more, records of urgent steps would wait for a third append.
-constexpr int64_t kMaxLimitInSlowLog = 832;
-constexpr int64_t kMaxBoundInAppend = kMaxLimitInSlowLog / 2;
-// A binding waits for the append in flight, then for its own.
-constexpr int64_t kAppendsPerBinding = 2;
 // Change of the limit in one update.
 constexpr double kMinFactor = 0.5;
 constexpr double kMaxFactor = 1.15;
@@ -31,32 +25,12 @@
 }
 
 bool StartPacer::MayBind(bool urgent) {
-  const bool allowed = urgent ? m_outstanding < 2 * limit()
-                              : m_outstanding < limit() &&
-                                    m_bound_since_append < kMaxBoundInAppend;
+  const double limit = urgent ? 2 * m_limit : m_limit;
+  const bool allowed = static_cast<double>(m_outstanding) < limit;
   m_was_limited = m_was_limited || !allowed;
   return allowed;
 }
 
-// Starts leave at the same rate whatever the log takes, so as many more may be
-// outstanding as leave while a binding is being stored. The limit allows
-// `m_limit` starts in each kTargetStartTime.
-int64_t StartPacer::limit() const {
-  const double storing_time =
-      static_cast<double>((kAppendsPerBinding * m_append_time).count());
-  const double in_log =
-      m_limit * storing_time / static_cast<double>(kTargetStartTime.count());
-  return std::min(static_cast<int64_t>(m_limit + in_log), kMaxLimitInSlowLog);
-}
-
-// Rises in steps: the bindings that fill a limit which rose at once would need
-// more than one append.
-void StartPacer::OnAppend(base::Micros took) {
-  const base::Micros time = std::max(took, base::Micros{0});
-  m_bound_since_append = 0;
-  m_append_time = std::min(time, (m_append_time + time) / 2);
-}
-
 void StartPacer::OnAnswer(base::Micros took, base::MonoTime now) {
   m_sum += took;
   ++m_answers;
--- a/packages/jobs/tests/start_pacer_test.cc
+++ b/packages/jobs/tests/start_pacer_test.cc
@@ -53,29 +53,6 @@
   CHECK(pacer.limit() == initial);
 }
 
-// Guards against a slow log whose bindings hold the places of starts.
-TEST_CASE("the limit grows with the time of an append, and falls with it") {
-  StartPacer pacer;
-  const int64_t initial = pacer.limit();
-  const auto append = [&pacer](Millis took) {
-    for (int i = 0; i < 10; ++i) {
-      pacer.OnAppend(took);
-    }
-  };
-  append(Millis{200});
-  CHECK(pacer.limit() > 2 * initial);
-  append(Millis{600});
-  const int64_t slow = pacer.limit();
-  CHECK(slow > 5 * initial);
-  append(Millis{60000});
-  CHECK(pacer.limit() < 9 * initial);
-  pacer.OnAppend(Millis{0});
-  CHECK(pacer.limit() == initial);
-  // This VM was further behind than the append took.
-  pacer.OnAppend(Millis{-100});
-  CHECK(pacer.limit() == initial);
-}
-
 TEST_CASE("urgent steps are bound beyond the limit of the others") {
   StartPacer pacer;
   pacer.BeginPlan(pacer.limit());
