End calls of workers into a mailbox that outlives the controllers

Cause: the callbacks of calls to workers pushed their result to the mailbox inside TaskService by way of the controller that made the call. The daemon destroys TaskService before the workers' HTTP client, and that client ends the calls in flight only when it is destroyed (AbortAll). So each call of a worker that is still unanswered then, by a late or a lost answer, was pushed into the freed nodes of the queue. Only what the stop of the log streams takes (up to about two seconds, a long poll) hid it: calls end after 1 s by default.

A callback touches only the mailbox; what it queues is run by the controllers' thread, and is dropped with the mailbox if that has ended.

Test: the service's memory is zeroed after its end and every answer is given then.

Ruled out as the cause: stall timeout, BeforeRequest and kept connections of the HTTP client; they do not appear in the trace, and this order of destruction is older.

--- a/packages/control/include/control/placement_controller.h
+++ b/packages/control/include/control/placement_controller.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <set>
 #include <string>
@@ -72,7 +73,8 @@
   VmDirectory& directory;
   PeerBus& peers;
   WorkerFleet& fleet;
-  base::Mailbox& mailbox;
+  // Shared with the calls in flight, which may end after their caller.
+  std::shared_ptr<base::Mailbox> mailbox;
   const base::Clock& clock;
   base::Metrics& metrics;
   VmIdentity identity;
--- a/packages/control/include/control/run_controller.h
+++ b/packages/control/include/control/run_controller.h
@@ -5,6 +5,7 @@
 #define CONTROL_RUN_CONTROLLER_H_
 
 #include <map>
+#include <memory>
 #include <set>
 #include <string>
 #include <string_view>
@@ -50,7 +51,8 @@
   TaskLedger& ledger;
   services::WorkerClient& workers;
   WorkerFleet& fleet;
-  base::Mailbox& mailbox;
+  // Shared with the calls in flight, which may end after their caller.
+  std::shared_ptr<base::Mailbox> mailbox;
   const base::Clock& clock;
   base::Metrics& metrics;
   VmIdentity identity;
--- a/packages/control/include/control/task_service.h
+++ b/packages/control/include/control/task_service.h
@@ -5,6 +5,7 @@
 
 #include <atomic>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -129,7 +130,7 @@
   std::string DumpNow() const;
 
   const TaskServiceDeps m_deps;
-  base::Mailbox m_mailbox;
+  const std::shared_ptr<base::Mailbox> m_mailbox;
   PlacementController m_placement;
   RunController m_runs;
   WorkerFleet m_fleet;
--- a/packages/control/include/control/worker_fleet.h
+++ b/packages/control/include/control/worker_fleet.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <unordered_set>
@@ -64,7 +65,8 @@
   services::WorkerClient& workers;
   VmDirectory& directory;
   PeerBus& peers;
-  base::Mailbox& mailbox;
+  // Shared with the calls in flight, which may end after their caller.
+  std::shared_ptr<base::Mailbox> mailbox;
   const base::Clock& clock;
   base::Metrics& metrics;
   VmIdentity identity;
--- a/packages/control/src/placement_controller.cc
+++ b/packages/control/src/placement_controller.cc
@@ -310,12 +310,11 @@
     owned &= !bind.places.back().marker.empty();
   }
   const bool queued =
-      owned &&
-      m_deps.log.Append(wire::EntryKind::kTaskBind, wire::Encode(bind),
-                        m_deps.clock.Now() + m_options.append_deadline,
-                        [this, id](const auto&) {
-                          m_deps.mailbox.Push([this, id] { OnBound(id); });
-                        });
+      owned && m_deps.log.Append(wire::EntryKind::kTaskBind, wire::Encode(bind),
+                                 m_deps.clock.Now() + m_options.append_deadline,
+                                 [this, box = m_deps.mailbox, id](const auto&) {
+                                   box->Push([this, id] { OnBound(id); });
+                                 });
   if (!queued) {
     m_scheduler.Requeue(start.demand);
     return;
--- a/packages/control/src/run_calls.cc
+++ b/packages/control/src/run_calls.cc
@@ -47,13 +47,11 @@
   start.id = IntentId(member.run_id);
   start.lease = m_options.intent_lease;
   member.sent = m_deps.clock.Now();
-  member.intent_pending =
-      m_deps.workers.Start(vm->address, std::move(start),
-                           [this, run_id = member.run_id](auto result) {
-                             m_deps.mailbox.Push([this, run_id, result] {
-                               OnIntentAnswer(run_id, result);
-                             });
-                           });
+  member.intent_pending = m_deps.workers.Start(
+      vm->address, std::move(start),
+      [this, box = m_deps.mailbox, run_id = member.run_id](auto result) {
+        box->Push([this, run_id, result] { OnIntentAnswer(run_id, result); });
+      });
 }
 
 void RunController::OnIntentAnswer(const std::string& run_id,
@@ -115,13 +113,11 @@
     start.payload += " checkpoint=" + task.checkpoint;
   }
   member.sent = m_deps.clock.Now();
-  const bool queued =
-      m_deps.workers.Start(vm->address, std::move(start),
-                           [this, run_id = member.run_id](auto result) {
-                             m_deps.mailbox.Push([this, run_id, result] {
-                               OnStartAnswer(run_id, result);
-                             });
-                           });
+  const bool queued = m_deps.workers.Start(
+      vm->address, std::move(start),
+      [this, box = m_deps.mailbox, run_id = member.run_id](auto result) {
+        box->Push([this, run_id, result] { OnStartAnswer(run_id, result); });
+      });
   if (queued) {
     member.phase = MemberPhase::kStarting;
   }
@@ -173,13 +169,12 @@
       continue;
     }
     member.sent = m_deps.clock.Now();
-    const bool queued =
-        m_deps.workers.Release(vm->address, member.run_id,
-                               [this, run_id = member.run_id](auto result) {
-                                 m_deps.mailbox.Push([this, run_id, result] {
-                                   OnReleaseAnswer(run_id, result);
-                                 });
-                               });
+    const bool queued = m_deps.workers.Release(
+        vm->address, member.run_id,
+        [this, box = m_deps.mailbox, run_id = member.run_id](auto result) {
+          box->Push(
+              [this, run_id, result] { OnReleaseAnswer(run_id, result); });
+        });
     if (queued) {
       member.phase = MemberPhase::kReleasing;
       member.may_be_released = true;
@@ -241,9 +236,9 @@
   member.phase = MemberPhase::kStopping;
   member.sent = m_deps.clock.Now();
   m_deps.workers.Stop(
-      vm->address, member.run_id, [this, run_id = member.run_id](auto result) {
-        m_deps.mailbox.Push(
-            [this, run_id, result] { OnStopAnswer(run_id, result); });
+      vm->address, member.run_id,
+      [this, box = m_deps.mailbox, run_id = member.run_id](auto result) {
+        box->Push([this, run_id, result] { OnStopAnswer(run_id, result); });
       });
 }
 
@@ -269,12 +264,13 @@
   if (vm == nullptr) {
     return;
   }
-  m_deps.workers.Checkpoint(
-      vm->address, member.run_id,
-      [this, id = run.id, attempt = run.attempt](auto result) {
-        m_deps.mailbox.Push(
-            [this, id, attempt, result] { OnCheckpoint(id, attempt, result); });
-      });
+  m_deps.workers.Checkpoint(vm->address, member.run_id,
+                            [this, box = m_deps.mailbox, id = run.id,
+                             attempt = run.attempt](auto result) {
+                              box->Push([this, id, attempt, result] {
+                                OnCheckpoint(id, attempt, result);
+                              });
+                            });
 }
 
 void RunController::OnCheckpoint(const std::string& id,
--- a/packages/control/src/run_controller.cc
+++ b/packages/control/src/run_controller.cc
@@ -162,8 +162,9 @@
   const base::MonoTime deadline = run.append_sent + m_options.append_deadline;
   run.append_pending = m_deps.log.Append(
       kind, std::move(payload), deadline,
-      [this, id = run.id, attempt = run.attempt, kind](const auto& result) {
-        m_deps.mailbox.Push([this, id, attempt, kind, seen = base::Ok(result)] {
+      [this, box = m_deps.mailbox, id = run.id, attempt = run.attempt,
+       kind](const auto& result) {
+        box->Push([this, id, attempt, kind, seen = base::Ok(result)] {
           OnRecorded(id, attempt, kind, seen);
         });
       });
--- a/packages/control/src/task_service.cc
+++ b/packages/control/src/task_service.cc
@@ -53,7 +53,7 @@
 
 TaskService::TaskService(const TaskServiceDeps& deps)
     : m_deps(deps),
-      m_mailbox(deps.options.mailbox_size),
+      m_mailbox(std::make_shared<base::Mailbox>(deps.options.mailbox_size)),
       m_placement({deps.tasks, deps.ledger, deps.lists, deps.directory,
                    deps.peers, m_fleet, m_mailbox, deps.clock, deps.metrics,
                    deps.identity, deps.proposals},
@@ -67,7 +67,7 @@
               deps.options.fleet,
               m_runs) {
   m_placement.SetRuns(m_runs);
-  m_deps.ledger.SetListener([this] { m_mailbox.Wake(); });
+  m_deps.ledger.SetListener([box = m_mailbox] { box->Wake(); });
   m_deps.peers.SetAnswerer(
       wire::Topic::kTaskFate,
       [this](const wire::PeerMessage& message) -> base::Outcome<std::string> {
@@ -86,7 +86,7 @@
 
 void TaskService::Stop() {
   m_stop = true;
-  m_mailbox.Wake();
+  m_mailbox->Wake();
   if (m_thread.joinable()) {
     m_thread.join();
   }
@@ -94,7 +94,7 @@
 
 void TaskService::Run() {
   while (!m_stop) {
-    if (auto mail = m_mailbox.PopWait(m_deps.options.tick)) {
+    if (auto mail = m_mailbox->PopWait(m_deps.options.tick)) {
       (*mail)();
     }
     RunOnce();
@@ -104,7 +104,7 @@
 void TaskService::RunOnce() {
   // First of all: a process that was paused must learn what it lost.
   m_fleet.Tick();
-  while (auto mail = m_mailbox.Pop()) {
+  while (auto mail = m_mailbox->Pop()) {
     (*mail)();
   }
   for (const std::string& id : m_deps.ledger.TakeChanges()) {
@@ -278,7 +278,7 @@
   }
   const auto promise = std::make_shared<std::promise<std::string>>();
   std::future<std::string> dump = promise->get_future();
-  if (!m_mailbox.Push([this, promise] { promise->set_value(DumpNow()); }) ||
+  if (!m_mailbox->Push([this, promise] { promise->set_value(DumpNow()); }) ||
       dump.wait_for(m_deps.options.peer_timeout) != std::future_status::ready) {
     return "{}";
   }
@@ -324,7 +324,7 @@
   while (!settled && m_deps.clock.Now() < deadline) {
     const auto promise = std::make_shared<std::promise<size_t>>();
     std::future<size_t> open = promise->get_future();
-    m_mailbox.Push(
+    m_mailbox->Push(
         [this, promise] { promise->set_value(m_runs.UnsettledCount()); });
     if (open.wait_for(m_deps.options.peer_timeout) !=
         std::future_status::ready) {
@@ -337,7 +337,7 @@
   }
   const auto promise = std::make_shared<std::promise<void>>();
   std::future<void> resigned = promise->get_future();
-  m_mailbox.Push([this, promise] {
+  m_mailbox->Push([this, promise] {
     m_fleet.Resign();
     promise->set_value();
   });
--- a/packages/control/src/worker_fleet.cc
+++ b/packages/control/src/worker_fleet.cc
@@ -145,9 +145,10 @@
   }
   worker.report_sent = now;
   worker.report_pending = m_deps.workers.Report(
-      worker.vm.address, [this, id = worker.vm.id, now](auto result) mutable {
-        m_deps.mailbox.Push([this, id = std::move(id), now,
-                             result = std::move(result)]() mutable {
+      worker.vm.address, [this, box = m_deps.mailbox, id = worker.vm.id,
+                          now](auto result) mutable {
+        box->Push([this, id = std::move(id), now,
+                   result = std::move(result)]() mutable {
           OnReport(id, now, std::move(result));
         });
       });
@@ -245,8 +246,9 @@
   start.id = marker;
   start.lease = m_options.ownership.lease;
   const base::MonoTime sent = m_deps.clock.Now();
-  const auto done = [this, id = worker.vm.id, marker, sent](auto result) {
-    m_deps.mailbox.Push([this, id, marker, sent, result] {
+  const auto done = [this, box = m_deps.mailbox, id = worker.vm.id, marker,
+                     sent](auto result) {
+    box->Push([this, id, marker, sent, result] {
       if (Worker* found = Find(id)) {
         Act(*found, OnMarkerStartAnswer(found->ownership, m_options.ownership,
                                         marker, ToLeaseAnswer(result), sent,
@@ -262,8 +264,9 @@
 
 void WorkerFleet::RenewMarker(Worker& worker, const std::string& marker) {
   const base::MonoTime sent = m_deps.clock.Now();
-  const auto done = [this, id = worker.vm.id, marker, sent](auto result) {
-    m_deps.mailbox.Push([this, id, marker, sent, result] {
+  const auto done = [this, box = m_deps.mailbox, id = worker.vm.id, marker,
+                     sent](auto result) {
+    box->Push([this, id, marker, sent, result] {
       Worker* found = Find(id);
       if (found == nullptr || !base::Ok(result)) {
         return;
@@ -285,11 +288,12 @@
                              bool owner) {
   const base::MonoTime sent = m_deps.clock.Now();
   worker.tasks_renew_sent = sent;
-  const auto done = [this, id = worker.vm.id, owner, sent](auto result) {
+  const auto done = [this, box = m_deps.mailbox, id = worker.vm.id, owner,
+                     sent](auto result) {
     if (!owner || !base::Ok(result) || base::Value(result).empty()) {
       return;
     }
-    m_deps.mailbox.Push([this, id, sent, result] {
+    box->Push([this, id, sent, result] {
       if (Owns(id)) {
         m_listener.OnNotRunning(id, base::Value(result), sent);
       }
--- a/packages/control/tests/fake_cell.cc
+++ b/packages/control/tests/fake_cell.cc
@@ -83,6 +83,9 @@
   };
   const base::Outcome<T> no_answer =
       base::Error{base::ErrorCode::kUnknown, "timeout"};
+  if (kept_answers != nullptr) {
+    kept_answers->push_back([done, no_answer] { done(no_answer); });
+  }
   const bool late = m_cell.Chance(m_cell.options.late_calls);
   const bool lost = m_cell.Chance(m_cell.options.lost_answers);
   const bool cut =
--- a/packages/control/tests/fake_cell.h
+++ b/packages/control/tests/fake_cell.h
@@ -5,6 +5,7 @@
 #define CONTROL_TESTS_FAKE_CELL_H_
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -118,6 +119,9 @@
   int64_t paused_until_ms = 0;
   bool cut_from_workers = false;
   bool cut_from_log = false;
+  // Collects for each call of a worker a function that answers it with an
+  // error, whatever became of the call and of the caller. Null: none are kept.
+  std::vector<std::function<void()>>* kept_answers = nullptr;
   std::map<wire::Topic, Answerer> answerers;
   double busy_seconds = 0;  // Spent in Step(), by this machine's clock.
   std::unique_ptr<base::Metrics> metrics;
--- a/packages/control/tests/task_service_test.cc
+++ b/packages/control/tests/task_service_test.cc
@@ -3,6 +3,11 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <cstring>
+#include <functional>
+#include <memory>
+#include <new>
+#include <vector>
 
 #include "control/task_run.h"
 #include "fake_cell.h"
@@ -220,4 +225,32 @@
         std::string::npos);
 }
 
+// Guards against heap damage at the end of the process: the HTTP client ends
+// the calls in flight after the service that made them is destroyed.
+TEST_CASE("answers of workers after the end of the service don't touch it") {
+  FakeCellOptions options;
+  options.entry_vms = 1;
+  FakeCell cell(options);
+  FakeVm& vm = *cell.vms[0];
+  std::vector<std::function<void()>> answers;
+  vm.kept_answers = &answers;
+  cell.Run(kSettledMillis);
+  TaskSpec spec = BatchSpec("t1", 1000, 500);
+  spec.non_idempotent = true;
+  cell.Submit(vm, spec);
+  cell.Run(3000);
+  REQUIRE(FateOf(cell, "t1") == "finished");
+  REQUIRE(!answers.empty());
+
+  vm.alive = false;
+  TaskService* service = vm.service.release();
+  std::destroy_at(service);
+  // What is read from the service now is a null pointer.
+  std::memset(static_cast<void*>(service), 0, sizeof(TaskService));
+  for (const auto& answer : answers) {
+    answer();
+  }
+  ::operator delete(service);
+}
+
 }  // namespace azurespur::control
