Let the owner of an HTTP client end its calls before destroying it

What was found: `azurespurd platform` destroys its HTTP client before it stops the node whose thread goes on using it, since the client's callbacks post to the node. Stopping the node first would be wrong as well, and the interface had no way to end the calls and keep the client.

HttpClient::Stop() ends all calls and refuses further ones; the client can still be used until it is destroyed. A call that is queued while the thread takes its last look at the queue is ended by its own sender. The call of it in platform/ is not part of this commit.

Tests: a stopped client has ended its calls and refuses more; each call that three threads send while the client stops ends once.

--- a/packages/http/include/http/http_client.h
+++ b/packages/http/include/http/http_client.h
@@ -59,9 +59,15 @@
 
   // Queues the call; `done` runs on the client's thread and must not block.
   // Returns false, without calling `done`, if the queue is full or the client
-  // is being destroyed.
+  // is stopped. A call that is sent while the client stops may end within
+  // Send().
   virtual bool Send(HttpCall call, Callback done) = 0;
 
+  // Ends all calls with an error; afterwards Send() refuses. For owners whose
+  // callers still run: they may use a stopped client, but no destroyed one.
+  // Call from one thread, and not from the client's own.
+  virtual void Stop() {}
+
   // Makes the call and waits for its result. Not for the client's own thread.
   HttpResult Fetch(HttpCall call);
 };
--- a/packages/http/src/http_client.cc
+++ b/packages/http/src/http_client.cc
@@ -130,9 +130,7 @@
   Client& operator=(const Client&) = delete;
 
   ~Client() override {
-    m_stopping.store(true);
-    Wake();
-    m_thread.join();
+    StopThread();
     for (CURL* easy : m_idle) {
       curl_easy_cleanup(easy);
     }
@@ -156,9 +154,15 @@
     if (!m_woken.exchange(true)) {
       Wake();
     }
+    // The thread may have looked at the queue for the last time before.
+    if (m_stopping.load()) {
+      AbortQueued();
+    }
     return true;
   }
 
+  void Stop() override { StopThread(); }
+
  private:
   static int OnSocket(CURL* easy,
                       curl_socket_t socket,
@@ -178,6 +182,8 @@
   void Begin(std::unique_ptr<Transfer> transfer);
   void Finish(CURL* easy, CURLcode code);
   void AbortAll();
+  void AbortQueued();
+  void StopThread();
 
   const HttpClientOptions m_options;
   base::Ring<std::unique_ptr<Transfer>> m_ring;
@@ -391,12 +397,23 @@
   while (!m_active.empty()) {
     Finish(m_active.begin()->first, CURLE_ABORTED_BY_CALLBACK);
   }
+  AbortQueued();
+}
+
+void Client::AbortQueued() {
   while (auto transfer = m_ring.Pop()) {
     (*transfer)->done(base::Error{base::ErrorCode::kUnavailable,
                                   (*transfer)->call.url + ": client stopped"});
   }
 }
 
+void Client::StopThread() {
+  if (!m_stopping.exchange(true)) {
+    Wake();
+    m_thread.join();
+  }
+}
+
 }  // namespace
 
 HttpResult HttpClient::Fetch(HttpCall call) {
--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -1,11 +1,14 @@
 #include <doctest/doctest.h>
 
+#include <atomic>
 #include <chrono>
 #include <future>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
+#include <vector>
 
 #include "http/http_client.h"
 #include "http/http_server.h"
@@ -188,6 +191,61 @@
   CHECK(server.requests() == 3);
 }
 
+// Guards against a use of freed memory at the end of the process: a thread
+// still sends while the owner of the client ends its calls.
+TEST_CASE("a stopped client has ended its calls and refuses more") {
+  std::shared_ptr<HttpReply> held;
+  std::promise<void> arrived;
+  auto server = base::Value(
+      StartHttpServer({}, [&](HttpRequest, std::shared_ptr<HttpReply> reply) {
+        held = std::move(reply);
+        arrived.set_value();
+      }));
+  auto client = StartHttpClient();
+  HttpCall call;
+  call.url = Url(*server, "/");
+  call.timeout = std::chrono::seconds(20);
+  std::optional<HttpResult> result;
+  REQUIRE(client->Send(
+      call, [&result](HttpResult given) { result = std::move(given); }));
+  arrived.get_future().wait();
+  client->Stop();
+  REQUIRE(result.has_value());
+  CHECK(!base::Ok(*result));
+  CHECK(!client->Send(call, [](HttpResult) {}));
+  CHECK(!base::Ok(client->Fetch(call)));
+  held->Send({});
+}
+
+TEST_CASE("each call that is sent while the client stops ends once") {
+  constexpr int kRounds = 200;
+  constexpr int kThreads = 3;
+  for (int round = 0; round < kRounds; ++round) {
+    auto client = StartHttpClient();
+    std::atomic<int> sent{0};
+    std::atomic<int> ended{0};
+    std::atomic<bool> stopped{false};
+    std::vector<std::thread> threads;
+    for (int i = 0; i < kThreads; ++i) {
+      threads.emplace_back([&] {
+        HttpCall call;
+        call.url = "http://127.0.0.1:1/";
+        while (!stopped) {
+          const bool queued =
+              client->Send(call, [&ended](HttpResult) { ++ended; });
+          sent += queued ? 1 : 0;
+        }
+      });
+    }
+    client->Stop();
+    stopped = true;
+    for (std::thread& thread : threads) {
+      thread.join();
+    }
+    CHECK(ended.load() == sent.load());
+  }
+}
+
 TEST_CASE("a port in use is reported with address and port") {
   const auto ignore = [](HttpRequest, std::shared_ptr<HttpReply>) {};
   auto server = base::Value(StartHttpServer({}, ignore));
