--- a/packages/http/src/http_client.cc
+++ b/packages/http/src/http_client.cc
@@ -137,9 +137,7 @@
   Client& operator=(const Client&) = delete;
 
   ~Client() override {
-    m_stopping.store(true);
-    Wake();
-    m_thread.join();
+    StopThread();
     for (CURL* easy : m_idle) {
       curl_easy_cleanup(easy);
     }
@@ -163,9 +161,15 @@
     if (!m_woken.exchange(true)) {
       Wake();
     }
+    // The thread may have looked at the queue for the last time before.
+    if (m_stopping.load()) {
+      AbortQueued();
+    }
     return true;
   }
 
+  void Stop() override { StopThread(); }
+
  private:
   static int OnSocket(CURL* easy,
                       curl_socket_t socket,
@@ -185,6 +189,8 @@
   void Begin(std::unique_ptr<Transfer> transfer);
   void Finish(CURL* easy, CURLcode code);
   void AbortAll();
+  void AbortQueued();
+  void StopThread();
 
   const HttpClientOptions m_options;
   LinkMeter m_link;
@@ -403,12 +409,23 @@
   while (!m_active.empty()) {
     Finish(m_active.begin()->first, CURLE_ABORTED_BY_CALLBACK);
   }
+  AbortQueued();
+}
+
+void Client::AbortQueued() {
   while (auto transfer = m_ring.Pop()) {
     (*transfer)->done(base::Error{base::ErrorCode::kUnavailable,
                                   (*transfer)->call.url + ": client stopped"});
   }
 }
 
+void Client::StopThread() {
+  if (!m_stopping.exchange(true)) {
+    Wake();
+    m_thread.join();
+  }
+}
+
 }  // namespace
 
 HttpResult HttpClient::Fetch(HttpCall call) {
