--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -291,6 +291,7 @@
   base::MonoTime m_policy_retry =
       base::MonoTime::max();  // Set while no poll is in flight.
   base::MonoTime m_next_snapshot_read{};
+  base::MonoTime m_next_gap_read{};
   base::MonoTime m_lacks_records_until{};
   int m_snapshot_read_failures = 0;     // In a row.
   int m_incomplete_snapshot_reads = 0;  // In a row.
--- a/packages/cell/src/node_snapshots.cc
+++ b/packages/cell/src/node_snapshots.cc
@@ -19,18 +19,20 @@
 // those of a leader that was lost before it had stored any other snapshot.
 constexpr int kMaxIncompleteReads = 5;
 // How often a VM that lacks records looks for a snapshot that has them.
-constexpr base::Millis kGapReadInterval{1000};
+constexpr base::Millis kGapReadInterval{5000};
 
 }  // namespace
 
 void Node::ReadSnapshotIfNeeded(MonoTime now) {
   const bool held = m_intake_tail.held() || m_work_tail.held();
-  const bool needed = held || (LacksRecords(now) && !m_term);
-  if (!needed || m_snapshot_read_in_flight || now < m_next_snapshot_read) {
+  const bool gap_read_due =
+      LacksRecords(now) && !m_term && now >= m_next_gap_read;
+  if (!(held || gap_read_due) || m_snapshot_read_in_flight ||
+      now < m_next_snapshot_read) {
     return;
   }
   m_snapshot_read_in_flight = true;
-  m_next_snapshot_read = now + kGapReadInterval;
+  m_next_gap_read = now + kGapReadInterval;
   m_dependencies.snapshots.ReadAll(
       [this, now](base::Outcome<SnapshotStore::Values> values) {
         base::PushCompletion(m_mailbox,
