--- a/packages/cell/tests/node_fixture.h
+++ b/packages/cell/tests/node_fixture.h
@@ -3,6 +3,8 @@
 #ifndef CELL_TESTS_NODE_FIXTURE_H_
 #define CELL_TESTS_NODE_FIXTURE_H_
 
+#include <doctest/doctest.h>
+
 #include <functional>
 #include <memory>
 #include <optional>
@@ -176,6 +178,18 @@
     }
   }
 
+  // The one answer that comes within kQuestionTime.
+  JobStateResult FindState(jobs::JobId job) {
+    auto answers = std::make_shared<std::vector<JobStateResult>>();
+    node.FindState(
+        job, clock.now + kQuestionTime,
+        [answers](JobStateResult result) { answers->push_back(result); });
+    node.RunPending();
+    Pass(kQuestionTime);
+    REQUIRE(answers->size() == 1);
+    return answers->front();
+  }
+
   std::optional<PendingCountResult> AskPending(base::Millis budget) {
     auto answer = std::make_shared<std::optional<PendingCountResult>>();
     node.CountPending(
@@ -187,6 +201,7 @@
   }
 
   static constexpr base::Millis kStep{20};
+  static constexpr base::Millis kQuestionTime{2000};
   static constexpr uint64_t kOtherEpoch = 1000;
 
   PagedLog log;
--- a/packages/cell/tests/node_job_state_test.cc
+++ b/packages/cell/tests/node_job_state_test.cc
@@ -28,17 +28,6 @@
     log.page_records = page;
   }
 
-  JobStateResult FindState(jobs::JobId job) {
-    auto answers = std::make_shared<std::vector<JobStateResult>>();
-    node.FindState(job, clock.now + kBudget, [answers](JobStateResult result) {
-      answers->push_back(result);
-    });
-    node.RunPending();
-    Pass(kBudget);
-    REQUIRE(answers->size() == 1);
-    return answers->front();
-  }
-
   IntakeOutcome Cancel(jobs::JobId job) {
     auto answers = std::make_shared<std::vector<IntakeOutcome>>();
     node.Cancel(job, clock.now + kBudget, [answers](IntakeOutcome outcome) {
--- a/packages/cell/tests/node_snapshot_gap_test.cc
+++ b/packages/cell/tests/node_snapshot_gap_test.cc
@@ -69,16 +69,6 @@
     log.log.topics[std::string(kWorkTopic)].first = work;
   }
 
-  JobStateResult FindState(jobs::JobId job) {
-    auto answer = std::make_shared<std::optional<JobStateResult>>();
-    node.FindState(job, clock.now + kBudget,
-                   [answer](JobStateResult result) { *answer = result; });
-    node.RunPending();
-    Pass(kBudget);
-    REQUIRE(answer->has_value());
-    return **answer;
-  }
-
   // The other leader resigns, and no records but this VM's own follow.
   void LetNodeLead() {
     StoreWork(jobs::YieldRecord{kOtherEpoch});
--- a/packages/cell/tests/node_snapshot_test.cc
+++ b/packages/cell/tests/node_snapshot_test.cc
@@ -64,20 +64,10 @@
     log.log.topics[std::string(kIntakeTopic)].first = 10;
     log.log.topics[std::string(kWorkTopic)].first = 1;
   }
-
-  JobStateResult FindState(jobs::JobId job) {
-    auto answer = std::make_shared<std::optional<JobStateResult>>();
-    node.FindState(job, clock.now + kBudget,
-                   [answer](JobStateResult result) { *answer = result; });
-    node.RunPending();
-    Pass(kBudget);
-    REQUIRE(answer->has_value());
-    return **answer;
-  }
 };
 
 // The streams of a busy cell over the usual retention of 300 s.
-constexpr size_t kLongWork = 300 * 1600;
+constexpr size_t kLongWork = size_t{300} * 1600;
 constexpr size_t kAfterSnapshot = 8000;
 constexpr double kNarrowLink = 1'250'000 - 125'000;
 
--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -247,6 +247,7 @@
     std::atomic<int> ended{0};
     std::atomic<bool> stopped{false};
     std::vector<std::thread> threads;
+    threads.reserve(kThreads);
     for (int i = 0; i < kThreads; ++i) {
       threads.emplace_back([&] {
         HttpCall call;
--- a/packages/jobs/include/jobs/task_ref.h
+++ b/packages/jobs/include/jobs/task_ref.h
@@ -41,6 +41,7 @@
   std::string id;
   int64_t boot_unix_ms = 0;
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): the check misreads `<=>`.
   friend auto operator<=>(const WorkerBoot&, const WorkerBoot&) = default;
 
   template <class Archive>
