Refuse malformed entries, records and requests one by one

Operators of similar systems reported machines that ended, or stopped following the list of executors, over one odd entry. It could happen here.

Times in datagrams are bounded.

--- a/packages/cell/src/node_peers.cc
+++ b/packages/cell/src/node_peers.cc
@@ -1,5 +1,6 @@
 #include "node.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "base/event_log.h"
@@ -10,6 +11,12 @@
 using base::Millis;
 using base::MonoTime;
 
+namespace {
+
+constexpr Millis kMaxAdviceTimeout{60000};
+
+}  // namespace
+
 void Node::SendTo(const std::string& address, const Message& message) {
   m_peer_sender.Send(address, message);
 }
@@ -124,7 +131,8 @@
   query.vm = m_options.vm;
   query.step = {request.job, request.step};
   query.workers = request.workers;
-  query.timeout = Millis{request.timeout_ms};
+  query.timeout =
+      std::clamp(Millis{request.timeout_ms}, Millis{0}, kMaxAdviceTimeout);
   m_dependencies.advice.Query(
       query, [this, epoch = request.epoch, id = request.query_id,
               reply_to = request.reply_to](
--- a/packages/cell/src/node_relay.cc
+++ b/packages/cell/src/node_relay.cc
@@ -16,6 +16,8 @@
 namespace {
 
 constexpr Millis kMaxLeaderDatagramAge{350};
+constexpr Millis kMaxLinkWaitForRequest{50};
+constexpr Millis kMaxForwardWait{60000};
 
 }  // namespace
 
@@ -70,7 +72,8 @@
     return;
   }
   const MonoTime deadline =
-      m_clock.Now() + Millis{std::max<int64_t>(0, forward.wait_ms)};
+      m_clock.Now() +
+      std::clamp(Millis{forward.wait_ms}, Millis{0}, kMaxForwardWait);
   m_intake_writer.Store(forward.record, deadline,
                         [this, id = forward.id,
                          reply_to = forward.reply_to](StoreOutcome outcome) {
--- a/packages/cell/tests/node_fixture.h
+++ b/packages/cell/tests/node_fixture.h
@@ -86,12 +86,14 @@
 // Delivers none of the node's datagrams and keeps them for the test.
 class HeldDatagrams : public DatagramTransport {
  public:
-  bool Send(std::string_view /*address*/, std::string_view bytes) override {
+  bool Send(std::string_view address, std::string_view bytes) override {
+    addresses.emplace_back(address);
     sent.emplace_back(bytes);
     return true;
   }
   void Receive(Handler handler) override { deliver = std::move(handler); }
 
+  std::vector<std::string> addresses;  // Of `sent`.
   std::vector<std::string> sent;
   Handler deliver;  // To the node.
 };
--- a/packages/jobs/include/jobs/job_spec.h
+++ b/packages/jobs/include/jobs/job_spec.h
@@ -3,6 +3,7 @@
 #ifndef JOBS_JOB_SPEC_H_
 #define JOBS_JOB_SPEC_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -12,6 +13,9 @@
 
 namespace azurespur::jobs {
 
+inline constexpr size_t kMaxSteps = 64;
+inline constexpr int32_t kMaxTasksPerStep = 5000;
+
 struct StepSpec {
   int32_t count = 0;            // Number of tasks.
   placement::Resources demand;  // Of each task.
@@ -46,6 +50,10 @@
   }
 };
 
+// True if the counts of steps and tasks are within their limits and each step
+// follows earlier ones only.
+bool IsValid(const JobSpec& spec);
+
 }  // namespace azurespur::jobs
 
 #endif  // JOBS_JOB_SPEC_H_
--- a/packages/jobs/src/job_table_snapshot.cc
+++ b/packages/jobs/src/job_table_snapshot.cc
@@ -11,9 +11,6 @@
 
 namespace {
 
-// More than callers may submit. Keeps a damaged count from taking all memory.
-constexpr int32_t kMaxTasksPerStep = 1 << 16;
-
 base::Error Malformed(const std::string& what) {
   return {base::ErrorCode::kInvalid, "job table snapshot: " + what};
 }
@@ -60,13 +57,6 @@
   return saved;
 }
 
-bool HasValidCounts(const JobSpec& spec) {
-  return std::all_of(spec.steps.begin(), spec.steps.end(),
-                     [](const StepSpec& step) {
-                       return step.count >= 0 && step.count <= kMaxTasksPerStep;
-                     });
-}
-
 bool IsKnownState(uint8_t state) {
   return state <= static_cast<uint8_t>(JobState::kCancelled);
 }
@@ -151,7 +141,7 @@
   table.m_yielded = saved.yielded;
   for (JobSnapshot& entry : saved.jobs) {
     const JobId id = entry.spec.id;
-    if (!IsKnownState(entry.state) || !HasValidCounts(entry.spec) ||
+    if (!IsKnownState(entry.state) || !IsValid(entry.spec) ||
         entry.steps.size() != entry.spec.steps.size() ||
         !table.Submit(entry.spec, now - base::Millis{entry.accepted_age_ms})) {
       return Malformed("job " + FormatJobId(id));
--- a/packages/jobs/src/records.cc
+++ b/packages/jobs/src/records.cc
@@ -13,7 +13,16 @@
 }
 
 base::Outcome<IntakeRecord> DecodeIntake(std::string_view bytes) {
-  return wire::Decode<IntakeRecord>(bytes);
+  auto record = wire::Decode<IntakeRecord>(bytes);
+  if (base::Ok(record)) {
+    const auto* spec = std::get_if<JobSpec>(&base::Value(record));
+    if (spec != nullptr && !IsValid(*spec)) {
+      return base::Error{base::ErrorCode::kInvalid,
+                         "steps of job " + FormatJobId(spec->id) +
+                             " are not valid"};
+    }
+  }
+  return record;
 }
 
 base::Outcome<WorkRecord> DecodeWork(std::string_view bytes) {
--- a/packages/wire/include/wire/codec.h
+++ b/packages/wire/include/wire/codec.h
@@ -13,6 +13,7 @@
 #include <string_view>
 
 #include "base/outcome.h"
+#include "wire/bounded_input_archive.h"
 
 namespace azurespur::wire {
 
@@ -31,10 +32,9 @@
 // Errors: kInvalid if `bytes` is not a whole T.
 template <typename T>
 base::Outcome<T> Decode(std::string_view bytes) {
-  std::istringstream in{std::string(bytes)};
   T value;
   try {
-    cereal::PortableBinaryInputArchive archive(in);
+    BoundedInputArchive archive(bytes);
     archive(value);
   } catch (const std::exception& e) {
     return base::Error{base::ErrorCode::kInvalid,
