Let a member of a gang that has done its work wait for the slower ones

Cause: members of a gang run on workers of different speed and end together, so the fast ones stand at 100 percent until the slowest is done, and 2.5 s without progress counted as a stall.

Ruled out: stalled workers (each stopped run was at 100 percent while others of its gang went on).

Change: such a run has stalled only if no run of its step makes progress.

--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -40,6 +40,7 @@
   bool urgent = false;
   int32_t priority = 0;      // Priority of the queue; 0 is the most urgent.
   bool preemptible = false;  // Can be stopped without losing work.
+  bool gang = false;         // Ends only together with the others of its step.
   bool stop_requested = false;
   base::MonoTime start_sent_at{};
   base::MonoTime stop_sent_at{};
@@ -99,6 +100,7 @@
              int32_t run,
              const WorkerBoot& worker,
              const placement::Resources& demand,
+             bool gang,
              base::MonoTime now);
 
   // Reserves capacity for a run whose binding is being stored.
@@ -190,6 +192,11 @@
   // How long a hold order at a worker with running tasks waits for an end.
   base::Millis BusyHoldWait(base::MonoTime now) const;
   void StopStalled(Worker& worker, base::MonoTime now);
+  // True if the run made no progress for its limit, as of the worker's newest
+  // report.
+  bool IsStalled(const Worker& worker, const TaskRef& task, const Run& run) const;
+  // When a run of the step last made progress.
+  base::MonoTime LastProgressOf(const StepRef& step) const;
   // Frees the run's capacity and records its end, for a run that is certainly
   // over and that the worker reported no end of.
   void Release(Worker& worker, const TaskRef& task, SchedulerOutput& out);
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -197,6 +197,7 @@
                   int32_t run_number,
                   const WorkerBoot& boot,
                   const placement::Resources& demand,
+                  bool gang,
                   base::MonoTime now) {
   Worker& worker = m_workers[boot.id];
   if (worker.entry.boot.id.empty()) {
@@ -207,6 +208,7 @@
   run.run = run_number;
   run.phase = RunPhase::kAdopted;
   run.demand = demand;
+  run.gang = gang;
   run.progress_at = now;
   worker.lease_expires_at = now + m_options.max_renew_after_append +
                             ToLocalTime(m_options.lease.count()) + kLeaseMargin;
--- a/packages/jobs/src/fleet_holds.cc
+++ b/packages/jobs/src/fleet_holds.cc
@@ -13,6 +13,7 @@
 
 // Shorter than for other tasks, because urgent tasks are short.
 constexpr base::Millis kUrgentStallTimeout{1300};
+constexpr int32_t kAllDonePercent = 100;
 
 // The fleet counts as degraded if at least this many workers left orders
 // unanswered within the window.
@@ -157,17 +158,41 @@
   }
 }
 
+// A member of a gang that has done its own work waits for the slowest one.
+bool Fleet::IsStalled(const Worker& worker,
+                      const TaskRef& task,
+                      const Run& run) const {
+  if (run.phase != RunPhase::kRunning || run.stop_requested) {
+    return false;
+  }
+  const base::Millis limit =
+      run.urgent ? kUrgentStallTimeout : m_options.stall_timeout;
+  const bool waits = run.gang && run.percent >= kAllDonePercent;
+  base::MonoTime progress_at = run.progress_at;
+  if (waits && worker.newest_hold_sent_at > progress_at + limit) {
+    progress_at = LastProgressOf(task.StepOf());
+  }
+  return worker.newest_hold_sent_at > progress_at + limit;
+}
+
+base::MonoTime Fleet::LastProgressOf(const StepRef& step) const {
+  base::MonoTime last{};
+  const TaskRef first{step.job, step.step, 0};
+  for (auto it = m_index.lower_bound(first);
+       it != m_index.end() && it->first.StepOf() == step; ++it) {
+    last = std::max(last,
+                    m_workers.find(it->second)->second.runs.at(it->first)
+                        .progress_at);
+  }
+  return last;
+}
+
 void Fleet::StopStalled(Worker& worker, base::MonoTime now) {
   if (!worker.responsive) {
     return;
   }
   for (auto& [task, run] : worker.runs) {
-    const base::Millis limit =
-        run.urgent ? kUrgentStallTimeout : m_options.stall_timeout;
-    const bool stalled = run.phase == RunPhase::kRunning &&
-                         !run.stop_requested &&
-                         worker.newest_hold_sent_at > run.progress_at + limit;
-    if (!stalled) {
+    if (!IsStalled(worker, task, run)) {
       continue;
     }
     run.stop_requested = true;
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -39,7 +39,8 @@
         const TaskProgress& task = step.tasks[i];
         if (task.phase == TaskPhase::kBound) {
           m_fleet.Adopt({id, static_cast<int32_t>(s), static_cast<int32_t>(i)},
-                        task.run, task.worker, job.spec.steps[s].demand, now);
+                        task.run, task.worker, job.spec.steps[s].demand,
+                        job.spec.steps[s].gang, now);
         }
       }
     }
--- a/packages/jobs/src/scheduler_place.cc
+++ b/packages/jobs/src/scheduler_place.cc
@@ -95,6 +95,7 @@
   run.demand = SpecOf(step).demand;
   run.priority = step.policy->priority;
   run.urgent = run.priority == 0;
+  run.gang = SpecOf(step).gang;
   run.preemptible = SpecOf(step).checkpointing && !SpecOf(step).gang;
   base::LogEvent(base::Severity::kInfo, "AZ9102", "task placed",
                  {{"task", ToString(task)},
--- a/packages/jobs/tests/failing_worker_test.cc
+++ b/packages/jobs/tests/failing_worker_test.cc
@@ -64,6 +64,28 @@
   CHECK(f.stopped.front().run == 1);
 }
 
+// Guards against gangs that are stopped, and begin anew, because their members
+// run on workers of different speed: a member that has done its work waits for
+// the others and makes no progress.
+TEST_CASE("a member of a gang that waits for a slower one is not stopped") {
+  SchedulerFixture f;
+  f.AddQueue("gangs", 1);
+  f.AddWorkers(2, 10);
+  f.Submit(1, "gangs", 2, 10, /*gang=*/true);
+  f.Run(Millis{200});
+  REQUIRE(f.CountRunning(1) == 2);
+  f.stalled["w0"] = true;
+  for (auto& [task, run] : f.running["w0"]) {
+    run.percent = 100;
+  }
+  f.Run(Millis{6000});
+  CHECK(f.stopped.empty());
+  CHECK(f.CountRunning(1) == 2);
+  f.stalled["w1"] = true;
+  f.Run(Millis{4000});
+  CHECK_FALSE(f.stopped.empty());
+}
+
 TEST_CASE("tasks of an unreachable worker restart elsewhere after its lease") {
   SchedulerFixture f;
   f.AddQueue("batch", 1);
