--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -126,6 +126,7 @@
   // Notices if this tick comes late.
   void ObserveTick(base::MonoTime now);
   void DropReservations(bool full, base::MonoTime now);
+  placement::Resources FindLargestFree(base::MonoTime now) const;
   bool IsPlannedNow(const Job& job, const QueuePolicy& policy, bool full) const;
   // Unless `full`, returns only steps of urgent queues and advised steps.
   std::vector<ReadyStep> FindReady(bool full,
@@ -243,6 +244,8 @@
   std::set<JobId> m_failing;          // JobFailedRecord is being stored.
   std::set<JobId> m_recorded_starts;  // JobStartedRecord was appended.
   std::map<TaskRef, std::string> m_last_failed_worker;  // Worker id.
+  // No worker has more free than this of any resource; as of the plan's begin.
+  placement::Resources m_largest_free;
   UnsentBindings m_unsent;
   StartPacer m_pacer;
   base::MonoTime m_last_tick{};
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -214,6 +214,7 @@
   }
   DropReservations(full, now);
   m_pacer.BeginPlan(m_fleet.CountOutstanding());
+  m_largest_free = FindLargestFree(now);
   const std::vector<ReadyStep> ready = FindReady(full, unix_ms, out);
   for (const ReadyStep& step : ready) {
     if (!m_pacer.MayBind(step.policy->priority == 0)) {
@@ -256,6 +257,18 @@
   }
 }
 
+// In a full cell most steps fit nowhere, and this tells without a look at each
+// worker for each of them.
+placement::Resources Scheduler::FindLargestFree(base::MonoTime now) const {
+  placement::Resources largest;
+  for (const auto& [id, worker] : m_fleet.workers()) {
+    if (AcceptsTasks(worker, now)) {
+      largest = placement::Max(largest, FreeCapacity(worker));
+    }
+  }
+  return largest;
+}
+
 bool Scheduler::IsPlannedNow(const Job& job,
                              const QueuePolicy& policy,
                              bool full) const {
--- a/packages/jobs/src/scheduler_place.cc
+++ b/packages/jobs/src/scheduler_place.cc
@@ -56,6 +56,9 @@
   const StepSpec& spec = SpecOf(step);
   StepView view = ViewOf(step);
   SingleTaskWorkers found;
+  if (!placement::Fits(spec.demand, m_largest_free)) {
+    return found;
+  }
   for (const auto& [id, worker] : m_fleet.workers()) {
     ++m_counts.workers_examined;
     // Cheapest check first: in a full cell most workers lack capacity.
--- a/packages/jobs/tests/plan_cost_test.cc
+++ b/packages/jobs/tests/plan_cost_test.cc
@@ -104,4 +104,24 @@
   CHECK(f.CountRunning(1) == 0);
 }
 
+// Guards against a backlog of single tasks that costs a look at each worker for
+// each of its steps in each plan while the cell is full.
+TEST_CASE("a backlog that fits nowhere costs no look at the workers") {
+  SchedulerFixture f;
+  f.AddQueue("batch", 2);
+  f.AddWorkers(kWorkers, 10);
+  f.Submit(1, "batch", 2 * kWorkers, 5);
+  f.Run(Millis{200});
+  REQUIRE(f.CountRunning(1) == 2 * kWorkers);
+  for (JobId i = 0; i < 200; ++i) {
+    f.Submit(2 + i, "batch", 4, 5);
+  }
+  RunToFullPlan(f);
+  const int64_t before = f.scheduler.plan_counts().workers_examined;
+  for (int i = 0; i < 10; ++i) {
+    RunToFullPlan(f);
+  }
+  CHECK(f.scheduler.plan_counts().workers_examined == before);
+}
+
 }  // namespace azurespur::jobs
