Let a slow log, and only the link, say how many starts are in flight

Known red: "a slow log does not limit the rate of starts", 230 a second of 740 while an append takes 600 ms.

Cause: bindings being stored held the places of starts without an answer.

Change: an append's result says how long the log took until the first byte of its response, as reads do, and the limit follows from that alone. It is bounded by what the link carries while a start should take, as are the bindings that one append holds; nothing is bound while a start would wait 100 ms for the link (200 if urgent), and the time limit of an advice query counts that wait.

Tests: start_limit_test, start_pacer_test, advice_tracker_test.

--- a/packages/cell/src/leader_term.cc
+++ b/packages/cell/src/leader_term.cc
@@ -14,9 +14,10 @@
 constexpr size_t kMaxBatchBytes = 64 << 10;
 constexpr base::Millis kResendDelay{40};
 
-jobs::SchedulerOptions WithFence(jobs::SchedulerOptions options,
-                                 uint64_t fence) {
-  options.fence = fence;
+jobs::SchedulerOptions TermOptions(const NodeOptions& node, uint64_t epoch) {
+  jobs::SchedulerOptions options = node.scheduler;
+  options.fence = epoch;
+  options.link_mbps = node.resources.link_mbps;
   return options;
 }
 
@@ -38,7 +39,7 @@
       m_log_timing(timing),
       m_epoch(epoch),
       m_on_stored(std::move(on_stored)),
-      m_scheduler(WithFence(options.scheduler, epoch), table),
+      m_scheduler(TermOptions(options, epoch), table),
       m_next_sequence(sequence + 1),
       m_last_append(clock.Now()),
       m_last_success(m_last_append) {
@@ -129,6 +130,7 @@
       m_lost = true;
       return;
   }
+  m_scheduler.OnAppended(result.latency);
   m_last_append = std::max(m_last_append, sent_at);
   m_last_success = now;
   m_failures = 0;
--- a/packages/cell/tests/leader_simulation.h
+++ b/packages/cell/tests/leader_simulation.h
@@ -267,8 +267,8 @@
           m_events.emplace(m_clock.now + append_time, std::move(respond));
         },
         base::Millis{5000},
-        [answer = std::move(answer), offset](bool /*in_time*/) {
-          answer({AppendStatus::kAppended, offset});
+        [this, answer = std::move(answer), offset](bool /*in_time*/) {
+          answer({AppendStatus::kAppended, offset, append_time});
         });
   }
 
--- a/packages/jobs/include/jobs/advice_tracker.h
+++ b/packages/jobs/include/jobs/advice_tracker.h
@@ -70,6 +70,9 @@
   // to between 0.1 and 1.
   double EligibleShare(std::string_view queue) const;
 
+  // A query that is sent now would wait so long for this VM's link.
+  void SetLinkWait(base::Micros wait) { m_link_wait = wait; }
+
   // Starts a query, if a VM is free for one of the expected duration.
   std::optional<AdviceQuery> StartQuery(const StepRef& step,
                                         std::string_view queue,
@@ -119,6 +122,7 @@
   std::map<StepRef, uint64_t> m_query_by_step;
   std::map<std::string, VmState> m_vms;
   std::map<std::string, QueueStats, std::less<>> m_queue_stats;
+  base::Micros m_link_wait{0};
   uint64_t m_next_id = 1;
 };
 
--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -63,6 +63,13 @@
                   SchedulerOutput& out);
   void SetAdviceVms(std::span<const std::string> vms) { m_advice.SetVms(vms); }
 
+  // An order that is sent now would wait so long for this VM's link.
+  void SetLinkWait(base::Micros wait) {
+    m_pacer.SetLinkWait(wait);
+    m_advice.SetLinkWait(wait);
+  }
+  // The log answered an append of records after `latency`.
+  void OnAppended(base::Micros latency) { m_pacer.OnAppend(latency); }
   // The record was stored and applied to the table; its append was sent at
   // `append_sent_at`.
   void OnStored(const PendingRecord& stored,
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -29,7 +29,10 @@
 }  // namespace
 
 Scheduler::Scheduler(const SchedulerOptions& options, const JobTable& table)
-    : m_options(options), m_table(table), m_fleet(options) {}
+    : m_options(options),
+      m_table(table),
+      m_fleet(options),
+      m_pacer(options.link_mbps) {}
 
 void Scheduler::Adopt(base::MonoTime now) {
   for (const auto& [id, job] : m_table.jobs()) {
--- a/packages/jobs/src/start_pacer.cc
+++ b/packages/jobs/src/start_pacer.cc
@@ -12,25 +12,80 @@
 // Starts at the lower limit keep a leader busy between two plans, even if a
 // store or worker is slow. The upper one limits the starts that follow at once
 // when a slow store recovers.
+constexpr double kFirstLimit = 128;
 constexpr double kMinLimit = 64;
 constexpr double kMaxLimit = 512;
+// A start, the hold order that its end answers, and their packets' headers.
+constexpr double kBytesPerStart = 1000;
+constexpr double kBytesPerMicroPerMbps = 0.125;
+// An append of a leader, less a fifth for other records.
+constexpr int64_t kMaxBoundInAppend = 416;
+// One in flight and the next. With more, records of urgent steps would wait for
+// a third append.
+constexpr int64_t kBatchesInSlowLog = 2;
+// A binding waits for the append in flight, then for its own.
+constexpr int64_t kAppendsPerBinding = 2;
+// Starts that would find more before them wait for a later plan.
+constexpr base::Millis kMaxLinkWait{100};
 // Change of the limit in one update.
 constexpr double kMinFactor = 0.5;
 constexpr double kMaxFactor = 1.15;
 
+// What the link carries while a start should take.
+double MaxLimit(double link_mbps) {
+  const double bytes = link_mbps * kBytesPerMicroPerMbps *
+                       static_cast<double>(kTargetStartTime.count());
+  return link_mbps > 0 ? std::clamp(bytes / kBytesPerStart, 1.0, kMaxLimit)
+                       : kMaxLimit;
+}
+
 }  // namespace
 
+StartPacer::StartPacer(double link_mbps)
+    : m_max_limit(MaxLimit(link_mbps)),
+      m_limit(std::min(kFirstLimit, m_max_limit)) {}
+
 void StartPacer::BeginPlan(int64_t outstanding) {
   m_outstanding = outstanding;
 }
 
 bool StartPacer::MayBind(bool urgent) {
-  const double limit = urgent ? 2 * m_limit : m_limit;
-  const bool allowed = static_cast<double>(m_outstanding) < limit;
+  const int share = urgent ? 2 : 1;
+  const bool fits_append = urgent || m_append_time == base::Micros{0} ||
+                           m_bound_since_append < MaxBoundInAppend();
+  const bool allowed =
+      static_cast<double>(m_outstanding) < share * LimitNow() &&
+      m_link_wait < share * kMaxLinkWait && fits_append;
   m_was_limited = m_was_limited || !allowed;
   return allowed;
 }
 
+// Starts leave at the same rate whatever the log takes, so as many more may be
+// outstanding as leave while a binding is being stored. The limit allows
+// `m_limit` starts in each kTargetStartTime.
+double StartPacer::LimitNow() const {
+  if (m_append_time == base::Micros{0}) {
+    return m_limit;
+  }
+  const double storing_time =
+      static_cast<double>((kAppendsPerBinding * m_append_time).count());
+  const double in_log =
+      m_limit * storing_time / static_cast<double>(kTargetStartTime.count());
+  return std::min(m_limit + in_log, static_cast<double>(kBatchesInSlowLog *
+                                                        MaxBoundInAppend()));
+}
+
+int64_t StartPacer::MaxBoundInAppend() const {
+  return std::min(kMaxBoundInAppend, static_cast<int64_t>(2 * m_max_limit));
+}
+
+// Rises in steps: the bindings that fill a limit which rose at once would need
+// more than one append.
+void StartPacer::OnAppend(base::Micros took) {
+  m_bound_since_append = 0;
+  m_append_time = std::min(took, (m_append_time + took) / 2);
+}
+
 void StartPacer::OnAnswer(base::Micros took, base::MonoTime now) {
   m_sum += took;
   ++m_answers;
@@ -51,7 +106,7 @@
       static_cast<double>(std::max<int64_t>(m_start_time.count(), 1));
   if (factor < 1 || m_was_limited) {
     m_limit = std::clamp(m_limit * std::clamp(factor, kMinFactor, kMaxFactor),
-                         kMinLimit, kMaxLimit);
+                         std::min(kMinLimit, m_max_limit), m_max_limit);
   }
   m_was_limited = false;
 }
--- a/packages/jobs/tests/advice_tracker_test.cc
+++ b/packages/jobs/tests/advice_tracker_test.cc
@@ -87,4 +87,17 @@
   CHECK(f.StartQuery(kShort).has_value());
 }
 
+// Guards against VMs that get no queries for a while because the query waited
+// for this VM's own link.
+TEST_CASE("a query's timeout includes its wait for the link") {
+  TrackerFixture f({"a"});
+  const auto at_once = f.StartQuery(kShort);
+  REQUIRE(at_once.has_value());
+  f.tracker.OnAnswer(at_once->id, {}, kNow);
+  f.tracker.SetLinkWait(base::Millis{300});
+  const auto waiting = f.StartQuery(kShort);
+  REQUIRE(waiting.has_value());
+  CHECK(waiting->timeout == at_once->timeout + base::Millis{300});
+}
+
 }  // namespace azurespur::jobs
--- a/packages/jobs/tests/start_pacer_test.cc
+++ b/packages/jobs/tests/start_pacer_test.cc
@@ -53,6 +53,55 @@
   CHECK(pacer.limit() == initial);
 }
 
+// Guards against a slow log whose bindings hold the places of starts.
+TEST_CASE("the limit grows with the time of an append, and falls with it") {
+  StartPacer pacer;
+  const int64_t initial = pacer.limit();
+  const auto append = [&pacer](Millis took) {
+    for (int i = 0; i < 10; ++i) {
+      pacer.OnAppend(took);
+    }
+  };
+  append(Millis{200});
+  CHECK(pacer.limit() > 2 * initial);
+  append(Millis{600});
+  const int64_t slow = pacer.limit();
+  CHECK(slow > 5 * initial);
+  append(Millis{60000});
+  CHECK(pacer.limit() < 9 * initial);
+  pacer.OnAppend(Millis{0});
+  CHECK(pacer.limit() == initial);
+}
+
+// Guards against starts that wait behind each other for the leader's link until
+// they count as unanswered.
+TEST_CASE("nothing is bound while starts would wait long for the link") {
+  StartPacer pacer;
+  pacer.BeginPlan(0);
+  CHECK(pacer.MayBind(false));
+  pacer.SetLinkWait(Millis{150});
+  CHECK_FALSE(pacer.MayBind(false));
+  CHECK(pacer.MayBind(true));
+  pacer.SetLinkWait(Millis{250});
+  CHECK_FALSE(pacer.MayBind(true));
+  pacer.SetLinkWait(Millis{10});
+  CHECK(pacer.MayBind(false));
+}
+
+TEST_CASE("no more is bound than a narrow link carries in time") {
+  base::MonoTime now{Millis{1000}};
+  StartPacer narrow(2);
+  CHECK(narrow.limit() <= 50);
+  Answer(narrow, now, Millis{20}, Millis{5000});
+  CHECK(narrow.limit() <= 50);
+  CHECK(narrow.limit() > 0);
+  for (int i = 0; i < 10; ++i) {
+    narrow.OnAppend(Millis{2000});
+  }
+  CHECK(narrow.limit() <= 200);
+  CHECK(StartPacer(1000).limit() == StartPacer().limit());
+}
+
 TEST_CASE("urgent steps are bound beyond the limit of the others") {
   StartPacer pacer;
   pacer.BeginPlan(pacer.limit());
