Count what a VM sends, and don't take its own full link for lost workers

Cause: orders waited for the leader's own link behind heartbeats that listed all followers (60 KB/s of 250), behind records for followers and for VMs that the store turned away, and behind each other. Their time ran meanwhile, so living workers looked silent; the repeats and stops filled the link further.

Change: - All that a VM sends to workers, store and peers passes a count that says how long a byte sent now waits for the link. The HTTP client adds what a request waits to the times of its call, so silence is counted from when it has left. - Records go to followers only while that wait is short; they read the log else. - Most heartbeats of a leader are a notice of nothing, 70 bytes; the list of followers goes out once a second. - A VM that can't read the log asks all VMs in turn for records, and a VM whose link is full leaves the answer to another.

--- a/packages/cell/include/cell/cell_node.h
+++ b/packages/cell/include/cell/cell_node.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "base/clock.h"
+#include "base/link_queue.h"
 #include "base/metrics.h"
 #include "cell/fenced_log.h"
 #include "cell/node_dependencies.h"
@@ -37,6 +38,8 @@
   PolicySource& policy;
   DatagramTransport& datagrams;
   SnapshotStore& snapshots;
+  // All that this VM sends; null: not counted.
+  base::LinkQueue* uplink = nullptr;
 };
 
 // The result of CellNode::FindState().
--- a/packages/cell/include/cell/node_options.h
+++ b/packages/cell/include/cell/node_options.h
@@ -23,6 +23,8 @@
   base::Millis leader_timeout{1500};
   base::Millis unreachable_leader_timeout{400};
   base::Millis leader_heartbeat_interval{100};
+  // How often a heartbeat names the peers and says how suited they are.
+  base::Millis full_leader_heartbeat_interval{1000};
   // How often the leader sends heartbeats while it announces records.
   base::Millis busy_leader_heartbeat_interval{500};
   // The leader appends at least this often, if need be only a heartbeat record.
--- a/packages/cell/src/fan_out_limit.cc
+++ b/packages/cell/src/fan_out_limit.cc
@@ -11,6 +11,8 @@
 // Contents are sent again once they need less than this part of the limit. Each
 // change leaves a gap that all peers read from the log.
 constexpr double kResumeShareOfLimit = 0.7;
+// Orders to workers wait behind the contents; followers can read the log.
+constexpr base::Millis kMaxLinkWait{50};
 
 }  // namespace
 
@@ -19,7 +21,9 @@
                          static_cast<double>(kWindow.count()) *
                          kMaxShareOfLink) {}
 
-bool FanOutLimit::Allows(size_t bytes, base::MonoTime now) {
+bool FanOutLimit::Allows(size_t bytes,
+                         base::Micros link_wait,
+                         base::MonoTime now) {
   if (m_max_window_bytes <= 0) {
     return true;
   }
@@ -33,7 +37,8 @@
     m_window_end = now + kWindow;
   }
   m_window_bytes += static_cast<double>(bytes);
-  m_exceeded = m_exceeded || m_window_bytes > m_max_window_bytes;
+  m_exceeded = m_exceeded || m_window_bytes > m_max_window_bytes ||
+               link_wait > kMaxLinkWait;
   return !m_exceeded;
 }
 
--- a/packages/cell/src/fan_out_limit.h
+++ b/packages/cell/src/fan_out_limit.h
@@ -16,8 +16,9 @@
   explicit FanOutLimit(double link_mbps);
 
   // Notes that records are due, `bytes` in total to all peers. True if they may
-  // be sent with their contents.
-  bool Allows(size_t bytes, base::MonoTime now);
+  // be sent with their contents. What is sent now waits `link_wait` for the
+  // link.
+  bool Allows(size_t bytes, base::Micros link_wait, base::MonoTime now);
 
  private:
   const double m_max_window_bytes;
--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -53,7 +53,7 @@
       m_store_time(metrics.GetDistribution("azurespur_store_ms")),
       m_metrics(metrics),
       m_load(metrics),
-      m_peer_sender(dependencies.datagrams, metrics),
+      m_peer_sender(dependencies.datagrams, metrics, dependencies.uplink),
       m_log_timing(options.append_timeout),
       m_intake_tail(
           dependencies.log,
@@ -88,6 +88,7 @@
   std::random_device seed;
   std::mt19937_64 random(seed());
   m_nonce = random();
+  m_next_peer = random();
   m_intake_tail.Hold();
   m_work_tail.Hold();
   m_jitter = Millis{static_cast<int64_t>(
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -144,7 +144,9 @@
   void SendForward(uint64_t id, const std::string& record, base::Millis wait);
   // Requests records up to `known_end` from the leader if this VM can't read
   // them from the log.
-  void CatchUpFromLeader(LogTail& tail, Stream stream, int64_t known_end);
+  void CatchUpFromPeer(LogTail& tail, Stream stream, int64_t known_end);
+  // Another VM, a different one each time.
+  std::string NextPeer();
   void SendTo(const std::string& address, const Message& message);
   void Notify(const std::string& address,
               Stream stream,
@@ -278,6 +280,8 @@
   RequestPacer m_work_requests;
   base::MonoTime m_next_leader_heartbeat{};
   base::MonoTime m_last_leader_heartbeat{};
+  base::MonoTime m_next_full_heartbeat{};
+  size_t m_next_peer = 0;
   base::MonoTime m_next_election{};
   SpeedProbe m_speed_probe;
   base::MonoTime m_next_speed_probe{};
--- a/packages/cell/src/node_leader.cc
+++ b/packages/cell/src/node_leader.cc
@@ -145,6 +145,7 @@
       [this](int64_t offset, const std::vector<std::string>& records) {
         OnWorkStored(offset, records);
       });
+  m_next_full_heartbeat = {};
   m_snapshot_writer =
       std::make_shared<SnapshotWriter>(m_dependencies.snapshots, m_mailbox,
                                        m_clock, m_log_timing, m_metrics, epoch);
@@ -198,6 +199,7 @@
       vms.push_back(vm);
     }
     m_term->scheduler().SetAdviceVms(vms);
+    m_term->scheduler().SetLinkWait(m_peer_sender.LinkWait());
     const MonoTime began = m_clock.Now();
     m_term->scheduler().Tick(now, m_clock.WallMillis(), m_term->last_append(),
                              m_term->output());
@@ -221,6 +223,14 @@
   }
   m_last_leader_heartbeat = now;
   m_next_leader_heartbeat = now + m_options.leader_heartbeat_interval;
+  // The list of peers makes a heartbeat long, so most are a notice of nothing.
+  if (m_term->log_ok() && now < m_next_full_heartbeat) {
+    const RecordsSegment nothing_new{Stream::kWork, 0, 0, {}};
+    m_peer_sender.SendToAll(PeerAddresses(),
+                            RecordsNotice{{nothing_new}, OwnLeaderInfo()});
+    return;
+  }
+  m_next_full_heartbeat = now + m_options.full_leader_heartbeat_interval;
   LeaderHeartbeat heartbeat;
   heartbeat.leader = OwnLeaderInfo();
   heartbeat.log_ok = m_term->log_ok();
--- a/packages/cell/src/node_peers.cc
+++ b/packages/cell/src/node_peers.cc
@@ -92,7 +92,7 @@
   }
   tail.AddRecords(segment.offset, segment.records);
   if (!m_term) {
-    CatchUpFromLeader(tail, segment.stream, segment.end);
+    CatchUpFromPeer(tail, segment.stream, segment.end);
   }
 }
 
@@ -120,6 +120,7 @@
   peer.resources = heartbeat.resources;
   peer.ready = heartbeat.ready;
   if (!known) {
+    m_next_full_heartbeat = {};
     base::LogEvent(base::Severity::kInfo, "AZ9402", "follower registered",
                    {{"vm", heartbeat.vm}, {"address", heartbeat.address}});
   }
--- a/packages/cell/src/node_relay.cc
+++ b/packages/cell/src/node_relay.cc
@@ -1,5 +1,5 @@
 // Support for VMs that can't reach the log: the leader appends their
-// submissions and sends them the records that they can't read.
+// submissions, and any VM sends them the records that they can't read.
 
 #include <algorithm>
 #include <utility>
@@ -85,7 +85,18 @@
   m_intake_forwarder.OnOutcome(answer.id, answer.outcome);
 }
 
-void Node::CatchUpFromLeader(LogTail& tail, Stream stream, int64_t known_end) {
+// The leader's link would not carry the records for several VMs.
+std::string Node::NextPeer() {
+  std::vector<std::string> peers = {LeaderAddress()};
+  for (const std::string& address : m_leader_peers) {
+    if (address != m_options.peer_address && address != LeaderAddress()) {
+      peers.push_back(address);
+    }
+  }
+  return peers[m_next_peer++ % peers.size()];
+}
+
+void Node::CatchUpFromPeer(LogTail& tail, Stream stream, int64_t known_end) {
   const MonoTime now = m_clock.Now();
   RequestPacer& pacer =
       stream == Stream::kWork ? m_work_requests : m_intake_requests;
@@ -93,11 +104,15 @@
       !pacer.ShouldRequest(tail.next(), now)) {
     return;
   }
-  SendTo(LeaderAddress(),
+  SendTo(NextPeer(),
          RecordsRequest{stream, tail.next(), m_options.peer_address});
 }
 
+// While this VM's link is full, the next request goes to another VM.
 void Node::OnMessage(const RecordsRequest& request) {
+  if (m_peer_sender.LinkWait() > kMaxLinkWaitForRequest) {
+    return;
+  }
   const RecentRecords& recent =
       request.stream == Stream::kWork ? m_recent_work : m_recent_intake;
   const std::vector<std::string> records =
--- a/packages/cell/src/node_streams.cc
+++ b/packages/cell/src/node_streams.cc
@@ -49,7 +49,7 @@
         }
       });
     }
-    CatchUpFromLeader(m_intake_tail, Stream::kIntake, mark->intake_end);
+    CatchUpFromPeer(m_intake_tail, Stream::kIntake, mark->intake_end);
     return false;
   }
   m_job_table.Apply(base::Value(record), m_clock.Now());
--- a/packages/cell/src/peer_sender.cc
+++ b/packages/cell/src/peer_sender.cc
@@ -13,14 +13,20 @@
     "forward", "forward_reply",
 };
 
+// Ethernet, IPv4 and UDP.
+constexpr size_t kPacketHeaderBytes = 42;
+
 std::string MetricName(std::string_view name, std::string_view kind) {
   return std::string(name) + "{kind=\"" + std::string(kind) + "\"}";
 }
 
 }  // namespace
 
-PeerSender::PeerSender(DatagramTransport& datagrams, base::Metrics& metrics)
+PeerSender::PeerSender(DatagramTransport& datagrams,
+                       base::Metrics& metrics,
+                       base::LinkQueue* uplink)
     : m_datagrams(datagrams),
+      m_uplink(uplink),
       m_encoded(metrics.GetCounter("azurespur_messages_encoded_total")),
       m_not_sent(metrics.GetCounter("azurespur_datagrams_not_sent_total")) {
   for (size_t i = 0; i < kKinds.size(); ++i) {
@@ -48,6 +54,10 @@
   }
 }
 
+base::Micros PeerSender::LinkWait() const {
+  return m_uplink != nullptr ? m_uplink->Wait() : base::Micros{0};
+}
+
 void PeerSender::SendBytes(std::string_view address,
                            std::string_view bytes,
                            const Counters& counters) {
@@ -55,6 +65,9 @@
     m_not_sent.Add(1);
     return;
   }
+  if (m_uplink != nullptr) {
+    m_uplink->Add(bytes.size() + kPacketHeaderBytes);
+  }
   counters.datagrams->Add(1);
   counters.bytes->Add(static_cast<int64_t>(bytes.size()));
 }
--- a/packages/cell/src/peer_sender.h
+++ b/packages/cell/src/peer_sender.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <variant>
 
+#include "base/link_queue.h"
 #include "base/metrics.h"
 #include "cell/messages.h"
 #include "cell/node_dependencies.h"
@@ -18,13 +19,19 @@
 // Thread-safe.
 class PeerSender {
  public:
-  PeerSender(DatagramTransport& datagrams, base::Metrics& metrics);
+  // `uplink` counts the bytes that are sent; null: they aren't counted.
+  PeerSender(DatagramTransport& datagrams,
+             base::Metrics& metrics,
+             base::LinkQueue* uplink = nullptr);
 
   // `address` is "IP:PORT".
   void Send(std::string_view address, const Message& message);
   void SendToAll(std::span<const std::string> addresses,
                  const Message& message);
 
+  // How long a datagram that is sent now would wait for the link.
+  base::Micros LinkWait() const;
+
  private:
   struct Counters {
     base::Counter* datagrams = nullptr;
@@ -37,6 +44,7 @@
                  const Counters& counters);
 
   DatagramTransport& m_datagrams;
+  base::LinkQueue* const m_uplink;
   base::Counter& m_encoded;
   base::Counter& m_not_sent;
   std::array<Counters, std::variant_size_v<Message>> m_counters;
--- a/packages/cell/tests/leader_simulation.h
+++ b/packages/cell/tests/leader_simulation.h
@@ -16,8 +16,10 @@
 #include <utility>
 #include <vector>
 
+#include "base/link_queue.h"
 #include "cell/topics.h"
 #include "fake_log.h"
+#include "fan_out_limit.h"
 #include "jobs/records.h"
 #include "leader_term.h"
 #include "mail_loop.h"
@@ -43,13 +45,26 @@
   }
 };
 
+// The leader's link; its followers get the records over it.
+struct SimulatedLink {
+  double mbps = 0;  // 0: carries everything at once.
+  size_t followers = 0;
+  size_t start_bytes = 900;  // With headers, as are the following.
+  size_t order_bytes = 450;  // Of hold orders and stops.
+  size_t append_bytes = 300;
+  size_t record_bytes = 110;
+};
+
 class LeaderSimulation : public FencedLog {
  public:
   // `worker_cpu` is the capacity of a worker; a task needs 10.
   explicit LeaderSimulation(int worker_count,
                             const SimulationCosts& costs = {},
-                            int64_t worker_cpu = 100)
-      : m_costs(costs) {
+                            int64_t worker_cpu = 100,
+                            const SimulatedLink& link = {})
+      : m_costs(costs), m_link(link) {
+    m_options.resources.link_mbps = link.mbps;
+    m_term = MakeTerm();
     for (int i = 0; i < worker_count; ++i) {
       jobs::WorkerEntry entry;
       entry.boot = {"w" + std::to_string(i), 1};
@@ -109,6 +124,9 @@
     });
   }
 
+  // Other traffic of the leader's VM: answers to callers, records for peers.
+  void SendOther(size_t bytes) { m_uplink.Add(bytes); }
+
   base::MonoTime now() const { return m_clock.now; }
   const SimulationCosts& costs() const { return m_costs; }
 
@@ -127,6 +145,7 @@
   int64_t stopped = 0;   // Tasks stopped before their end.
   int64_t lapsed = 0;    // Tasks whose lease lapsed.
   int64_t released = 0;  // Stored ends of kind kReleased.
+  int64_t lost = 0;      // Times that a worker was taken for lost.
   base::Millis worst_tick_gap{0};
   // Of urgent jobs, by the time of submission.
   std::map<base::MonoTime, base::Millis> urgent_start_delays;
@@ -232,8 +251,10 @@
     if (m_clock.now >= m_next_scheduling) {
       m_next_scheduling = m_clock.now + kSchedulingInterval;
       const size_t before = out.records.size();
+      m_term->scheduler().SetLinkWait(m_uplink.Wait());
       m_term->scheduler().Tick(m_clock.now, m_clock.WallMillis(),
                                m_term->last_append(), out);
+      CountLost();
       Spend(m_costs.plan +
             m_costs.per_job_in_plan *
                 static_cast<int64_t>(m_table.jobs().size()) +
@@ -252,6 +273,16 @@
     }
   }
 
+  void CountLost() {
+    for (const auto& [id, worker] : m_term->scheduler().fleet().workers()) {
+      const bool lost_now = worker.clock_known && !worker.responsive;
+      lost += lost_now && m_lost_workers.insert(id).second ? 1 : 0;
+      if (!lost_now) {
+        m_lost_workers.erase(id);
+      }
+    }
+  }
+
   void Append(AppendRequest request,
               std::function<void(AppendResult)> answer) override {
     const auto count = static_cast<int64_t>(request.records.size());
@@ -267,6 +298,8 @@
           m_events.emplace(m_clock.now + append_time, std::move(respond));
         },
         base::Millis{5000},
+        m_link.append_bytes +
+            m_link.record_bytes * static_cast<size_t>(count),
         [this, answer = std::move(answer), offset](bool /*in_time*/) {
           answer({AppendStatus::kAppended, offset, append_time});
         });
@@ -278,6 +311,7 @@
   }
 
   void OnWorkStored(const std::vector<std::string>& records) {
+    SendToFollowers(m_link.record_bytes * records.size() * m_link.followers);
     for (const std::string& bytes : records) {
       Spend(m_costs.per_stored_record);
       const auto record = jobs::DecodeWork(bytes);
@@ -289,23 +323,31 @@
     }
   }
 
-  // Sends a call to `worker`, or to the log if it is empty. `serve` runs at the
+  void SendToFollowers(size_t bytes) {
+    if (bytes > 0 && m_fan_out.Allows(bytes, m_uplink.Wait(), m_clock.now)) {
+      m_uplink.Add(bytes);
+    }
+  }
+
+  // Sends a call of `bytes` to `worker`, or to the log if it is empty. `serve` runs at the
   // other end and calls its argument to respond. `on_result` runs on the HTTP
   // client's thread; its argument is false if the response came after `timeout`
   // or, from a silent worker, never.
   void Exchange(const std::string& worker,
                 std::function<void(std::function<void()>)> serve,
                 base::Millis timeout,
+                size_t bytes,
                 std::function<void(bool)> on_result) {
-    const base::MonoTime deadline = m_clock.now + timeout;
+    const auto deadline =
+        std::make_shared<base::MonoTime>(m_clock.now + timeout);
     const auto finish = [this, deadline, on_result = std::move(on_result)] {
       m_http.push_back(
           {slowdown * m_costs.http_receive, [this, deadline, on_result] {
-             on_result(m_clock.now <= deadline);
+             on_result(m_clock.now <= *deadline);
            }});
     };
     const auto time_out = [this, deadline, finish] {
-      m_events.emplace(std::max(deadline + base::Millis{1}, m_clock.now),
+      m_events.emplace(std::max(*deadline + base::Millis{1}, m_clock.now),
                        finish);
     };
     const auto respond = [this, worker, finish, time_out] {
@@ -316,11 +358,15 @@
       }
     };
     m_http.push_back(
-        {m_costs.http_send, [this, worker, serve, respond, time_out] {
+        {m_costs.http_send,
+         [this, worker, serve, respond, time_out, deadline, bytes] {
+           // The HTTP client adds twice the wait to the timeout.
+           const base::Micros wait = m_uplink.Add(bytes);
+           *deadline += 2 * wait;
            if (silent.count(worker) > 0) {
              time_out();
            } else {
-             m_events.emplace(m_clock.now + kLatency,
+             m_events.emplace(m_clock.now + wait + kLatency,
                               [serve, respond] { serve(respond); });
            }
          }});
@@ -335,7 +381,7 @@
           *outcome = ServeStart(order);
           respond();
         },
-        OrderTimeout(order),
+        OrderTimeout(order), m_link.start_bytes,
         [this, order, outcome](bool in_time) {
           Post([this, order, outcome, in_time] {
             Spend(m_costs.per_answer);
@@ -359,7 +405,7 @@
           }
           respond();
         },
-        OrderTimeout(order),
+        OrderTimeout(order), m_link.order_bytes,
         [this, order](bool in_time) {
           Post([this, order, in_time] {
             Spend(m_costs.per_answer);
@@ -380,7 +426,7 @@
         [this, order, report](const std::function<void()>& respond) {
           ServeHold(order, report, respond);
         },
-        order.wait + OrderTimeout(order),
+        order.wait + OrderTimeout(order), m_link.order_bytes,
         [this, order, report](bool in_time) {
           Post([this, order, report, in_time] {
             Spend(m_costs.per_answer);
@@ -508,9 +554,21 @@
         });
   }
 
+  std::shared_ptr<LeaderTerm> MakeTerm() {
+    return std::make_shared<LeaderTerm>(
+        m_options, *this, m_mailbox, m_clock, m_table, m_timing, 9, 0,
+        [this](int64_t, const std::vector<std::string>& records) {
+          OnWorkStored(records);
+        });
+  }
+
   const SimulationCosts m_costs;
+  const SimulatedLink m_link;
   NodeOptions m_options;
   FakeClock m_clock;
+  base::LinkQueue m_uplink{m_link.mbps, m_clock};
+  FanOutLimit m_fan_out{m_link.mbps};
+  std::set<std::string> m_lost_workers;
   base::Mailbox m_mailbox{16384};
   jobs::JobTable m_table;
   LogTiming m_timing{base::Millis{500}};
@@ -520,18 +578,7 @@
   std::vector<jobs::WorkerEntry> m_entries;
   jobs::CellPolicy m_policy;
   std::map<jobs::JobId, base::MonoTime> m_submitted;
-  std::shared_ptr<LeaderTerm> m_term = std::make_shared<LeaderTerm>(
-      m_options,
-      *this,
-      m_mailbox,
-      m_clock,
-      m_table,
-      m_timing,
-      9,
-      0,
-      [this](int64_t, const std::vector<std::string>& records) {
-        OnWorkStored(records);
-      });
+  std::shared_ptr<LeaderTerm> m_term;
   base::MonoTime m_last_tick = m_clock.now;
   base::MonoTime m_next_scheduling{};
   jobs::JobId m_last_job = 0;
--- a/packages/cell/tests/node_fixture.h
+++ b/packages/cell/tests/node_fixture.h
@@ -180,6 +180,20 @@
     }
   }
 
+  // The same, while no other VM appends.
+  void PassAlone(base::Millis total) {
+    for (base::Millis passed{0}; passed < total; passed += kStep) {
+      clock.now += kStep;
+      Exchange();
+    }
+  }
+
+  // The other leader resigns, and no records but this VM's own follow.
+  void LetNodeLead() {
+    StoreWork(jobs::YieldRecord{kOtherEpoch});
+    PassAlone(base::Millis{2000});
+  }
+
   // The one answer that comes within kQuestionTime.
   JobStateResult FindState(jobs::JobId job) {
     auto answers = std::make_shared<std::vector<JobStateResult>>();
@@ -214,9 +228,11 @@
   HeldDatagrams datagrams;
   FakeSnapshotStore snapshots;
   FakeClock clock;
+  base::LinkQueue uplink{2, clock};
   base::Metrics metrics;
   Node node{MakeOptions(),
-            {log, workers, advice, directory, policy, datagrams, snapshots},
+            {log, workers, advice, directory, policy, datagrams, snapshots,
+             &uplink},
             clock,
             metrics};
   // The answer to the last AskPending(), once there is one.
--- a/packages/cell/tests/node_snapshot_gap_test.cc
+++ b/packages/cell/tests/node_snapshot_gap_test.cc
@@ -69,15 +69,6 @@
     log.log.topics[std::string(kWorkTopic)].first = work;
   }
 
-  // The other leader resigns, and no records but this VM's own follow.
-  void LetNodeLead() {
-    StoreWork(jobs::YieldRecord{kOtherEpoch});
-    for (int i = 0; i < 100; ++i) {
-      clock.now += kStep;
-      Exchange();
-    }
-  }
-
   // The state from which the next VM that starts goes on.
   jobs::JobTable NewestStoredTable() {
     const auto newest = FindNewestSnapshot(snapshots.values);
--- a/packages/cell/tests/records_fan_out_test.cc
+++ b/packages/cell/tests/records_fan_out_test.cc
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "fake_datagrams.h"
+#include "fake_log.h"
 #include "wire/codec.h"
 
 namespace azurespur::cell {
@@ -162,6 +163,28 @@
   CHECK(ReceiveAll(crest.datagrams.sent[crest.peers[0]]).with_contents == 1);
 }
 
+// Guards against orders to workers that wait behind records for followers.
+TEST_CASE("a link that others fill carries announcements only") {
+  FakeClock clock;
+  base::LinkQueue uplink(200, clock);
+  FakeDatagrams datagrams;
+  base::Metrics metrics;
+  PeerSender sender(datagrams, metrics, &uplink);
+  RecordsFanOut fan_out(sender, 200, metrics);
+  const std::vector<std::string> peers = Addresses(1);
+  const auto flush = [&](int64_t offset) {
+    datagrams.sent.clear();
+    fan_out.Add(Stream::kWork, offset, Records(1, kRecordBytes));
+    fan_out.Flush(clock.now, kLeader, peers);
+    return ReceiveAll(datagrams.sent[peers[0]]).with_contents;
+  };
+  CHECK(flush(0) == 1);
+  uplink.Add(5 << 20);  // 0.2 s.
+  CHECK(flush(1) == 0);
+  clock.now += Millis{1500};
+  CHECK(flush(2) == 1);
+}
+
 TEST_CASE("a link of unknown bandwidth is not limited") {
   Crest crest(0);
   crest.Play(Millis{2000});
--- a/packages/http/include/http/http_client.h
+++ b/packages/http/include/http/http_client.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/clock.h"
+#include "base/link_queue.h"
 #include "base/outcome.h"
 #include "http/http_message.h"
 
@@ -56,6 +57,9 @@
   size_t max_response_bytes = 16 << 20;
   size_t queue_size = 4096;
   double link_mbps = 0;  // 0 if unknown: the link never counts as full.
+  // All that this VM sends; null: not counted. What a request waits there is
+  // added to the times of its call. Must outlive the client.
+  base::LinkQueue* uplink = nullptr;
 };
 
 class HttpClient {
--- a/packages/http/src/http_client.cc
+++ b/packages/http/src/http_client.cc
@@ -24,6 +24,10 @@
 
 constexpr int kIdleWaitMillis = 500;
 constexpr size_t kEventsPerWait = 64;
+// Request line, the fields that libcurl adds, and headers of packets.
+constexpr size_t kRequestOverheadBytes = 220;
+// A new connection sends a packet before the request; both wait.
+constexpr int kWaitsPerRequest = 2;
 
 // One call in progress and the buffers libcurl writes to.
 struct Transfer {
@@ -90,6 +94,14 @@
   return size * count;
 }
 
+size_t RequestBytes(const HttpCall& call) {
+  size_t bytes = kRequestOverheadBytes + call.url.size() + call.body.size();
+  for (const HttpField& field : call.headers) {
+    bytes += field.name.size() + field.value.size();
+  }
+  return bytes;
+}
+
 // Tells whether no byte of the request can have reached the server. The error
 // code can't tell: a refused connection may be the second try of a request
 // that was sent before, and libcurl calls a malformed answer an unsupported
@@ -187,6 +199,9 @@
   void FinishDone();
   void EndStalled();
   void Begin(std::unique_ptr<Transfer> transfer);
+  // Notes that the request is sent; returns the time that its packets wait for
+  // this VM's link.
+  base::Millis QueueForLink(const HttpCall& call);
   void Finish(CURL* easy, CURLcode code);
   void AbortAll();
   void AbortQueued();
@@ -322,6 +337,14 @@
   }
 }
 
+base::Millis Client::QueueForLink(const HttpCall& call) {
+  if (m_options.uplink == nullptr) {
+    return base::Millis{0};
+  }
+  const base::Micros wait = m_options.uplink->Add(RequestBytes(call));
+  return std::chrono::ceil<base::Millis>(kWaitsPerRequest * wait);
+}
+
 void Client::Begin(std::unique_ptr<Transfer> transfer) {
   const base::MonoTime send_by = transfer->call.send_by;
   if (send_by != base::MonoTime{} && base::SystemClock().Now() >= send_by) {
@@ -348,10 +371,12 @@
   curl_easy_setopt(easy, CURLOPT_NOSIGNAL, 1L);
   curl_easy_setopt(easy, CURLOPT_PROXY, "");
   curl_easy_setopt(easy, CURLOPT_PROTOCOLS_STR, "http");
+  const base::Millis link_wait = QueueForLink(call);
   curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
-                   static_cast<long>(call.timeout.count()));
-  curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS,
-                   static_cast<long>(call.connect_timeout.count()));
+                   static_cast<long>((call.timeout + link_wait).count()));
+  curl_easy_setopt(
+      easy, CURLOPT_CONNECTTIMEOUT_MS,
+      static_cast<long>((call.connect_timeout + link_wait).count()));
   const bool fresh = call.send_once && !call.keep_connection;
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
   if (call.send_once) {
@@ -375,7 +400,8 @@
   if (call.stall_timeout.count() > 0) {
     transfer->stalls = &m_stalls;
     m_stalls.Add(easy,
-                 {call.stall_timeout, call.answer_wait, call.max_link_wait},
+                 {call.stall_timeout, call.answer_wait + link_wait,
+                  call.max_link_wait},
                  transfer->began);
   }
   m_active[easy] = std::move(transfer);
--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -47,6 +47,33 @@
   CHECK(base::Value(result).body == "POST/a%2Fbbody1");
 }
 
+// Guards against a server that is taken for silent while the request still
+// waits for this VM's own link.
+TEST_CASE("the time that a request waits for the link is added to its call") {
+  std::vector<std::thread> answering;
+  auto server = base::Value(StartHttpServer(
+      {}, [&](const HttpRequest&, std::shared_ptr<HttpReply> reply) {
+        answering.emplace_back([reply] {
+          std::this_thread::sleep_for(std::chrono::milliseconds(400));
+          reply->Send({});
+        });
+      }));
+  base::LinkQueue uplink(2);
+  HttpClientOptions options;
+  options.uplink = &uplink;
+  auto client = StartHttpClient(options);
+  HttpCall call;
+  call.url = Url(*server, "/");
+  call.timeout = std::chrono::milliseconds(150);
+  call.stall_timeout = std::chrono::milliseconds(100);
+  CHECK_FALSE(base::Ok(client->Fetch(call)));
+  uplink.Add(500 << 10);  // As much as is counted, 2 s.
+  CHECK(base::Ok(client->Fetch(call)));
+  for (std::thread& thread : answering) {
+    thread.join();
+  }
+}
+
 TEST_CASE("a dropped reply answers 500 and an oversized body 413") {
   HttpServerOptions options;
   options.max_body_bytes = 10;
