--- a/packages/cell/include/cell/fenced_log.h
+++ b/packages/cell/include/cell/fenced_log.h
@@ -42,7 +42,7 @@
 
 struct AppendResult {
   AppendStatus status = AppendStatus::kUnknown;
-  int64_t offset = 0;  // Of the first record if appended.
+  int64_t offset = 0;       // Of the first record if appended.
   base::Millis latency{0};  // Until the first byte of the response arrived.
 };
 
--- a/packages/cell/src/records_fan_out.cc
+++ b/packages/cell/src/records_fan_out.cc
@@ -59,7 +59,8 @@
 }
 
 bool RecordsFanOut::MaySendContents(size_t peers, base::MonoTime now) {
-  const bool allowed = m_limit.Allows(m_batch.Bytes() * peers, m_sender.LinkWait(), now);
+  const bool allowed =
+      m_limit.Allows(m_batch.Bytes() * peers, m_sender.LinkWait(), now);
   if (allowed != m_contents_allowed) {
     m_contents_allowed = allowed;
     base::LogEvent(
--- a/packages/cell/tests/leader_simulation.h
+++ b/packages/cell/tests/leader_simulation.h
@@ -298,8 +298,7 @@
           m_events.emplace(m_clock.now + append_time, std::move(respond));
         },
         base::Millis{5000},
-        m_link.append_bytes +
-            m_link.record_bytes * static_cast<size_t>(count),
+        m_link.append_bytes + m_link.record_bytes * static_cast<size_t>(count),
         [this, answer = std::move(answer), offset](bool /*in_time*/) {
           answer({AppendStatus::kAppended, offset, append_time});
         });
@@ -329,10 +328,10 @@
     }
   }
 
-  // Sends a call of `bytes` to `worker`, or to the log if it is empty. `serve` runs at the
-  // other end and calls its argument to respond. `on_result` runs on the HTTP
-  // client's thread; its argument is false if the response came after `timeout`
-  // or, from a silent worker, never.
+  // Sends a call of `bytes` to `worker`, or to the log if it is empty. `serve`
+  // runs at the other end and calls its argument to respond. `on_result` runs
+  // on the HTTP client's thread; its argument is false if the response came
+  // after `timeout` or, from a silent worker, never.
   void Exchange(const std::string& worker,
                 std::function<void(std::function<void()>)> serve,
                 base::Millis timeout,
--- a/packages/cell/tests/node_fixture.h
+++ b/packages/cell/tests/node_fixture.h
@@ -230,11 +230,11 @@
   FakeClock clock;
   base::LinkQueue uplink{2, clock};
   base::Metrics metrics;
-  Node node{MakeOptions(),
-            {log, workers, advice, directory, policy, datagrams, snapshots,
-             &uplink},
-            clock,
-            metrics};
+  Node node{
+      MakeOptions(),
+      {log, workers, advice, directory, policy, datagrams, snapshots, &uplink},
+      clock,
+      metrics};
   // The answer to the last AskPending(), once there is one.
   std::shared_ptr<std::optional<PendingCountResult>> pending_answer;
 };
--- a/packages/http/src/http_client.cc
+++ b/packages/http/src/http_client.cc
@@ -399,10 +399,10 @@
   transfer->link = m_link.known() ? &m_link : nullptr;
   if (call.stall_timeout.count() > 0) {
     transfer->stalls = &m_stalls;
-    m_stalls.Add(easy,
-                 {call.stall_timeout, call.answer_wait + link_wait,
-                  call.max_link_wait},
-                 transfer->began);
+    m_stalls.Add(
+        easy,
+        {call.stall_timeout, call.answer_wait + link_wait, call.max_link_wait},
+        transfer->began);
   }
   m_active[easy] = std::move(transfer);
   curl_multi_add_handle(m_multi, easy);
--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -194,7 +194,9 @@
   void StopStalled(Worker& worker, base::MonoTime now);
   // True if the run made no progress for its limit, as of the worker's newest
   // report.
-  bool IsStalled(const Worker& worker, const TaskRef& task, const Run& run) const;
+  bool IsStalled(const Worker& worker,
+                 const TaskRef& task,
+                 const Run& run) const;
   // When a run of the step last made progress.
   base::MonoTime LastProgressOf(const StepRef& step) const;
   // Frees the run's capacity and records its end, for a run that is certainly
--- a/packages/jobs/include/jobs/scheduler_options.h
+++ b/packages/jobs/include/jobs/scheduler_options.h
@@ -12,7 +12,7 @@
 
 struct SchedulerOptions {
   double link_mbps = 0;  // Of this VM's link in Mbit/s; 0 if unknown.
-  uint64_t fence = 0;  // Fencing token: the epoch of this leader.
+  uint64_t fence = 0;    // Fencing token: the epoch of this leader.
   // Lease of all runs on a worker. With a shorter lease the tasks of an
   // unreachable worker can be rescheduled earlier; with a longer one they
   // survive a longer network partition of their failure domain.
--- a/packages/jobs/src/advice_tracker.cc
+++ b/packages/jobs/src/advice_tracker.cc
@@ -152,9 +152,8 @@
   ++vm_state.queries;
   vm_state.expected_ms += expected_ms;
   vm_state.has_long = vm_state.has_long || expected_ms > kLongQueryMs;
-  query.timeout =
-      base::Millis{static_cast<int64_t>(vm_state.expected_ms)} + kAnswerMargin +
-      std::chrono::ceil<base::Millis>(m_link_wait);
+  query.timeout = base::Millis{static_cast<int64_t>(vm_state.expected_ms)} +
+                  kAnswerMargin + std::chrono::ceil<base::Millis>(m_link_wait);
   for (const WorkerBoot& worker : workers) {
     query.workers.push_back(worker.id);
   }
--- a/packages/jobs/src/fleet_holds.cc
+++ b/packages/jobs/src/fleet_holds.cc
@@ -180,9 +180,9 @@
   const TaskRef first{step.job, step.step, 0};
   for (auto it = m_index.lower_bound(first);
        it != m_index.end() && it->first.StepOf() == step; ++it) {
-    last = std::max(last,
-                    m_workers.find(it->second)->second.runs.at(it->first)
-                        .progress_at);
+    last = std::max(
+        last,
+        m_workers.find(it->second)->second.runs.at(it->first).progress_at);
   }
   return last;
 }
--- a/packages/jobs/src/job_spec.cc
+++ b/packages/jobs/src/job_spec.cc
@@ -8,11 +8,10 @@
 
 bool IsValidStep(const StepSpec& step, size_t number) {
   return step.count >= 0 && step.count <= kMaxTasksPerStep &&
-         std::all_of(step.after.begin(), step.after.end(),
-                     [number](int32_t earlier) {
-                       return earlier >= 0 &&
-                              static_cast<size_t>(earlier) < number;
-                     });
+         std::all_of(
+             step.after.begin(), step.after.end(), [number](int32_t earlier) {
+               return earlier >= 0 && static_cast<size_t>(earlier) < number;
+             });
 }
 
 }  // namespace
--- a/packages/jobs/src/records.cc
+++ b/packages/jobs/src/records.cc
@@ -17,9 +17,9 @@
   if (base::Ok(record)) {
     const auto* spec = std::get_if<JobSpec>(&base::Value(record));
     if (spec != nullptr && !IsValid(*spec)) {
-      return base::Error{base::ErrorCode::kInvalid,
-                         "steps of job " + FormatJobId(spec->id) +
-                             " are not valid"};
+      return base::Error{
+          base::ErrorCode::kInvalid,
+          "steps of job " + FormatJobId(spec->id) + " are not valid"};
     }
   }
   return record;
--- a/packages/jobs/src/start_pacer.cc
+++ b/packages/jobs/src/start_pacer.cc
@@ -71,8 +71,8 @@
       static_cast<double>((kAppendsPerBinding * m_append_time).count());
   const double in_log =
       m_limit * storing_time / static_cast<double>(kTargetStartTime.count());
-  return std::min(m_limit + in_log, static_cast<double>(kBatchesInSlowLog *
-                                                        MaxBoundInAppend()));
+  return std::min(m_limit + in_log,
+                  static_cast<double>(kBatchesInSlowLog * MaxBoundInAppend()));
 }
 
 int64_t StartPacer::MaxBoundInAppend() const {
--- a/packages/wire/include/wire/bounded_input_archive.h
+++ b/packages/wire/include/wire/bounded_input_archive.h
@@ -61,7 +61,7 @@
 // The functions that cereal calls for an archive; it fixes their names.
 
 template <typename T>
-  requires std::is_arithmetic_v<T>
+requires std::is_arithmetic_v<T>
 void CEREAL_LOAD_FUNCTION_NAME(BoundedInputArchive& archive, T& value) {
   archive.Read(std::addressof(value), sizeof(value));
 }
--- a/packages/wire/tests/codec_test.cc
+++ b/packages/wire/tests/codec_test.cc
@@ -60,7 +60,8 @@
 TEST_CASE("a message that is cut short anywhere is an error") {
   const std::string whole = Encode(MakeSample());
   for (size_t size = 0; size < whole.size(); ++size) {
-    CHECK_FALSE(base::Ok(Decode<Sample>(std::string_view(whole).substr(0, size))));
+    CHECK_FALSE(
+        base::Ok(Decode<Sample>(std::string_view(whole).substr(0, size))));
   }
 }
 
