Don't probe a log that answers no read with a caller's submission

Cause: while appends failed, each VM sent a submission each 300 ms to see whether they work again.

Change: an append is tried again only once the log has answered a read that was sent after the last failed append; the reads go on each 100 to 400 ms.

Test: "nothing is appended while the log answers no read either". The case on rejected records now tells the writer of a read before each probe, as the node does; its checks are as they were.

--- a/packages/cell/src/intake_writer.cc
+++ b/packages/cell/src/intake_writer.cc
@@ -40,7 +40,9 @@
                          Done done) {
   if (failing()) {
     const base::MonoTime now = m_clock.Now();
-    if (now < m_next_probe) {
+    // The fate of a probe is mostly unknown, which helps its caller less than a
+    // refusal.
+    if (now < m_next_probe || m_last_contact <= m_last_failure) {
       done(StoreOutcome::kNotStored);
       return;
     }
@@ -114,6 +116,7 @@
     return;
   }
   ++m_failures;
+  m_last_failure = now;
   base::LogEvent(base::Severity::kWarning, "AZ9204",
                  "append to the intake stream failed",
                  {{"status", std::string(AppendStatusName(result.status))},
--- a/packages/cell/src/intake_writer.h
+++ b/packages/cell/src/intake_writer.h
@@ -34,7 +34,7 @@
 
   // Runs `done` once, shortly after `deadline` at the latest. While appends
   // fail, records are rejected at once, except for an occasional one that
-  // probes whether the log works again.
+  // probes whether the log works again, once the log has answered a read.
   void Store(std::string record, base::MonoTime deadline, Done done);
 
   // Ends records whose deadline has passed and sends the other queued ones.
@@ -72,6 +72,7 @@
   int m_failures = 0;  // Consecutive failed appends.
   base::MonoTime m_pause_until{};
   base::MonoTime m_next_probe{};    // While failing.
+  base::MonoTime m_last_failure{};  // Of an append.
   base::MonoTime m_last_contact{};  // When the log last answered.
 };
 
--- a/packages/cell/tests/intake_writer_test.cc
+++ b/packages/cell/tests/intake_writer_test.cc
@@ -103,6 +103,8 @@
   REQUIRE(f.writer.failing());
   f.outcomes.clear();
   f.log.InjectFault(AppendFault::kLoseRequest);
+  f.clock.now += Millis{10};
+  f.writer.OnLogContact(f.clock.now);
   f.Store("probe");
   for (int i = 0; i < 5; ++i) {
     f.Store("r");
@@ -110,12 +112,38 @@
   CHECK(f.outcomes == std::vector<StoreOutcome>(5, StoreOutcome::kNotStored));
   f.RunUntilIdle();
   f.clock.now += Millis{400};
+  f.writer.OnLogContact(f.clock.now);
   f.Store("r");
   f.RunUntilIdle();
   CHECK(f.outcomes.back() == StoreOutcome::kStored);
   CHECK_FALSE(f.writer.failing());
 }
 
+// Guards against callers that hear "unknown" instead of "not run", and can't
+// come back, because their submissions probe a log that is out of reach.
+TEST_CASE("nothing is appended while the log answers no read either") {
+  WriterFixture f;
+  for (int i = 0; i < 2; ++i) {
+    f.log.InjectFault(AppendFault::kLoseRequest);
+    f.Store("r");
+    f.clock.now += Millis{500};
+    f.RunUntilIdle();
+  }
+  REQUIRE(f.writer.failing());
+  f.outcomes.clear();
+  const int appends = f.log.appends;
+  for (int i = 0; i < 20; ++i) {
+    f.clock.now += Millis{300};
+    f.Store("r");
+  }
+  CHECK(f.log.appends == appends);
+  CHECK(f.outcomes == std::vector<StoreOutcome>(20, StoreOutcome::kNotStored));
+  f.writer.OnLogContact(f.clock.now);
+  f.Store("r");
+  f.RunUntilIdle();
+  CHECK(f.outcomes.back() == StoreOutcome::kStored);
+}
+
 TEST_CASE("a refused append is retried, then reported as not stored") {
   WriterFixture f;
   f.log.InjectFault(AppendFault::kRefuse);
