Revert "Ask callers to return later the longer the log is out of reach for all"

Its claim on the callers was wrong. A return after 4 or 5 s is none for them, and a caller that obeys would not have come back where it could have been served. So one second stays; what arrives in the first seconds of a long outage can't be stored.

--- a/packages/cell/include/cell/cell_node.h
+++ b/packages/cell/include/cell/cell_node.h
@@ -90,10 +90,6 @@
   // True if the node can accept jobs now.
   virtual bool ready() const = 0;
 
-  // How long the log has been out of reach for the whole cell; zero if it is
-  // not, as far as the node knows.
-  virtual base::Millis log_outage_age() const = 0;
-
   // Passes the node's state, for operators, to `done` as JSON.
   virtual void Dump(std::function<void(std::string)> done) = 0;
 };
--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -183,7 +183,6 @@
     StartElectionIfDue(now);
   }
   UpdateReady(now);
-  UpdateLogOutage(now);
   LogRefusedMail(now);
   if (now >= m_next_speed_probe) {
     m_next_speed_probe = now + kSpeedProbeInterval;
@@ -211,15 +210,6 @@
   m_next_refused_mail_log = now + kRefusedMailLogInterval;
 }
 
-void Node::UpdateLogOutage(MonoTime now) {
-  if (m_term) {
-    m_log_outage.OnLeaderState(m_term->log_ok(), now);
-  }
-  m_log_outage.OnOwnState(!m_intake_writer.failing() &&
-                          !m_intake_tail.failing());
-  m_log_outage_ms.store(m_log_outage.Age(now).count());
-}
-
 void Node::PollStreams(MonoTime now) {
   const bool starting = !m_intake_tail.caught_up() || !m_work_tail.caught_up();
   const MonoTime since = std::max(m_work_tail.last_advance(), m_started);
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -26,7 +26,6 @@
 #include "intake_writer.h"
 #include "leader_choice.h"
 #include "leader_term.h"
-#include "log_outage.h"
 #include "log_tail.h"
 #include "log_timing.h"
 #include "node_load.h"
@@ -89,9 +88,6 @@
   std::shared_ptr<const jobs::CellPolicy> policy() const override;
   std::optional<base::MonoTime> policy_as_of() const override;
   bool ready() const override { return m_ready.load(); }
-  base::Millis log_outage_age() const override {
-    return base::Millis{m_log_outage_ms.load()};
-  }
   void Dump(std::function<void(std::string)> done) override;
 
  private:
@@ -102,7 +98,6 @@
   void Tick();
   // Logs how much mail was refused since the last call, at intervals.
   void LogRefusedMail(base::MonoTime now);
-  void UpdateLogOutage(base::MonoTime now);
   void PollStreams(base::MonoTime now);
   void SendFollowerHeartbeat(base::MonoTime now);
   void UpdateReady(base::MonoTime now);
@@ -253,7 +248,6 @@
   std::atomic<bool> m_stopping{false};
   std::atomic<bool> m_ready{false};
   std::atomic<bool> m_yielded{false};
-  std::atomic<int64_t> m_log_outage_ms{0};
 
   mutable std::mutex m_policy_mutex;
   std::shared_ptr<const jobs::CellPolicy> m_policy;
@@ -265,7 +259,6 @@
   LogTail m_intake_tail;
   LogTail m_work_tail;
   IntakeWriter m_intake_writer;
-  LogOutage m_log_outage;
   IntakeForwarder m_intake_forwarder;
   ViewWaiters m_view_waiters;
   RecordsFanOut m_fan_out;
--- a/packages/cell/src/node_peers.cc
+++ b/packages/cell/src/node_peers.cc
@@ -66,10 +66,6 @@
 
 void Node::OnMessage(const RecordsNotice& notice) {
   UpdateAnnouncedLeader(notice.leader);
-  if (notice.leader.epoch != 0) {
-    // A leader whose appends fail sends heartbeats instead.
-    m_log_outage.OnLeaderState(true, m_clock.Now());
-  }
   for (const RecordsSegment& segment : notice.segments) {
     OnSegment(segment);
   }
@@ -105,7 +101,6 @@
   if (m_term || heartbeat.leader.epoch < m_announced_leader.epoch) {
     return;
   }
-  m_log_outage.OnLeaderState(heartbeat.log_ok, m_clock.Now());
   m_leader_peers = heartbeat.peers;
   // A new leader doesn't know its followers yet.
   if (heartbeat.best_suitability > 0) {
