--- a/packages/jobs/src/scheduler_gang.cc
+++ b/packages/jobs/src/scheduler_gang.cc
@@ -13,10 +13,8 @@
 
 namespace {
 
-// Waiting gangs for which capacity is reserved: at least so many, and one for
-// each so many workers.
-constexpr int32_t kMinReservedGangs = 3;
-constexpr size_t kWorkersPerReservedGang = 25;
+// Number of waiting gangs for which capacity is reserved.
+constexpr int32_t kMaxWaitingGangs = 3;
 constexpr base::Millis kWaitLogInterval{1000};  // For each gang.
 constexpr base::Millis kFirmReservationTime{1600};
 // Gangs with more slack do not preempt, since they may still get capacity
@@ -126,10 +124,7 @@
       Preempt(step, now, out)) {
     return;
   }
-  const auto max_reserved = std::max(
-      kMinReservedGangs, static_cast<int32_t>(m_fleet.workers().size() /
-                                              kWorkersPerReservedGang));
-  if (!keeps_room && m_waiting_gangs < max_reserved) {
+  if (!keeps_room && m_waiting_gangs < kMaxWaitingGangs) {
     ++m_waiting_gangs;
     m_reservations[step.ref] = MakeReservation(step, capacity);
   }
