--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -182,6 +182,7 @@
     SendFollowerHeartbeat(now);
     StartElectionIfDue(now);
   }
+  m_load.OnLinkWait(m_peer_sender.LinkWait());
   UpdateReady(now);
   LogRefusedMail(now);
   if (now >= m_next_speed_probe) {
--- a/packages/cell/src/node_load.cc
+++ b/packages/cell/src/node_load.cc
@@ -22,6 +22,7 @@
           metrics.GetDistribution("azurespur_node_ms{duty=\"dispatch\"}")),
       m_tick_gap_ms(metrics.GetDistribution("azurespur_node_tick_gap_ms")),
       m_mail_per_tick(metrics.GetDistribution("azurespur_node_mail_per_tick")),
+      m_link_wait_ms(metrics.GetDistribution("azurespur_link_wait_ms")),
       m_bindings_outstanding(
           metrics.GetCounter("azurespur_bindings_outstanding")),
       m_bindings_job_over(metrics.GetCounter(
--- a/packages/cell/src/node_load.h
+++ b/packages/cell/src/node_load.h
@@ -23,6 +23,8 @@
   base::Micros last_tick() const { return m_last_tick_time; }
   void OnPlan(base::Micros spent) { Observe(m_plan_ms, spent); }
   void OnDispatch(base::Micros spent) { Observe(m_dispatch_ms, spent); }
+  // How long a byte that is sent now waits for this VM's link.
+  void OnLinkWait(base::Micros wait) { Observe(m_link_wait_ms, wait); }
   // What the scheduler has bound ahead and given up so far in this term.
   void OnScheduler(const jobs::Scheduler& scheduler);
 
@@ -36,6 +38,7 @@
   base::Distribution& m_dispatch_ms;
   base::Distribution& m_tick_gap_ms;
   base::Distribution& m_mail_per_tick;
+  base::Distribution& m_link_wait_ms;
   base::Counter& m_bindings_outstanding;
   base::Counter& m_bindings_job_over;
   base::Counter& m_bindings_too_old;
--- a/packages/cell/src/snapshot_writer.cc
+++ b/packages/cell/src/snapshot_writer.cc
@@ -100,9 +100,11 @@
     const base::Outcome<SnapshotStore::Values>& values) {
   m_in_flight = false;
   if (!base::Ok(values)) {
-    base::LogEvent(base::Severity::kWarning, "AZ9214",
-                   "snapshots can't be read; retrying",
-                   {{"reason", base::GetError(values).message}});
+    if (m_read_failures++ == 0) {
+      base::LogEvent(base::Severity::kWarning, "AZ9214",
+                     "snapshots can't be read; retrying",
+                     {{"reason", base::GetError(values).message}});
+    }
     m_next_try = m_clock.Now() + kRetryDelay;
     return;
   }
--- a/packages/cell/src/snapshot_writer.h
+++ b/packages/cell/src/snapshot_writer.h
@@ -55,6 +55,7 @@
   base::Counter& m_bytes;
   const uint64_t m_epoch;
   uint64_t m_next_sequence = 0;
+  int m_read_failures = 0;              // Until the first read that succeeds.
   bool m_known = false;                 // Whether the newest snapshot is known.
   int m_slot = 0;                       // Of the newest snapshot.
   std::set<std::string> m_stored_keys;  // Of both slots.
