Test that a VM accepts jobs soon after the log is back

Tried: reads of the intake stream each 100 ms while appends fail. Not needed: the work stream is read that often while it stands still, and once the leader appends again a VM hands its submissions on to it.

--- a/packages/cell/tests/fake_log.h
+++ b/packages/cell/tests/fake_log.h
@@ -80,6 +80,8 @@
   // Queues `fault` for the next append without a queued fault.
   void InjectFault(AppendFault fault) { m_faults.push_back(fault); }
 
+  void ClearFaults() { m_faults.clear(); }
+
   // Delivers the held responses, oldest first.
   void DeliverResponses() {
     for (auto& response : std::exchange(m_responses, {})) {
--- a/packages/cell/tests/node_forward_test.cc
+++ b/packages/cell/tests/node_forward_test.cc
@@ -51,4 +51,41 @@
   CHECK(before != after);
 }
 
+// Guards against submissions that are refused for up to a second after an
+// outage, since nothing but a read may tell that the log is back.
+TEST_CASE("a VM accepts jobs soon after the log is back") {
+  NodeFixture f;
+  f.StoreWork(
+      jobs::LeaderRecord{NodeFixture::kOtherEpoch, "vm-b", "10.0.0.2:1"});
+  f.Pass(base::Millis{300});
+  std::vector<IntakeOutcome> outcomes;
+  jobs::JobId next = 1;
+  const auto submit = [&] {
+    jobs::JobSpec spec;
+    spec.id = next++;
+    spec.queue = "q";
+    f.node.Submit(
+        spec, f.clock.now + base::Millis{1000},
+        [&outcomes](IntakeOutcome outcome) { outcomes.push_back(outcome); });
+    f.node.RunPending();
+  };
+  f.log.log.readable = false;
+  for (int i = 0; i < 30; ++i) {
+    f.log.log.InjectFault(AppendFault::kLoseRequest);
+    submit();
+    f.Pass(base::Millis{100});
+  }
+  REQUIRE(outcomes.back() == IntakeOutcome::kNotAccepted);
+  const int appends = f.log.log.appends;
+  submit();
+  f.Pass(base::Millis{100});
+  CHECK(f.log.log.appends == appends);
+  f.log.log.readable = true;
+  f.log.log.ClearFaults();
+  f.Pass(base::Millis{200});
+  submit();
+  f.Pass(base::Millis{100});
+  CHECK(outcomes.back() == IntakeOutcome::kAccepted);
+}
+
 }  // namespace azurespur::cell
