--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -142,10 +142,10 @@
   // True if a recent datagram reported that the leader can append.
   bool LeaderCanAppend(base::MonoTime now) const;
   void SendForward(uint64_t id, const std::string& record, base::Millis wait);
-  // Requests records up to `known_end` from the leader if this VM can't read
+  // Requests records up to `known_end` from another VM if this one can't read
   // them from the log.
   void CatchUpFromPeer(LogTail& tail, Stream stream, int64_t known_end);
-  // Another VM, a different one each time.
+  // The address of another VM, a different one each time.
   std::string NextPeer();
   void SendTo(const std::string& address, const Message& message);
   void Notify(const std::string& address,
--- a/packages/cell/tests/leader_simulation.h
+++ b/packages/cell/tests/leader_simulation.h
@@ -23,38 +23,11 @@
 #include "jobs/records.h"
 #include "leader_term.h"
 #include "mail_loop.h"
+#include "simulated_link.h"
+#include "simulation_costs.h"
 
 namespace azurespur::cell {
 
-// Processor time of each kind of work.
-struct SimulationCosts {
-  base::Micros plan{500};
-  base::Micros per_job_in_plan{4};
-  base::Micros per_bind{100};
-  base::Micros per_stored_record{60};
-  base::Micros per_order{100};     // On the node's thread.
-  base::Micros per_answer{100};    // On the node's thread.
-  base::Micros http_send{350};     // On the HTTP client's thread.
-  base::Micros http_receive{150};  // On the HTTP client's thread.
-
-  // Of a task that starts once, ends, and whose end answers one hold order: the
-  // orders, their answers, and the records of the binding and the end.
-  base::Micros PerTask() const {
-    return per_bind + 2 * per_stored_record +
-           2 * (per_order + per_answer + http_send + http_receive);
-  }
-};
-
-// The leader's link; its followers get the records over it.
-struct SimulatedLink {
-  double mbps = 0;  // 0: carries everything at once.
-  size_t followers = 0;
-  size_t start_bytes = 900;  // With headers, as are the following.
-  size_t order_bytes = 450;  // Of hold orders and stops.
-  size_t append_bytes = 300;
-  size_t record_bytes = 110;
-};
-
 class LeaderSimulation : public FencedLog {
  public:
   // `worker_cpu` is the capacity of a worker; a task needs 10.
--- a/packages/jobs/src/start_pacer.cc
+++ b/packages/jobs/src/start_pacer.cc
@@ -9,10 +9,10 @@
 // Shorter than the timeout of an order, so that starts are answered in time.
 constexpr base::Micros kTargetStartTime{200000};
 constexpr base::Millis kUpdateInterval{100};
+constexpr double kFirstLimit = 128;
 // Starts at the lower limit keep a leader busy between two plans, even if a
 // store or worker is slow. The upper one limits the starts that follow at once
 // when a slow store recovers.
-constexpr double kFirstLimit = 128;
 constexpr double kMinLimit = 64;
 constexpr double kMaxLimit = 512;
 // A start, the hold order that its end answers, and their packets' headers.
