Read the intake stream often while this VM's appends fail

Cause: since nothing but an answered read lets a VM append again, it could refuse submissions for as long as its next read was away: 400 ms on a leader, a second on a VM whose work stream goes on.

Change: while appends fail the intake stream is read each 100 ms.

--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -223,9 +223,13 @@
   } else if (starting) {
     interval = kFollowerTickInterval;
   }
+  // A read that is answered lets this VM append again.
+  const bool failing = m_intake_writer.failing();
+  const Millis intake_interval =
+      failing ? std::min(interval, m_options.suspect_poll_interval) : interval;
   if (!m_intake_tail.reading() &&
-      now >= m_intake_tail.last_attempt() + interval &&
-      (!m_intake_tail.caught_up() || m_term ||
+      now >= m_intake_tail.last_attempt() + intake_interval &&
+      (!m_intake_tail.caught_up() || m_term || failing ||
        now >= m_intake_tail.last_attempt() + m_options.poll_interval)) {
     m_intake_tail.Poll();
   }
--- a/packages/cell/tests/node_forward_test.cc
+++ b/packages/cell/tests/node_forward_test.cc
@@ -88,4 +88,46 @@
   CHECK(outcomes.back() == IntakeOutcome::kAccepted);
 }
 
+// The same for the leader, to whom no other VM can forward it.
+TEST_CASE("a leader accepts jobs soon after the log is back") {
+  for (int steps = 0; steps < 20; ++steps) {
+    CAPTURE(steps);
+    NodeFixture f;
+    f.StoreWork(
+        jobs::LeaderRecord{NodeFixture::kOtherEpoch, "vm-b", "10.0.0.2:1"});
+    f.Pass(base::Millis{300});
+    f.LetNodeLead();
+    std::vector<IntakeOutcome> outcomes;
+    jobs::JobId next = 1;
+    const auto submit = [&] {
+      jobs::JobSpec spec;
+      spec.id = next++;
+      spec.queue = "q";
+      f.node.Submit(
+          spec, f.clock.now + base::Millis{1000},
+          [&outcomes](IntakeOutcome outcome) { outcomes.push_back(outcome); });
+      f.node.RunPending();
+    };
+    submit();
+    f.PassAlone(base::Millis{100});
+    REQUIRE(outcomes.back() == IntakeOutcome::kAccepted);
+    f.log.log.readable = false;
+    for (int i = 0; i < 1000; ++i) {
+      f.log.log.InjectFault(AppendFault::kLoseRequest);
+    }
+    for (int i = 0; i < 13; ++i) {
+      submit();
+      f.PassAlone(base::Millis{100});
+    }
+    REQUIRE(outcomes.back() == IntakeOutcome::kNotAccepted);
+    f.PassAlone(steps * NodeFixture::kStep);
+    f.log.log.readable = true;
+    f.log.log.ClearFaults();
+    f.PassAlone(base::Millis{160});
+    submit();
+    f.PassAlone(base::Millis{100});
+    CHECK(outcomes.back() == IntakeOutcome::kAccepted);
+  }
+}
+
 }  // namespace azurespur::cell
