--- a/packages/cell/tests/full_link_test.cc
+++ b/packages/cell/tests/full_link_test.cc
@@ -19,20 +19,6 @@
 // Urgent work starts within this time.
 constexpr Millis kMaxUrgentDelay{1300};
 
-// Processor time that does not bind.
-SimulationCosts FastProcessor() {
-  SimulationCosts costs;
-  costs.plan /= 10;
-  costs.per_job_in_plan = Micros{0};
-  costs.per_bind /= 10;
-  costs.per_stored_record /= 10;
-  costs.per_order /= 10;
-  costs.per_answer /= 10;
-  costs.http_send /= 10;
-  costs.http_receive /= 10;
-  return costs;
-}
-
 SimulatedLink NarrowLink() {
   SimulatedLink link;
   link.mbps = 2;
--- a/packages/cell/tests/node_forward_test.cc
+++ b/packages/cell/tests/node_forward_test.cc
@@ -38,6 +38,25 @@
   return 0;
 }
 
+// Submits jobs to the fixture's node.
+struct Submissions {
+  explicit Submissions(NodeFixture& fixture) : f(fixture) {}
+
+  void Add() {
+    jobs::JobSpec spec;
+    spec.id = next++;
+    spec.queue = "q";
+    f.node.Submit(
+        spec, f.clock.now + base::Millis{1000},
+        [this](IntakeOutcome outcome) { outcomes.push_back(outcome); });
+    f.node.RunPending();
+  }
+
+  NodeFixture& f;
+  jobs::JobId next = 1;
+  std::vector<IntakeOutcome> outcomes;
+};
+
 }  // namespace
 
 // Guards against 2xx for a submission that is not stored: the leader's outcome
@@ -58,34 +77,24 @@
   f.StoreWork(
       jobs::LeaderRecord{NodeFixture::kOtherEpoch, "vm-b", "10.0.0.2:1"});
   f.Pass(base::Millis{300});
-  std::vector<IntakeOutcome> outcomes;
-  jobs::JobId next = 1;
-  const auto submit = [&] {
-    jobs::JobSpec spec;
-    spec.id = next++;
-    spec.queue = "q";
-    f.node.Submit(
-        spec, f.clock.now + base::Millis{1000},
-        [&outcomes](IntakeOutcome outcome) { outcomes.push_back(outcome); });
-    f.node.RunPending();
-  };
+  Submissions submissions(f);
   f.log.log.readable = false;
   for (int i = 0; i < 30; ++i) {
     f.log.log.InjectFault(AppendFault::kLoseRequest);
-    submit();
+    submissions.Add();
     f.Pass(base::Millis{100});
   }
-  REQUIRE(outcomes.back() == IntakeOutcome::kNotAccepted);
+  REQUIRE(submissions.outcomes.back() == IntakeOutcome::kNotAccepted);
   const int appends = f.log.log.appends;
-  submit();
+  submissions.Add();
   f.Pass(base::Millis{100});
   CHECK(f.log.log.appends == appends);
   f.log.log.readable = true;
   f.log.log.ClearFaults();
   f.Pass(base::Millis{200});
-  submit();
+  submissions.Add();
   f.Pass(base::Millis{100});
-  CHECK(outcomes.back() == IntakeOutcome::kAccepted);
+  CHECK(submissions.outcomes.back() == IntakeOutcome::kAccepted);
 }
 
 // The same for the leader, to whom no other VM can forward it.
@@ -97,36 +106,26 @@
         jobs::LeaderRecord{NodeFixture::kOtherEpoch, "vm-b", "10.0.0.2:1"});
     f.Pass(base::Millis{300});
     f.LetNodeLead();
-    std::vector<IntakeOutcome> outcomes;
-    jobs::JobId next = 1;
-    const auto submit = [&] {
-      jobs::JobSpec spec;
-      spec.id = next++;
-      spec.queue = "q";
-      f.node.Submit(
-          spec, f.clock.now + base::Millis{1000},
-          [&outcomes](IntakeOutcome outcome) { outcomes.push_back(outcome); });
-      f.node.RunPending();
-    };
-    submit();
+    Submissions submissions(f);
+    submissions.Add();
     f.PassAlone(base::Millis{100});
-    REQUIRE(outcomes.back() == IntakeOutcome::kAccepted);
+    REQUIRE(submissions.outcomes.back() == IntakeOutcome::kAccepted);
     f.log.log.readable = false;
     for (int i = 0; i < 1000; ++i) {
       f.log.log.InjectFault(AppendFault::kLoseRequest);
     }
     for (int i = 0; i < 13; ++i) {
-      submit();
+      submissions.Add();
       f.PassAlone(base::Millis{100});
     }
-    REQUIRE(outcomes.back() == IntakeOutcome::kNotAccepted);
+    REQUIRE(submissions.outcomes.back() == IntakeOutcome::kNotAccepted);
     f.PassAlone(steps * NodeFixture::kStep);
     f.log.log.readable = true;
     f.log.log.ClearFaults();
     f.PassAlone(base::Millis{160});
-    submit();
+    submissions.Add();
     f.PassAlone(base::Millis{100});
-    CHECK(outcomes.back() == IntakeOutcome::kAccepted);
+    CHECK(submissions.outcomes.back() == IntakeOutcome::kAccepted);
   }
 }
 
--- a/packages/cell/tests/simulation_costs.h
+++ b/packages/cell/tests/simulation_costs.h
@@ -26,6 +26,20 @@
   }
 };
 
+// A tenth of the usual costs, so that processor time does not bind.
+inline SimulationCosts FastProcessor() {
+  SimulationCosts costs;
+  costs.plan /= 10;
+  costs.per_job_in_plan = base::Micros{0};
+  costs.per_bind /= 10;
+  costs.per_stored_record /= 10;
+  costs.per_order /= 10;
+  costs.per_answer /= 10;
+  costs.http_send /= 10;
+  costs.http_receive /= 10;
+  return costs;
+}
+
 }  // namespace azurespur::cell
 
 #endif  // CELL_TESTS_SIMULATION_COSTS_H_
--- a/packages/cell/tests/start_limit_test.cc
+++ b/packages/cell/tests/start_limit_test.cc
@@ -23,20 +23,6 @@
 constexpr Millis kUrgentInterval{100};
 constexpr Millis kMaxUrgentDelay{1300};
 
-// A tenth of the usual costs.
-SimulationCosts FastProcessor() {
-  SimulationCosts costs;
-  costs.plan /= 10;
-  costs.per_job_in_plan = Micros{0};
-  costs.per_bind /= 10;
-  costs.per_stored_record /= 10;
-  costs.per_order /= 10;
-  costs.per_answer /= 10;
-  costs.http_send /= 10;
-  costs.http_receive /= 10;
-  return costs;
-}
-
 struct StartRate {
   // A worker has room for so many tasks.
   explicit StartRate(int64_t room)
