Count the end of a gang's member as progress of the others

Cause: all members end together, but their workers report it one after the other. The end of the slowest one took its run, and with it the last progress, out of the index; the others looked stalled for one report. The stops came too late to harm the runs, but each worker concerned got no tasks for 4 s, though it was sound.

Ruled out: members that do hang (in each of four steps traced all members had ended as done within the same report).

Change: the end of a member counts as progress of its gang.

--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -13,6 +13,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "base/clock.h"
 #include "jobs/orders.h"
@@ -194,11 +195,12 @@
   void StopStalled(Worker& worker, base::MonoTime now);
   // True if the run made no progress for its limit, as of the worker's newest
   // report.
-  bool IsStalled(const Worker& worker,
-                 const TaskRef& task,
-                 const Run& run) const;
+  bool IsStalled(const Worker& worker, const TaskRef& task, const Run& run);
+  std::vector<Run*> RunsOf(const StepRef& step);
   // When a run of the step last made progress.
-  base::MonoTime LastProgressOf(const StepRef& step) const;
+  base::MonoTime LastProgressOf(const StepRef& step);
+  // The end of a member is progress of its gang.
+  void RecordGangProgress(const StepRef& step, base::MonoTime now);
   // Frees the run's capacity and records its end, for a run that is certainly
   // over and that the worker reported no end of.
   void Release(Worker& worker, const TaskRef& task, SchedulerOutput& out);
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -372,8 +372,11 @@
                       const EndedTask& end,
                       base::MonoTime now,
                       SchedulerOutput& out) {
-  if (FindRun(worker, end.task, end.run) != nullptr) {
+  if (const Run* run = FindRun(worker, end.task, end.run)) {
     UpdateFailureCount(worker, end.cause, now);
+    if (run->gang) {
+      RecordGangProgress(end.task.StepOf(), now);
+    }
     RemoveRun(worker, end.task);
   }
   base::LogEvent(base::Severity::kInfo, "AZ9104", "task ended",
--- a/packages/jobs/src/fleet_holds.cc
+++ b/packages/jobs/src/fleet_holds.cc
@@ -161,7 +161,7 @@
 // A member of a gang that has done its own work waits for the slowest one.
 bool Fleet::IsStalled(const Worker& worker,
                       const TaskRef& task,
-                      const Run& run) const {
+                      const Run& run) {
   if (run.phase != RunPhase::kRunning || run.stop_requested) {
     return false;
   }
@@ -175,18 +175,31 @@
   return worker.newest_hold_sent_at > progress_at + limit;
 }
 
-base::MonoTime Fleet::LastProgressOf(const StepRef& step) const {
-  base::MonoTime last{};
+std::vector<Run*> Fleet::RunsOf(const StepRef& step) {
+  std::vector<Run*> runs;
   const TaskRef first{step.job, step.step, 0};
   for (auto it = m_index.lower_bound(first);
        it != m_index.end() && it->first.StepOf() == step; ++it) {
-    last = std::max(
-        last,
-        m_workers.find(it->second)->second.runs.at(it->first).progress_at);
+    runs.push_back(&FindWorker(it->second)->runs.at(it->first));
+  }
+  return runs;
+}
+
+base::MonoTime Fleet::LastProgressOf(const StepRef& step) {
+  base::MonoTime last{};
+  for (const Run* run : RunsOf(step)) {
+    last = std::max(last, run->progress_at);
   }
   return last;
 }
 
+// All members end together, but their workers report it one after the other.
+void Fleet::RecordGangProgress(const StepRef& step, base::MonoTime now) {
+  for (Run* run : RunsOf(step)) {
+    run->progress_at = now;
+  }
+}
+
 void Fleet::StopStalled(Worker& worker, base::MonoTime now) {
   if (!worker.responsive) {
     return;
--- a/packages/jobs/tests/failing_worker_test.cc
+++ b/packages/jobs/tests/failing_worker_test.cc
@@ -86,6 +86,33 @@
   CHECK_FALSE(f.stopped.empty());
 }
 
+// Guards against sound workers that get no tasks for a while: the members of a
+// gang end together, but their workers report it one after the other.
+TEST_CASE("the end of a gang's slowest member is no stall of the others") {
+  SchedulerFixture f;
+  f.AddQueue("gangs", 1);
+  f.AddWorkers(2, 10);
+  f.Submit(1, "gangs", 2, 10, /*gang=*/true);
+  f.Run(Millis{200});
+  REQUIRE(f.CountRunning(1) == 2);
+  f.stalled["w0"] = true;
+  for (auto& [task, run] : f.running["w0"]) {
+    run.percent = 100;
+  }
+  const TaskRef waiting = f.running["w0"].begin()->first;
+  const TaskRef slowest = f.running["w1"].begin()->first;
+  f.Run(Millis{6000});
+  REQUIRE(f.stopped.empty());
+  f.End(slowest, EndCause::kDone);
+  f.Run(Millis{300});
+  CHECK(f.stopped.empty());
+  CHECK(AcceptsTasks(f.scheduler.fleet().workers().at("w0"), f.now));
+  f.End(waiting, EndCause::kDone);
+  f.Run(Millis{300});
+  CHECK(f.stopped.empty());
+  CHECK(f.table.StateOf(1) == JobState::kCompleted);
+}
+
 TEST_CASE("tasks of an unreachable worker restart elsewhere after its lease") {
   SchedulerFixture f;
   f.AddQueue("batch", 1);
