--- a/packages/base/src/link_queue.cc
+++ b/packages/base/src/link_queue.cc
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 
+#include "base/link_rate.h"
+
 namespace azurespur::base {
 
 namespace {
 
-constexpr double kBitsPerByte = 8;  // A bit takes 1 us on 1 Mbit/s.
+constexpr double kMicrosPerMilli = 1000;
 // Longer queues don't form: what finds one is dropped or sent again, and the
 // queue is then shorter than the bytes counted here.
 constexpr Micros kMaxWait{2'000'000};
@@ -14,7 +16,9 @@
 }  // namespace
 
 LinkQueue::LinkQueue(double mbps, const Clock& clock)
-    : m_micros_per_byte(mbps > 0 ? kBitsPerByte / mbps : 0), m_clock(clock) {}
+    : m_micros_per_byte(
+          mbps > 0 ? kMicrosPerMilli / (kBytesPerMillisPerMbps * mbps) : 0),
+      m_clock(clock) {}
 
 Micros LinkQueue::Add(size_t bytes) {
   const MonoTime now = m_clock.Now();
--- a/packages/cell/src/fan_out_limit.cc
+++ b/packages/cell/src/fan_out_limit.cc
@@ -1,11 +1,12 @@
 #include "fan_out_limit.h"
 
+#include "base/link_rate.h"
+
 namespace azurespur::cell {
 
 namespace {
 
 constexpr base::Millis kWindow{500};
-constexpr double kBytesPerMillisPerMbps = 125;
 // The rest is left to the log, the workers and heartbeats.
 constexpr double kMaxShareOfLink = 0.5;
 // Contents are sent again once they need less than this part of the limit. Each
@@ -17,7 +18,7 @@
 }  // namespace
 
 FanOutLimit::FanOutLimit(double link_mbps)
-    : m_max_window_bytes(link_mbps * kBytesPerMillisPerMbps *
+    : m_max_window_bytes(link_mbps * base::kBytesPerMillisPerMbps *
                          static_cast<double>(kWindow.count()) *
                          kMaxShareOfLink) {}
 
--- a/packages/http/src/link_meter.cc
+++ b/packages/http/src/link_meter.cc
@@ -1,21 +1,22 @@
 #include "link_meter.h"
 
+#include "base/link_rate.h"
+
 namespace azurespur::http {
 
 namespace {
 
 constexpr base::Millis kWindow{200};
 constexpr base::Millis kSlot{10};
-constexpr double kBytesPerMillisPerMbps = 125;
 // The rest is left to packet headers and to datagrams, which aren't counted.
 constexpr double kFullShare = 0.7;
 
 }  // namespace
 
 LinkMeter::LinkMeter(double link_mbps)
-    : m_full_bytes(static_cast<int64_t>(link_mbps * kBytesPerMillisPerMbps *
-                                        static_cast<double>(kWindow.count()) *
-                                        kFullShare)) {}
+    : m_full_bytes(static_cast<int64_t>(
+          link_mbps * base::kBytesPerMillisPerMbps *
+          static_cast<double>(kWindow.count()) * kFullShare)) {}
 
 void LinkMeter::OnBytes(size_t bytes, base::MonoTime now) {
   if (!known()) {
--- a/packages/jobs/src/start_pacer.cc
+++ b/packages/jobs/src/start_pacer.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "base/link_rate.h"
+
 namespace azurespur::jobs {
 
 namespace {
@@ -17,7 +19,6 @@
 constexpr double kMaxLimit = 512;
 // A start, the hold order that its end answers, and their packets' headers.
 constexpr double kBytesPerStart = 1000;
-constexpr double kBytesPerMicroPerMbps = 0.125;
 // An append of a leader, less a fifth for other records.
 constexpr int64_t kMaxBoundInAppend = 416;
 // One in flight and the next. With more, records of urgent steps would wait for
@@ -33,8 +34,8 @@
 
 // What the link carries while a start should take.
 double MaxLimit(double link_mbps) {
-  const double bytes = link_mbps * kBytesPerMicroPerMbps *
-                       static_cast<double>(kTargetStartTime.count());
+  const double millis = static_cast<double>(kTargetStartTime / base::Millis{1});
+  const double bytes = link_mbps * base::kBytesPerMillisPerMbps * millis;
   return link_mbps > 0 ? std::clamp(bytes / kBytesPerStart, 1.0, kMaxLimit)
                        : kMaxLimit;
 }
