--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,7 @@
+#!/usr/bin/env bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
+# TROUBLE=0: without the disruption.
+cd "$(dirname "$0")" || exit 2
+[ -x ../../target/bin/azurespurd ] || exit 2
+export TROUBLE="${TROUBLE:-1}" PYTHONDONTWRITEBYTECODE=1
+exec python3 case.py
