--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,7 +11,7 @@
 from cell import HOST, PREFIX, Cell  # noqa: E402
 from standins import now  # noqa: E402
 
-CHANNELS = 5  # To each VM.
+CHANNELS = 8  # To each VM.
 INTERVAL_S = 0.5  # Between two requests on a channel.
 RESTART_DELAY_S = 0.5
 RECOVERY_S = 12
@@ -89,6 +89,7 @@
     clients, sent = [], []
     try:
         if not cell.wait_ready():
+            print("the VMs aren't ready")
             return 2
         time.sleep(1)
         status, _ = cell.submit(cell.vms[0], JOB, work_ms=500)
@@ -97,6 +98,7 @@
         clients = [Client(cell, i, sent) for i in range(CHANNELS * 3)]
         for client in clients:
             client.start()
+            time.sleep(INTERVAL_S / len(clients) / 2)
         time.sleep(5)
         before = [status for _, status in sent]
         if trouble:
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -20,6 +20,7 @@
     cell = Cell(HERE, vms=3, workers=2, cpu=WORKER_CPU)
     try:
         if not cell.wait_ready():
+            print("the VMs aren't ready")
             return 2
         time.sleep(1)
         began = now()
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,6 +19,7 @@
     cell = Cell(HERE, vms=3, workers=3)
     try:
         if not cell.wait_ready():
+            print("the VMs aren't ready")
             return 2
         time.sleep(1)
         for i in range(6):
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -17,6 +17,7 @@
     try:
         cell.publish([HOST, OTHER])
         if not cell.wait_ready():
+            print("the VMs aren't ready")
             return 2
         time.sleep(2.5)
         # Three steps, one after the other, of 2 s each.
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -20,6 +20,7 @@
     cell = Cell(HERE, vms=3, workers=3)
     try:
         if not cell.wait_ready():
+            print("the VMs aren't ready")
             return 2
         time.sleep(1)
         lost = []
@@ -38,6 +39,7 @@
         status, _ = cell.ask(vm, "DELETE", JOB)
         cancelled = now()
         if status not in (200, 410):
+            print(f"cancelling answered {status or 'nothing'}; can't be judged")
             return 2
         time.sleep(12)
         # Calm again: no disturbance for contactMs.
