--- a/review/lib/cell.py
+++ b/review/lib/cell.py
@@ -150,6 +150,11 @@
             if all(vm.is_ready() for vm in self.vms):
                 return True
             time.sleep(0.1)
+        for vm in self.vms:
+            with open(vm.log.name, encoding="utf-8", errors="replace") as file:
+                last = file.readlines()[-1:]
+            self.record.add(f"{vm.name} isn't ready; exit code "
+                            f"{vm.process.poll()}; {last}")
         return False
 
     def submit(self, vm, job, work_ms, count=1, steps=1, cpu=2000, timeout=3.0,
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -27,10 +27,17 @@
     return int(time.time() * 1000)
 
 
+GIVEN_PORTS = set()
+
+
 def free_port():
-    """A port below those that the kernel gives to outgoing connections."""
+    """A port below those that the kernel gives to outgoing connections, and
+    another one at each call."""
     while True:
         port = random.randint(20000, 29999)
+        if port in GIVEN_PORTS:
+            continue
+        GIVEN_PORTS.add(port)
         try:
             for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                 with socket.socket(socket.AF_INET, kind) as probe:
