--- a/review/3/case.py
+++ b/review/3/case.py
@@ -12,19 +12,23 @@
 # The list names the new life of the worker this long after its start: the lag_ms
 # of the users' site files, below heartbeatMs (1500).
 LIST_LAG_S = 0.8
+WORKERS = 8
+SUBMISSIONS = 16
+TASKS_EACH = 4  # All tasks together fill the workers.
 
 
 def main():
     trouble = os.environ.get("TROUBLE", "1") != "0"
-    cell = Cell(HERE, vms=3, workers=3)
+    cell = Cell(HERE, vms=3, workers=WORKERS)
     try:
         if not cell.wait_ready():
             print("the VMs aren't ready")
             return 2
         time.sleep(1)
-        for i in range(6):
-            status, _ = cell.submit(cell.vms[i % 3], f"00000000000000a{i}",
-                                    work_ms=4000, count=4)
+        total = SUBMISSIONS * TASKS_EACH
+        for i in range(SUBMISSIONS):
+            status, _ = cell.submit(cell.vms[i % 3], f"00000000000000a{i:x}",
+                                    work_ms=4000, count=TASKS_EACH)
             if status != 200:
                 return 2
         time.sleep(1.5)
@@ -37,7 +41,7 @@
             worker.announce()
         end = now() + 25
         while now() < end and len(
-                [row for row in cell.history if row[5] == "done"]) < 24:
+                [row for row in cell.history if row[5] == "done"]) < total:
             time.sleep(0.1)
         time.sleep(1)
         overlaps = find_overlaps(cell.all_runs())
@@ -46,10 +50,10 @@
                             f"{b[1]} on {b[2]} at the same time, {b[3]:.3f} to "
                             f"{min(a[4] or 1e9, b[4] or 1e9):.3f}")
         done = {row[0] for row in cell.history if row[5] == "done"}
-        cell.record.add(f"{len(done)} of 24 tasks are done, {len(overlaps)} "
+        cell.record.add(f"{len(done)} of {total} tasks are done, {len(overlaps)} "
                         "overlaps")
-        print(f"{len(done)} of 24 tasks done, {len(overlaps)} overlaps")
-        if not trouble and len(done) < 24:
+        print(f"{len(done)} of {total} tasks done, {len(overlaps)} overlaps")
+        if not trouble and len(done) < total:
             return 2
         return 1 if overlaps else 0
     finally:
--- a/review/lib/cell.py
+++ b/review/lib/cell.py
@@ -6,12 +6,16 @@
 import shutil
 import signal
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
 
 from standins import Record, Store, Worker, free_port, now
 
+# A script that is stopped still ends what it started.
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 HOST = "batch.example"
 PREFIX = "/work/"
@@ -105,7 +109,7 @@
 
 class Cell:
     def __init__(self, case, vms=3, workers=4, cpu=16000, stop_s=0.3,
-                 kinds="aaaa"):
+                 kind="a"):
         self.record = Record(os.path.join(case, "record.txt"))
         self.folder = tempfile.mkdtemp(prefix="azurespur-review-")
         self.store = Store(self.record)
@@ -115,7 +119,7 @@
         self.workers = [
             Worker(self.record, self.store, f"w{i}", BACKEND, "a", cpu=cpu,
                    stop_s=stop_s, history=self.history,
-                   kind=kinds[i])
+                   kind=kind)
             for i in range(workers)]
         self.vms = [Vm(self, i) for i in range(1, vms + 1)]
 
