--- a/review/lib/cell.py
+++ b/review/lib/cell.py
@@ -18,7 +18,7 @@
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 HOST = "batch.example"
-PREFIX = "/work/"
+PREFIX = "/batch/"
 BACKEND = "ledger"
 
 
