Take only the worker's own word for its boot

Cause: the directory and the worker's reports both decided the current boot, and any other one counted as newer. The directory lags, so it named the former boot for 0.8 s; each read of it and each report in turn gave up all runs of the other's boot.

With the new field known_born and AZ9121 the two sources can be told apart.

Change: an entry of another boot is a reason to ask at its address, no more; an entry of a former boot is out of date. The first report of a new boot ends the runs that it lacks, like any report. Runs of which a send may still arrive, or whose stop only the former boot confirmed, are stopped on the new one first. What the directory says of a former boot isn't used for the new one.

The fake worker now names its own boot; "tasks of a restarted worker are started again" therefore sets it, and checks the same.

--- a/bench/jobs/crest_cell.cc
+++ b/bench/jobs/crest_cell.cc
@@ -53,7 +53,7 @@
   m_scheduler.Adopt(m_now);
   m_scheduler.SetPolicy(CrestLoad::Policy());
   m_scheduler.SetAdviceVms(names);
-  m_scheduler.SetWorkers(MakeEntries(workers), m_now, m_out);
+  m_scheduler.SetWorkers(MakeEntries(workers), m_now);
 }
 
 void CrestCell::At(base::MonoTime time, std::function<void()> event) {
--- a/packages/cell/src/node_leader.cc
+++ b/packages/cell/src/node_leader.cc
@@ -158,8 +158,7 @@
   m_directory_read =
       m_term_started < m_worker_entries_read_at + kMaxWorkerEntriesAge;
   if (m_directory_read) {
-    m_term->scheduler().SetWorkers(m_worker_entries, m_term_started,
-                                   m_term->output());
+    m_term->scheduler().SetWorkers(m_worker_entries, m_term_started);
   }
   m_scheduling_needed = true;
 }
@@ -444,7 +443,7 @@
   m_worker_entries_read_at = now;
   if (m_term) {
     m_directory_read = true;
-    m_term->scheduler().SetWorkers(m_worker_entries, now, m_term->output());
+    m_term->scheduler().SetWorkers(m_worker_entries, now);
     m_scheduling_needed = true;
   }
 }
--- a/packages/cell/tests/leader_simulation.h
+++ b/packages/cell/tests/leader_simulation.h
@@ -50,7 +50,7 @@
     AddQueue("batch", 1);
     AddQueue("urgent", 0);
     m_term->scheduler().SetPolicy(m_policy);
-    m_term->scheduler().SetWorkers(m_entries, m_clock.now, m_term->output());
+    m_term->scheduler().SetWorkers(m_entries, m_clock.now);
   }
 
   void Submit(const std::string& queue, int32_t count, base::Millis duration) {
--- a/packages/cell/tests/leader_term_test.cc
+++ b/packages/cell/tests/leader_term_test.cc
@@ -68,7 +68,7 @@
     jobs::WorkerReport report;
     report.boot_unix_ms = 1;
     scheduler.SetPolicy(policy);
-    scheduler.SetWorkers({&worker, 1}, clock.now, term->output());
+    scheduler.SetWorkers({&worker, 1}, clock.now);
     scheduler.OnReport(hold, report, clock.now, term->output());
     scheduler.Tick(clock.now, 0, clock.now, term->output());
   }
--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -10,6 +10,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -44,6 +45,8 @@
   bool gang = false;         // Ends only together with the others of its step.
   bool stop_requested = false;
   base::MonoTime start_sent_at{};
+  // Until then, a send of the start that got no answer may still be executed.
+  base::MonoTime start_open_until{};
   base::MonoTime stop_sent_at{};
   base::MonoTime confirmed_at{};  // When the worker answered start or stop.
   // After this time an unanswered start can no longer take effect.
@@ -54,7 +57,16 @@
 };
 
 struct Worker {
+  // `entry.boot` is the boot that the worker itself reported last.
   WorkerEntry entry;
+  // The directory's entry is that of another boot, so it doesn't tell the
+  // capacity, labels and state of this one.
+  bool undescribed = false;
+  // The directory's entry of a boot that the worker has not reported yet.
+  std::optional<WorkerEntry> announced;
+  base::MonoTime announced_at{};
+  // Earlier boots; an entry that names one of them is out of date.
+  std::vector<int64_t> former_boots;
   bool listed = true;
   // The last hold order was answered, under this leader's fencing token.
   bool responsive = false;
@@ -92,9 +104,7 @@
   explicit Fleet(const SchedulerOptions& options) : m_options(options) {}
 
   // Applies the directory's current entries; `now` is when it was read.
-  void SetEntries(std::span<const WorkerEntry> entries,
-                  base::MonoTime now,
-                  SchedulerOutput& out);
+  void SetEntries(std::span<const WorkerEntry> entries, base::MonoTime now);
 
   // Adds a run that an earlier leader may have started on `worker`.
   void Adopt(const TaskRef& task,
@@ -132,6 +142,9 @@
   // before the other members of its gang give up.
   base::Millis StartTimeout(base::MonoTime now) const;
 
+  // The start was sent again, as the answer to the last send is missing.
+  void OnStartRepeated(const TaskRef& task, base::MonoTime now);
+
   // Marks the task's run to be stopped.
   void RequestStop(const TaskRef& task);
 
@@ -216,10 +229,19 @@
                      SchedulerOutput& out);
   void UpdateFailureCount(Worker& worker, EndCause cause, base::MonoTime now);
   void RemoveRun(Worker& worker, const TaskRef& task);
-  // Handles a restart of the worker: no earlier run exists there any more.
+  // Applies the directory's entry of a worker that is known already.
+  static void UpdateEntry(Worker& worker,
+                          const WorkerEntry& entry,
+                          base::MonoTime now);
+  // Compares the boot that a report names with the known one.
+  void ObserveBoot(Worker& worker,
+                   int64_t boot_unix_ms,
+                   base::MonoTime asked_at,
+                   base::MonoTime now) const;
+  // The worker reported a new boot. Ends no run: the report does.
   void HandleRestart(Worker& worker,
-                     const WorkerEntry& entry,
-                     SchedulerOutput& out);
+                     int64_t boot_unix_ms,
+                     base::MonoTime now) const;
 
   const SchedulerOptions m_options;
   OwnDelay m_own_delay;
--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -58,9 +58,7 @@
   void Adopt(base::MonoTime now);
 
   void SetPolicy(const CellPolicy& policy) { m_policy = policy; }
-  void SetWorkers(std::span<const WorkerEntry> entries,
-                  base::MonoTime now,
-                  SchedulerOutput& out);
+  void SetWorkers(std::span<const WorkerEntry> entries, base::MonoTime now);
   void SetAdviceVms(std::span<const std::string> vms) { m_advice.SetVms(vms); }
 
   // An order that is sent now would wait so long for this VM's link.
--- a/packages/jobs/include/jobs/scheduler_options.h
+++ b/packages/jobs/include/jobs/scheduler_options.h
@@ -17,6 +17,7 @@
   // unreachable worker can be rescheduled earlier; with a longer one they
   // survive a longer network partition of their failure domain.
   base::Millis lease{8500};
+  base::Millis max_lease{10000};  // Longest lease that a worker grants.
   // A leader renews leases, and starts tasks, for at most this long after the
   // append concerned, so that a successor knows when an unreachable worker has
   // stopped its runs.
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -18,6 +18,8 @@
 // An unanswered order may take effect at the worker up to this much later, and
 // the worker may then count the order's lease from the arrival.
 constexpr base::Millis kMaxOrderDelay{12500};
+// Of a worker; the directory lags by fewer restarts.
+constexpr size_t kMaxFormerBoots = 8;
 
 // Returns the longest time on the leader's clock in which the worker's clock
 // may advance by `worker_ms`.
@@ -64,12 +66,52 @@
                   {"phase", std::to_string(static_cast<int>(run.phase))}});
 }
 
+// False only if both are known.
+bool IsSameBoot(int64_t a, int64_t b) {
+  return a == b || a == 0 || b == 0;
+}
+
+bool IsFormerBoot(const Worker& worker, int64_t boot_unix_ms) {
+  return std::count(worker.former_boots.begin(), worker.former_boots.end(),
+                    boot_unix_ms) > 0;
+}
+
+void AddFormerBoot(Worker& worker, int64_t boot_unix_ms) {
+  if (IsFormerBoot(worker, boot_unix_ms)) {
+    return;
+  }
+  if (worker.former_boots.size() >= kMaxFormerBoots) {
+    worker.former_boots.erase(worker.former_boots.begin());
+  }
+  worker.former_boots.push_back(boot_unix_ms);
+}
+
+// A start that was meant for an earlier boot may reach the new one, whose clock
+// is another, so it never becomes too late there. A stop prevents it.
+void ExpectLateStart(Run& run) {
+  run.phase = RunPhase::kStartUnknown;
+  run.start_deadline = base::MonoTime::max();
+  run.stop_sent_at = {};
+}
+
+void LogBoot(const Worker& worker,
+             std::string_view id,
+             std::string_view message,
+             int64_t boot_unix_ms) {
+  base::LogEvent(
+      base::Severity::kWarning, id, message,
+      {{"worker", worker.entry.boot.id},
+       {"born", std::to_string(boot_unix_ms)},
+       {"known_born", std::to_string(worker.entry.boot.boot_unix_ms)},
+       {"runs", std::to_string(worker.runs.size())}});
+}
+
 }  // namespace
 
 bool AcceptsTasks(const Worker& worker, base::MonoTime now) {
-  return worker.listed && worker.responsive && worker.late_holds == 0 &&
-         worker.clock_known && !worker.entry.draining &&
-         worker.avoid_until <= now;
+  return worker.listed && !worker.undescribed && !worker.announced &&
+         worker.responsive && worker.late_holds == 0 && worker.clock_known &&
+         !worker.entry.draining && worker.avoid_until <= now;
 }
 
 placement::Resources FreeCapacity(const Worker& worker) {
@@ -124,8 +166,7 @@
 }
 
 void Fleet::SetEntries(std::span<const WorkerEntry> entries,
-                       base::MonoTime now,
-                       SchedulerOutput& out) {
+                       base::MonoTime now) {
   std::set<std::string_view> present;
   for (const WorkerEntry& entry : entries) {
     present.insert(entry.boot.id);
@@ -133,11 +174,8 @@
     if (worker.entry.boot.id.empty()) {
       worker.entry = entry;
       worker.next_hold = now;
-    } else if (worker.entry.boot != entry.boot) {
-      HandleRestart(worker, entry, out);
-      worker.next_hold = now;
     } else {
-      worker.entry = entry;
+      UpdateEntry(worker, entry, now);
     }
     worker.listed = true;
   }
@@ -150,41 +188,86 @@
   }
 }
 
+// The directory lags behind the worker, by one restart or several. So an entry
+// of another boot is only a reason to ask the worker, at the entry's address;
+// its own report decides which boot it is and what runs there.
+void Fleet::UpdateEntry(Worker& worker,
+                        const WorkerEntry& entry,
+                        base::MonoTime now) {
+  if (IsSameBoot(entry.boot.boot_unix_ms, worker.entry.boot.boot_unix_ms)) {
+    worker.entry = entry;
+    worker.undescribed = false;
+    worker.announced.reset();
+    return;
+  }
+  if (IsFormerBoot(worker, entry.boot.boot_unix_ms)) {
+    return;
+  }
+  const bool first = !worker.announced || worker.announced->boot != entry.boot;
+  worker.announced = entry;
+  if (first) {
+    worker.announced_at = now;
+    worker.responsive = false;
+    worker.holds_in_flight = 0;
+    worker.next_hold = now;
+    LogBoot(worker, "AZ9121",
+            "directory names another boot of the worker; asking the worker",
+            entry.boot.boot_unix_ms);
+  }
+}
+
+void Fleet::ObserveBoot(Worker& worker,
+                        int64_t boot_unix_ms,
+                        base::MonoTime asked_at,
+                        base::MonoTime now) const {
+  const bool asked_anew = worker.announced && asked_at >= worker.announced_at;
+  if (boot_unix_ms == 0 && asked_anew) {
+    HandleRestart(worker, worker.announced->boot.boot_unix_ms, now);
+  } else if (!IsSameBoot(boot_unix_ms, worker.entry.boot.boot_unix_ms)) {
+    HandleRestart(worker, boot_unix_ms, now);
+  } else if (asked_anew) {
+    AddFormerBoot(worker, worker.announced->boot.boot_unix_ms);
+    worker.announced.reset();
+  }
+}
+
 void Fleet::HandleRestart(Worker& worker,
-                          const WorkerEntry& entry,
-                          SchedulerOutput& out) {
-  base::LogEvent(base::Severity::kWarning, "AZ9106", "worker restarted",
-                 {{"worker", entry.boot.id},
-                  {"born", std::to_string(entry.boot.boot_unix_ms)},
-                  {"runs", std::to_string(worker.runs.size())}});
-  std::vector<TaskRef> released;
+                          int64_t boot_unix_ms,
+                          base::MonoTime now) const {
+  LogBoot(worker, "AZ9106", "worker restarted", boot_unix_ms);
   for (auto& [task, run] : worker.runs) {
     switch (run.phase) {
       case RunPhase::kBinding:
         run.stop_requested = true;
         break;
       case RunPhase::kStarting:
-        // The start may still reach the restarted worker; a stop prevents it.
-        run.phase = RunPhase::kStartUnknown;
-        run.start_deadline = base::MonoTime::max();
-        break;
       case RunPhase::kStartUnknown:
-        // The restarted worker has a new clock, so the start never becomes too
-        // late there.
-        run.start_deadline = base::MonoTime::max();
+      case RunPhase::kStopConfirmed:
+        ExpectLateStart(run);
+        break;
+      case RunPhase::kRunning:
+        if (now < run.start_open_until) {
+          ExpectLateStart(run);
+        }
         break;
       case RunPhase::kAdopted:
         break;
-      case RunPhase::kRunning:
-      case RunPhase::kStopConfirmed:
-        released.push_back(task);
     }
   }
-  for (const TaskRef& task : released) {
-    Release(worker, task, out);
-  }
-  worker.entry = entry;
-  worker.responsive = false;
+  AddFormerBoot(worker, worker.entry.boot.boot_unix_ms);
+  std::erase(worker.former_boots, boot_unix_ms);
+  if (worker.announced && worker.announced->boot.boot_unix_ms == boot_unix_ms) {
+    worker.entry = *std::exchange(worker.announced, std::nullopt);
+    worker.undescribed = false;
+  } else {
+    worker.entry.boot.boot_unix_ms = boot_unix_ms;
+    worker.undescribed = true;
+  }
+  // A lease that was sent on the former clock may have reached the new boot,
+  // which grants its longest.
+  worker.lease_expires_at =
+      std::max(worker.lease_expires_at,
+               now + ToLocalTime(m_options.max_lease.count()) + kLeaseMargin);
   worker.clock_known = false;
   worker.max_lease_until_ms = 0;
   worker.holds_in_flight = 0;
@@ -236,8 +319,8 @@
   Worker* worker = WorkerOf(task);
   Run* run = worker != nullptr ? FindRun(*worker, task, run_number) : nullptr;
   if (run == nullptr || run->phase != RunPhase::kBinding ||
-      run->stop_requested || !worker->listed || !worker->responsive ||
-      worker->entry.draining) {
+      run->stop_requested || !worker->listed || worker->undescribed ||
+      !worker->responsive || worker->entry.draining) {
     return nullptr;
   }
   run->phase = RunPhase::kStarting;
@@ -259,6 +342,12 @@
   return own.max_lease_until_ms;
 }
 
+void Fleet::OnStartRepeated(const TaskRef& task, base::MonoTime now) {
+  if (Worker* worker = WorkerOf(task)) {
+    worker->runs.at(task).start_open_until = now + kMaxOrderDelay;
+  }
+}
+
 void Fleet::RequestStop(const TaskRef& task) {
   if (Worker* worker = WorkerOf(task)) {
     worker->runs.at(task).stop_requested = true;
@@ -339,14 +428,7 @@
     return;
   }
   worker->holds_in_flight = std::max(0, worker->holds_in_flight - 1);
-  if (report.boot_unix_ms != 0 && boot.boot_unix_ms != 0 &&
-      report.boot_unix_ms != boot.boot_unix_ms) {
-    WorkerEntry entry = worker->entry;
-    entry.boot.boot_unix_ms = report.boot_unix_ms;
-    HandleRestart(*worker, entry, out);
-    worker->next_hold = now;
-    return;
-  }
+  ObserveBoot(*worker, report.boot_unix_ms, asked_at, now);
   worker->responsive = true;
   worker->late_holds = 0;
   if (!worker->clock_known || report.clock_ms >= worker->clock_ms) {
--- a/packages/jobs/src/fleet_holds.cc
+++ b/packages/jobs/src/fleet_holds.cc
@@ -76,13 +76,15 @@
                           SchedulerOutput& out) {
   const bool settled = HasPhase(worker, RunPhase::kStopConfirmed);
   const int32_t allowed = settled ? 2 : 1;
+  const std::string& address =
+      worker.announced ? worker.announced->address : worker.entry.address;
   if (worker.holds_in_flight >= allowed || now < worker.next_hold ||
-      worker.entry.address.empty()) {
+      address.empty()) {
     return;
   }
   HoldOrder order;
   order.worker = worker.entry.boot;
-  order.address = worker.entry.address;
+  order.address = address;
   order.fence = m_options.fence;
   order.acked_end_number = worker.ends_stored;
   order.sent_at = now;
@@ -90,7 +92,8 @@
   order.max_link_wait = m_options.max_order_timeout - order.timeout;
   order.max_transfer = m_options.max_report_transfer;
   // A worker in doubt gets no longer lease, and has to answer at once.
-  if (worker.responsive && worker.late_holds == 0 && worker.clock_known) {
+  if (worker.responsive && worker.late_holds == 0 && worker.clock_known &&
+      !worker.announced) {
     if (may_renew) {
       order.lease_until_ms = ExtendLease(worker, now);
     }
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -51,9 +51,8 @@
 }
 
 void Scheduler::SetWorkers(std::span<const WorkerEntry> entries,
-                           base::MonoTime now,
-                           SchedulerOutput& out) {
-  m_fleet.SetEntries(entries, now, out);
+                           base::MonoTime now) {
+  m_fleet.SetEntries(entries, now);
 }
 
 void Scheduler::OnStored(const PendingRecord& stored,
@@ -148,6 +147,7 @@
     ++again.send_count;
     again.sent_at = now;
     again.timeout = m_fleet.StartTimeout(now);
+    m_fleet.OnStartRepeated(order.task, now);
     out.starts.push_back(std::move(again));
     return;
   }
--- a/packages/jobs/tests/failing_worker_test.cc
+++ b/packages/jobs/tests/failing_worker_test.cc
@@ -214,6 +214,7 @@
   f.Run(Millis{100});
   REQUIRE(f.IsRunning({1, 0, 0}));
   f.running["w0"].clear();
+  f.boots["w0"] = 2;
   f.entries[0].boot.boot_unix_ms = 2;
   f.Run(Millis{400});
   REQUIRE(f.started.size() == 2);
--- a/packages/jobs/tests/hold_order_test.cc
+++ b/packages/jobs/tests/hold_order_test.cc
@@ -18,7 +18,7 @@
   entry.boot = {"w0", 1};
   entry.address = "addr";
   SchedulerOutput out;
-  fleet.SetEntries({&entry, 1}, now, out);
+  fleet.SetEntries({&entry, 1}, now);
   WorkerReport report;
   report.clock_ms = 1;
   report.boot_unix_ms = 1;
--- a/packages/jobs/tests/repeated_start_test.cc
+++ b/packages/jobs/tests/repeated_start_test.cc
@@ -52,11 +52,11 @@
   }
   SUBCASE("it drains") {
     f.entries[0].draining = true;
-    f.scheduler.SetWorkers(f.entries, f.now, f.out);
+    f.scheduler.SetWorkers(f.entries, f.now);
     CHECK_FALSE(f.LoseAnswer());
   }
   SUBCASE("it has left") {
-    f.scheduler.SetWorkers({}, f.now, f.out);
+    f.scheduler.SetWorkers({}, f.now);
     CHECK_FALSE(f.LoseAnswer());
   }
 }
--- a/packages/jobs/tests/scheduler_fixture.h
+++ b/packages/jobs/tests/scheduler_fixture.h
@@ -85,7 +85,10 @@
   void Step(base::Millis by = base::Millis{20}) {
     now += by;
     scheduler.SetPolicy(policy);
-    scheduler.SetWorkers(entries, now, out);
+    if (now >= next_directory) {
+      next_directory = now + directory_interval;
+      scheduler.SetWorkers(entries, now);
+    }
     scheduler.SetAdviceVms(vms);
     scheduler.Tick(now, UnixMs(), now, out);
     while (ExecuteOutput()) {
@@ -145,11 +148,15 @@
   SchedulerOutput out;
   base::MonoTime now{base::Millis{1000000}};
   std::vector<WorkerEntry> entries;
+  base::Millis directory_interval{0};  // Between reads of the entries.
+  base::MonoTime next_directory{};
   std::vector<std::string> vms = {"a"};
   std::map<JobId, JobSpec> specs;
   std::map<std::string, std::map<TaskRef, FakeRun>> running;  // By worker.
   std::map<std::string, std::vector<EndedTask>> ends;
   std::map<std::string, int64_t> end_numbers;
+  // Of workers that have restarted; others have the boot that orders name.
+  std::map<std::string, int64_t> boots;
   std::map<std::string, OrderOutcome> start_outcomes;  // Default: accepted.
   std::map<std::string, bool> silent;      // Workers that answer no orders.
   std::map<std::string, bool> only_holds;  // Workers that answer only holds.
@@ -234,7 +241,9 @@
     }
     WorkerReport report;
     report.clock_ms = UnixMs();
-    report.boot_unix_ms = order.worker.boot_unix_ms;
+    const auto boot = boots.find(id);
+    report.boot_unix_ms =
+        boot == boots.end() ? order.worker.boot_unix_ms : boot->second;
     for (auto& [task, run] : running[id]) {
       run.percent += stalled[id] ? 0 : 1;
       report.running.push_back({task, run.run, "", run.percent});
--- /dev/null
+++ b/packages/jobs/tests/worker_restart_test.cc
@@ -0,0 +1,89 @@
+// Restarts of workers under their ids, with a directory that lags behind.
+
+#include <doctest/doctest.h>
+
+#include "scheduler_fixture.h"
+
+namespace azurespur::jobs {
+
+using base::Millis;
+
+namespace {
+
+// One task runs on the only worker.
+struct RestartFixture : SchedulerFixture {
+  RestartFixture() {
+    directory_interval = Millis{240};
+    AddQueue("batch", 1);
+    AddWorkers(1, 100);
+    Run(Millis{200});
+    Submit(1, "batch", 1, 10);
+    Run(Millis{200});
+  }
+
+  // The worker forgets its runs and counts its ends anew.
+  void Restart() {
+    running["w0"].clear();
+    ends["w0"].clear();
+    end_numbers["w0"] = 0;
+    boots["w0"] = ++newest_boot;
+  }
+
+  void UpdateDirectory() { entries[0].boot.boot_unix_ms = boots["w0"]; }
+
+  const TaskRef task{1, 0, 0};
+  int64_t newest_boot = 1;
+};
+
+}  // namespace
+
+// Guards against a run that is given up, and its task started again, since the
+// directory still names the boot before the worker's last restart.
+TEST_CASE("a directory that lags behind a restart ends no run") {
+  RestartFixture f;
+  REQUIRE(f.started.size() == 1);
+  f.Restart();
+  SUBCASE("by one restart") {
+    f.Run(Millis{800});
+  }
+  SUBCASE("by two restarts") {
+    f.Run(Millis{200});
+    f.Restart();
+    f.Run(Millis{800});
+    f.entries[0].boot.boot_unix_ms = 2;
+    f.Run(Millis{800});
+  }
+  f.UpdateDirectory();
+  f.Run(Millis{600});
+  REQUIRE(f.IsRunning(f.task));
+  const size_t starts = f.started.size();
+  f.Run(Millis{2000});
+  CHECK(f.started.size() == starts);
+  CHECK(starts == 2);
+}
+
+// Guards against the same with an entry of a boot before the first known one,
+// or of another writer: only the worker knows its boot.
+TEST_CASE("an entry of a boot that the worker does not confirm ends no run") {
+  RestartFixture f;
+  REQUIRE(f.started.size() == 1);
+  f.entries[0].boot.boot_unix_ms = 77;
+  f.Run(Millis{400});
+  f.entries[0].boot.boot_unix_ms = 1;
+  f.Run(Millis{400});
+  CHECK(f.started.size() == 1);
+  CHECK(f.IsRunning(f.task));
+}
+
+// Guards against a task that waits for its lease though its worker has come
+// back without it.
+TEST_CASE("a task starts again soon after its worker has restarted") {
+  RestartFixture f;
+  f.Restart();
+  f.UpdateDirectory();
+  f.Run(Millis{600});
+  CHECK(f.started.size() == 2);
+  CHECK(f.IsRunning(f.task));
+}
+
+}  // namespace azurespur::jobs
