Bind an address although a former process's connections are kept

Cause: libmicrohttpd's option of address reuse set to 0 turns SO_REUSEADDR off, and connections that the former process closed keep the address (TIME_WAIT).

Evidence: the new test fails with the option and passes without it; nothing else of the server differs. Ruled out: clients that keep connections (none does), the UDP address.

Change: the option is gone, which leaves SO_REUSEADDR set and SO_REUSEPORT unset ("a port in use is reported" still passes).

--- a/packages/http/src/http_server.cc
+++ b/packages/http/src/http_server.cc
@@ -177,15 +177,18 @@
   }
   const unsigned flags =
       MHD_USE_EPOLL_INTERNAL_THREAD | MHD_ALLOW_SUSPEND_RESUME;
+  // Without MHD_OPTION_LISTENING_ADDRESS_REUSE the socket gets SO_REUSEADDR.
+  // Set to 1 it would also get SO_REUSEPORT, and two servers could share a
+  // port; set to 0 closed connections of a former process would keep the
+  // address.
   m_daemon = MHD_start_daemon(
       flags, 0, nullptr, nullptr, &Server::OnAccess, this, MHD_OPTION_SOCK_ADDR,
       &address, MHD_OPTION_THREAD_POOL_SIZE, m_options.threads,
       MHD_OPTION_CONNECTION_LIMIT, m_options.max_connections,
       MHD_OPTION_CONNECTION_TIMEOUT,
       static_cast<unsigned>(m_options.idle_timeout.count()),
-      MHD_OPTION_LISTENING_ADDRESS_REUSE, 0U, MHD_OPTION_NOTIFY_COMPLETED,
-      &Server::OnCompleted, this, MHD_OPTION_UNESCAPE_CALLBACK, &KeepEscapes,
-      nullptr, MHD_OPTION_END);
+      MHD_OPTION_NOTIFY_COMPLETED, &Server::OnCompleted, this,
+      MHD_OPTION_UNESCAPE_CALLBACK, &KeepEscapes, nullptr, MHD_OPTION_END);
   if (m_daemon == nullptr) {
     return base::Error{base::ErrorCode::kUnavailable,
                        "address " + m_options.address + ":" +
--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -295,6 +295,26 @@
   }
 }
 
+// Guards against a daemon that can't start again at its address, since
+// connections that its former process closed are kept by the kernel.
+TEST_CASE("a server binds the port of a former one that closed connections") {
+  const auto answer = [](HttpRequest, std::shared_ptr<HttpReply> reply) {
+    reply->Send({});
+  };
+  auto server = base::Value(StartHttpServer({}, answer));
+  HttpServerOptions options;
+  options.port = server->port();
+  server->SetDraining(true);  // The server closes each connection first.
+  auto client = StartHttpClient();
+  HttpCall call;
+  call.url = Url(*server, "/");
+  REQUIRE(base::Ok(client->Fetch(call)));
+  server.reset();
+  auto second = StartHttpServer(options, answer);
+  REQUIRE(base::Ok(second));
+  CHECK(base::Ok(client->Fetch(call)));
+}
+
 TEST_CASE("a port in use is reported with address and port") {
   const auto ignore = [](HttpRequest, std::shared_ptr<HttpReply>) {};
   auto server = base::Value(StartHttpServer({}, ignore));
