Release no run on a report whose list of ends is full

Cause: a worker lists 500 ends at a time. A run whose end stood beyond them was in neither list, and so counted as one that never ended.

--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -90,6 +90,7 @@
   base::MonoTime next_hold{};
   // When the most recent answered hold order was sent.
   base::MonoTime newest_hold_sent_at{};
+  bool more_ends = false;   // The newest report didn't list all ends.
   int64_t ends_read = 0;    // Highest end number passed to the output.
   int64_t ends_stored = 0;  // Highest end number whose record is stored.
 };
--- a/packages/jobs/include/jobs/worker_report.h
+++ b/packages/jobs/include/jobs/worker_report.h
@@ -41,6 +41,8 @@
   int64_t boot_unix_ms = 0;
   std::vector<RunningTask> running;
   std::vector<EndedTask> ended;
+  // Not all ends were listed: a run that is in neither list may have ended.
+  bool more_ends = false;
 };
 
 std::string_view EndCauseName(EndCause cause);
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -499,6 +499,10 @@
       run->checkpoint = running.checkpoint;
     }
   }
+  worker.more_ends = report.more_ends;
+  if (report.more_ends) {
+    return;  // A run that isn't listed may have ended as done.
+  }
   std::vector<TaskRef> released;
   for (const auto& [task, run] : worker.runs) {
     const bool known = run.phase == RunPhase::kRunning ||
--- a/packages/jobs/src/fleet_holds.cc
+++ b/packages/jobs/src/fleet_holds.cc
@@ -204,7 +204,8 @@
 }
 
 void Fleet::StopStalled(Worker& worker, base::MonoTime now) {
-  if (!worker.responsive) {
+  // The end of a run without progress may be one that isn't listed yet.
+  if (!worker.responsive || worker.more_ends) {
     return;
   }
   for (auto& [task, run] : worker.runs) {
--- a/packages/jobs/tests/scheduler_fixture.h
+++ b/packages/jobs/tests/scheduler_fixture.h
@@ -5,8 +5,10 @@
 #define JOBS_TESTS_SCHEDULER_FIXTURE_H_
 
 #include <algorithm>
+#include <cstdint>
 #include <map>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 #include <vector>
@@ -164,21 +166,33 @@
   // The run of an unanswered start is executed and ends as done at once.
   bool run_unanswered = false;
   std::set<std::pair<TaskRef, int32_t>> ended_runs;
+  size_t max_listed_ends = SIZE_MAX;  // In one report.
+  bool log_down = false;              // Records are stored once it is back.
   int unanswered_starts = 0;  // Number of next starts without an answer.
   std::vector<AdviceQuery> sent_queries;
   std::vector<StartOrder> started;
   std::vector<StopOrder> stopped;
   std::vector<HoldOrder> sent_holds;
 
+  std::vector<PendingRecord> unstored;
+
  private:
-  bool ExecuteOutput() {
-    SchedulerOutput wanted = std::exchange(out, {});
-    for (const PendingRecord& pending : wanted.records) {
+  void Store(std::span<const PendingRecord> records) {
+    for (const PendingRecord& pending : records) {
       table.Apply(pending.record, now);
     }
-    for (const PendingRecord& pending : wanted.records) {
+    for (const PendingRecord& pending : records) {
       scheduler.OnStored(pending, now, now, out);
     }
+  }
+
+  bool ExecuteOutput() {
+    SchedulerOutput wanted = std::exchange(out, {});
+    unstored.insert(unstored.end(), wanted.records.begin(),
+                    wanted.records.end());
+    if (!log_down) {
+      Store(std::exchange(unstored, {}));
+    }
     for (const StartOrder& order : wanted.starts) {
       Start(order);
     }
@@ -252,6 +266,10 @@
       return end.number <= order.acked_end_number;
     });
     report.ended = ends[id];
+    if (report.ended.size() >= max_listed_ends) {
+      report.ended.resize(max_listed_ends);
+      report.more_ends = true;
+    }
     scheduler.OnReport(order, report, now, out);
   }
 };
