Keep the terms of its queue with each accepted job

Cause: service, priority, attempts, target and advice were looked up by name in the newest policy at each plan, and stored nowhere else.

Evidence: the jobs stay `running` in the table, the workers are empty, and no plan names them after AZ9004 of the new version.

The newest terms apply while the queue is there, the accepted ones after that.

--- a/packages/cell/include/cell/cell_node.h
+++ b/packages/cell/include/cell/cell_node.h
@@ -17,8 +17,8 @@
 #include "cell/node_dependencies.h"
 #include "cell/node_options.h"
 #include "cell/snapshot_store.h"
-#include "jobs/job_spec.h"
 #include "jobs/job_table.h"
+#include "jobs/records.h"
 
 namespace azurespur::cell {
 
@@ -68,7 +68,7 @@
 
   // The `done` callbacks run on the node's thread and must not block.
   // `deadline` is when the caller stops waiting.
-  virtual void Submit(jobs::JobSpec spec,
+  virtual void Submit(jobs::Submission submission,
                       base::MonoTime deadline,
                       std::function<void(IntakeOutcome)> done) = 0;
   virtual void Cancel(jobs::JobId job,
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -73,7 +73,7 @@
   void Drain(base::Millis timeout) override;
   void Stop() override;
 
-  void Submit(jobs::JobSpec spec,
+  void Submit(jobs::Submission submission,
               base::MonoTime deadline,
               std::function<void(IntakeOutcome)> done) override;
   void Cancel(jobs::JobId job,
--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -18,11 +18,6 @@
 // Minimum time between two reads of a stream for waiting questions.
 constexpr Millis kMinWaiterPollInterval{20};
 
-jobs::JobId JobOf(const jobs::IntakeRecord& record) {
-  const auto* spec = std::get_if<jobs::JobSpec>(&record);
-  return spec != nullptr ? spec->id : std::get<jobs::CancelRecord>(record).job;
-}
-
 // -1 if the age is unknown.
 int64_t AgeMillis(const StreamFreshness& freshness, MonoTime now) {
   const auto as_of = freshness.complete_as_of();
@@ -88,20 +83,21 @@
   return m_policy_as_of;
 }
 
-void Node::Submit(jobs::JobSpec spec,
+void Node::Submit(jobs::Submission submission,
                   MonoTime deadline,
                   std::function<void(IntakeOutcome)> done) {
-  const bool posted = Post([this, spec = std::move(spec), deadline, done] {
-    if (m_job_table.StateOf(spec.id)) {
-      done(IntakeOutcome::kAccepted);
-      return;
-    }
-    if (m_draining) {
-      done(IntakeOutcome::kNotAccepted);
-      return;
-    }
-    StoreIntake(spec, deadline, done);
-  });
+  const bool posted =
+      Post([this, submission = std::move(submission), deadline, done] {
+        if (m_job_table.StateOf(submission.spec.id)) {
+          done(IntakeOutcome::kAccepted);
+          return;
+        }
+        if (m_draining) {
+          done(IntakeOutcome::kNotAccepted);
+          return;
+        }
+        StoreIntake(submission, deadline, done);
+      });
   if (!posted) {
     done(IntakeOutcome::kNotAccepted);
   }
@@ -111,7 +107,7 @@
                        MonoTime deadline,
                        std::function<void(IntakeOutcome)> done) {
   const MonoTime began = m_clock.Now();
-  const jobs::JobId job = JobOf(record);
+  const jobs::JobId job = jobs::JobOf(record);
   std::string bytes = jobs::EncodeIntake(record);
   auto finish = [this, began, done = std::move(done)](StoreOutcome outcome) {
     CountStored(outcome, began);
--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -43,6 +43,8 @@
 
 struct Job {
   JobSpec spec;
+  // Empty if an earlier release accepted the job.
+  std::optional<QueueTerms> terms;
   std::vector<StepProgress> steps;
   JobState state = JobState::kQueued;
   base::MonoTime accepted_at{};
@@ -67,7 +69,8 @@
 
 class JobTable {
  public:
-  // Returns false if the job is already known.
+  // Return false if the job is already known.
+  bool Submit(const Submission& submission, base::MonoTime now);
   bool Submit(const JobSpec& spec, base::MonoTime now);
 
   // Returns false if the job is unknown. `offset` is the offset of the
--- a/packages/jobs/include/jobs/queue_policy.h
+++ b/packages/jobs/include/jobs/queue_policy.h
@@ -3,6 +3,7 @@
 #ifndef JOBS_QUEUE_POLICY_H_
 #define JOBS_QUEUE_POLICY_H_
 
+#include <cereal/types/optional.hpp>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -16,12 +17,15 @@
   double base_ms = 0;        // Fixed part of each call.
   double per_worker_ms = 0;  // Of each worker asked about.
   int64_t valid_ms = 0;      // Validity of a ticket.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(base_ms, per_worker_ms, valid_ms);
+  }
 };
 
-struct QueuePolicy {
-  std::string name;
-  std::string host;
-  std::string path_prefix;
+// How the jobs of a queue are run.
+struct QueueTerms {
   std::string service;   // Whose workers run the tasks.
   int32_t priority = 0;  // 0 is the most urgent.
   int32_t max_attempts = 1;
@@ -30,6 +34,18 @@
   double stretch = 1;
   int64_t target_ms = 0;               // See `stretch`.
   std::optional<AdvicePolicy> advice;  // None: any worker is allowed.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(service, priority, max_attempts, stretch, target_ms, advice);
+  }
+};
+
+// The terms, and how a request finds the queue.
+struct QueuePolicy : QueueTerms {
+  std::string name;
+  std::string host;
+  std::string path_prefix;
 };
 
 struct CellPolicy {
--- a/packages/jobs/include/jobs/records.h
+++ b/packages/jobs/include/jobs/records.h
@@ -15,6 +15,7 @@
 
 #include "base/outcome.h"
 #include "jobs/job_spec.h"
+#include "jobs/queue_policy.h"
 #include "jobs/task_ref.h"
 
 namespace azurespur::jobs {
@@ -28,7 +29,22 @@
   }
 };
 
-using IntakeRecord = std::variant<JobSpec, CancelRecord>;
+// A job and the terms of its queue when it was accepted.
+struct Submission {
+  JobSpec spec;
+  QueueTerms terms;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(spec, terms);
+  }
+};
+
+// A JobSpec alone was stored by earlier releases.
+using IntakeRecord = std::variant<JobSpec, CancelRecord, Submission>;
+
+// The job that the record is about.
+JobId JobOf(const IntakeRecord& record);
 
 // A VM becomes the leader of the cell.
 struct LeaderRecord {
--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -35,7 +35,7 @@
 struct ReadyStep {
   StepRef ref;
   const Job* job = nullptr;
-  const QueuePolicy* policy = nullptr;
+  const QueueTerms* terms = nullptr;
   std::vector<int32_t> waiting;  // Tasks without a run.
   int64_t slack_ms = 0;  // Time left before the objective would be missed.
 };
@@ -132,20 +132,20 @@
   void ObserveTick(base::MonoTime now);
   void DropReservations(bool full, base::MonoTime now);
   placement::Resources FindLargestFree(base::MonoTime now) const;
-  bool IsPlannedNow(const Job& job, const QueuePolicy& policy, bool full) const;
+  bool IsPlannedNow(const Job& job, const QueueTerms& terms, bool full) const;
   // Unless `full`, returns only steps of urgent queues and advised steps.
   std::vector<ReadyStep> FindReady(bool full,
                                    int64_t unix_ms,
                                    SchedulerOutput& out);
   void AddReadySteps(const Job& job,
-                     const QueuePolicy& policy,
+                     const QueueTerms& terms,
                      bool full,
                      int64_t unix_ms,
                      std::vector<ReadyStep>& ready,
                      SchedulerOutput& out);
   bool FailIfAttemptsExhausted(const Job& job,
                                size_t step,
-                               const QueuePolicy& policy,
+                               const QueueTerms& terms,
                                SchedulerOutput& out);
   // Requests a stop of all runs of the step.
   void StopStep(const Job& job, size_t s);
@@ -224,6 +224,9 @@
                             const Job* job,
                             base::MonoTime append_sent_at,
                             base::MonoTime now);
+  // The newest terms of the job's queue; those under which the job was accepted
+  // once the queue is removed. Null if neither is known.
+  const QueueTerms* TermsOf(const Job& job) const;
   bool NeedsTicket(const Job& job) const;
   void SendStart(const BindRecord& bind,
                  base::MonoTime append_sent_at,
--- a/packages/jobs/src/job_order.cc
+++ b/packages/jobs/src/job_order.cc
@@ -25,20 +25,20 @@
 }  // namespace
 
 int64_t SlackMs(const Job& job,
-                const QueuePolicy& policy,
+                const QueueTerms& terms,
                 size_t step,
                 int64_t unix_ms) {
   const std::vector<int64_t> chains = ChainsToEnd(job.spec);
   const int64_t longest = *std::max_element(chains.begin(), chains.end());
   const auto objective =
-      static_cast<int64_t>(policy.stretch * static_cast<double>(longest)) +
-      policy.target_ms;
+      static_cast<int64_t>(terms.stretch * static_cast<double>(longest)) +
+      terms.target_ms;
   return job.spec.submitted_unix_ms + objective - unix_ms - chains[step];
 }
 
 bool StartsBefore(const ReadyStep& a, const ReadyStep& b) {
   const auto key = [](const ReadyStep& step) {
-    return std::tuple(step.policy->priority != 0, step.slack_ms < 0,
+    return std::tuple(step.terms->priority != 0, step.slack_ms < 0,
                       step.slack_ms);
   };
   return key(a) < key(b);
--- a/packages/jobs/src/job_order.h
+++ b/packages/jobs/src/job_order.h
@@ -15,7 +15,7 @@
 // Returns the time left before the job would miss its objective if `step`
 // started at `unix_ms` and the estimates held. Negative: the job will be late.
 int64_t SlackMs(const Job& job,
-                const QueuePolicy& policy,
+                const QueueTerms& terms,
                 size_t step,
                 int64_t unix_ms);
 
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -96,6 +96,14 @@
   return true;
 }
 
+bool JobTable::Submit(const Submission& submission, base::MonoTime now) {
+  if (!Submit(submission.spec, now)) {
+    return false;
+  }
+  m_jobs.at(submission.spec.id).terms = submission.terms;
+  return true;
+}
+
 bool JobTable::Cancel(JobId id, int64_t offset, base::MonoTime now) {
   const auto found = m_jobs.find(id);
   if (found == m_jobs.end()) {
@@ -111,7 +119,9 @@
 void JobTable::Apply(const IntakeRecord& record,
                      int64_t offset,
                      base::MonoTime now) {
-  if (const auto* spec = std::get_if<JobSpec>(&record)) {
+  if (const auto* submission = std::get_if<Submission>(&record)) {
+    Submit(*submission, now);
+  } else if (const auto* spec = std::get_if<JobSpec>(&record)) {
     Submit(*spec, now);
   } else {
     Cancel(std::get<CancelRecord>(record).job, offset, now);
--- a/packages/jobs/src/job_table_snapshot.cc
+++ b/packages/jobs/src/job_table_snapshot.cc
@@ -57,6 +57,52 @@
   return saved;
 }
 
+// Numbers different terms in the order in which they are first asked for.
+class TermsNumbers {
+ public:
+  int32_t NumberOf(const std::optional<QueueTerms>& terms) {
+    if (!terms) {
+      return -1;
+    }
+    const auto [entry, added] = m_numbers.emplace(
+        wire::Encode(*terms), static_cast<int32_t>(m_terms.size()));
+    if (added) {
+      m_terms.push_back(*terms);
+    }
+    return entry->second;
+  }
+
+  std::vector<QueueTerms> TakeAll() { return std::move(m_terms); }
+
+ private:
+  std::map<std::string, int32_t> m_numbers;  // By encoded terms.
+  std::vector<QueueTerms> m_terms;
+};
+
+// Reads the form of this release, else that of earlier ones.
+base::Outcome<JobTableSnapshot> DecodeSnapshot(std::string_view bytes) {
+  const auto format = wire::Decode<uint64_t>(bytes);
+  if (base::Ok(format) && base::Value(format) == kSnapshotFormat) {
+    return wire::Decode<JobTableSnapshot>(bytes);
+  }
+  auto former = wire::Decode<JobTableSnapshotV1>(bytes);
+  if (!base::Ok(former)) {
+    return base::GetError(former);
+  }
+  JobTableSnapshot snapshot;
+  static_cast<JobTableSnapshotV1&>(snapshot) = base::Value(std::move(former));
+  snapshot.job_terms.assign(snapshot.jobs.size(), -1);
+  return snapshot;
+}
+
+bool HasValidTerms(const JobTableSnapshot& saved) {
+  return saved.job_terms.size() == saved.jobs.size() &&
+         std::all_of(saved.job_terms.begin(), saved.job_terms.end(),
+                     [&saved](int32_t number) {
+                       return number < static_cast<int32_t>(saved.terms.size());
+                     });
+}
+
 bool IsKnownState(uint8_t state) {
   return state <= static_cast<uint8_t>(JobState::kCancelled);
 }
@@ -105,10 +151,12 @@
   saved.leader = table.m_leader;
   saved.yielded = table.m_yielded;
   WorkerNumbers workers;
+  TermsNumbers terms;
   saved.jobs.reserve(table.m_jobs.size());
   for (const auto& [id, job] : table.m_jobs) {
     JobSnapshot& entry = saved.jobs.emplace_back();
     entry.spec = job.spec;
+    saved.job_terms.push_back(terms.NumberOf(job.terms));
     for (const StepProgress& step : job.steps) {
       entry.steps.push_back(SaveStep(step, workers));
     }
@@ -126,20 +174,25 @@
                                 base::MillisBetween(final.since, now)});
   }
   saved.workers = workers.TakeAll();
+  saved.terms = terms.TakeAll();
   return wire::Encode(saved);
 }
 
 base::Outcome<JobTable> DecodeJobTable(std::string_view bytes,
                                        base::MonoTime now) {
-  auto decoded = wire::Decode<JobTableSnapshot>(bytes);
+  auto decoded = DecodeSnapshot(bytes);
   if (!base::Ok(decoded)) {
     return base::GetError(decoded);
   }
   JobTableSnapshot& saved = base::Value(decoded);
+  if (!HasValidTerms(saved)) {
+    return Malformed("terms of the jobs");
+  }
   JobTable table;
   table.m_leader = saved.leader;
   table.m_yielded = saved.yielded;
-  for (JobSnapshot& entry : saved.jobs) {
+  for (size_t i = 0; i < saved.jobs.size(); ++i) {
+    const JobSnapshot& entry = saved.jobs[i];
     const JobId id = entry.spec.id;
     if (!IsKnownState(entry.state) || !IsValid(entry.spec) ||
         entry.steps.size() != entry.spec.steps.size() ||
@@ -147,6 +200,9 @@
       return Malformed("job " + FormatJobId(id));
     }
     Job& job = table.m_jobs.at(id);
+    if (saved.job_terms[i] >= 0) {
+      job.terms = saved.terms[static_cast<size_t>(saved.job_terms[i])];
+    }
     for (size_t s = 0; s < entry.steps.size(); ++s) {
       if (!RestoreStep(entry.steps[s], saved.workers, job.steps[s])) {
         return Malformed("step " + std::to_string(s) + " of job " +
--- a/packages/jobs/src/job_table_snapshot.h
+++ b/packages/jobs/src/job_table_snapshot.h
@@ -65,7 +65,8 @@
   }
 };
 
-struct JobTableSnapshot {
+// The form that earlier releases store.
+struct JobTableSnapshotV1 {
   LeaderRecord leader;
   bool yielded = false;
   std::vector<WorkerBoot> workers;
@@ -78,6 +79,22 @@
   }
 };
 
+// Stands where the earlier form has the leader's epoch, and is none.
+inline constexpr uint64_t kSnapshotFormat = UINT64_MAX;
+
+struct JobTableSnapshot : JobTableSnapshotV1 {
+  uint64_t format = kSnapshotFormat;
+  std::vector<QueueTerms> terms;   // Each once.
+  std::vector<int32_t> job_terms;  // Index in `terms` of each job; -1: none.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(format);
+    JobTableSnapshotV1::serialize(archive);
+    archive(terms, job_terms);
+  }
+};
+
 }  // namespace azurespur::jobs
 
 #endif  // JOBS_SRC_JOB_TABLE_SNAPSHOT_H_
--- a/packages/jobs/src/records.cc
+++ b/packages/jobs/src/records.cc
@@ -4,6 +4,23 @@
 
 namespace azurespur::jobs {
 
+namespace {
+
+// Null for a cancellation.
+const JobSpec* SpecOf(const IntakeRecord& record) {
+  if (const auto* submission = std::get_if<Submission>(&record)) {
+    return &submission->spec;
+  }
+  return std::get_if<JobSpec>(&record);
+}
+
+}  // namespace
+
+JobId JobOf(const IntakeRecord& record) {
+  const JobSpec* spec = SpecOf(record);
+  return spec != nullptr ? spec->id : std::get<CancelRecord>(record).job;
+}
+
 std::string EncodeIntake(const IntakeRecord& record) {
   return wire::Encode(record);
 }
@@ -15,7 +32,7 @@
 base::Outcome<IntakeRecord> DecodeIntake(std::string_view bytes) {
   auto record = wire::Decode<IntakeRecord>(bytes);
   if (base::Ok(record)) {
-    const auto* spec = std::get_if<JobSpec>(&base::Value(record));
+    const JobSpec* spec = SpecOf(base::Value(record));
     if (spec != nullptr && !IsValid(*spec)) {
       return base::Error{
           base::ErrorCode::kInvalid,
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -71,9 +71,17 @@
   }
 }
 
-bool Scheduler::NeedsTicket(const Job& job) const {
+const QueueTerms* Scheduler::TermsOf(const Job& job) const {
   const auto policy = m_policy.queues.find(job.spec.queue);
-  return policy != m_policy.queues.end() && policy->second.advice.has_value();
+  if (policy != m_policy.queues.end()) {
+    return &policy->second;
+  }
+  return job.terms ? &*job.terms : nullptr;
+}
+
+bool Scheduler::NeedsTicket(const Job& job) const {
+  const QueueTerms* terms = TermsOf(job);
+  return terms != nullptr && terms->advice.has_value();
 }
 
 int64_t* Scheduler::ReasonNotToStart(const BindRecord& bind,
@@ -220,7 +228,7 @@
   m_largest_free = FindLargestFree(now);
   const std::vector<ReadyStep> ready = FindReady(full, unix_ms, out);
   for (const ReadyStep& step : ready) {
-    if (!m_pacer.MayBind(step.policy->priority == 0)) {
+    if (!m_pacer.MayBind(step.terms->priority == 0)) {
       break;
     }
     PlaceStep(step, now, out);
@@ -273,9 +281,9 @@
 }
 
 bool Scheduler::IsPlannedNow(const Job& job,
-                             const QueuePolicy& policy,
+                             const QueueTerms& terms,
                              bool full) const {
-  if (full || policy.priority == 0) {
+  if (full || terms.priority == 0) {
     return true;
   }
   const auto advised = m_advised.lower_bound({job.spec.id, 0});
@@ -287,10 +295,12 @@
                                             SchedulerOutput& out) {
   std::vector<ReadyStep> ready;
   for (const auto& [id, job] : m_table.jobs()) {
-    const auto policy = m_policy.queues.find(job.spec.queue);
-    if (policy != m_policy.queues.end() && !IsFinal(job.state) &&
-        IsPlannedNow(job, policy->second, full) && m_failing.count(id) == 0) {
-      AddReadySteps(job, policy->second, full, unix_ms, ready, out);
+    if (IsFinal(job.state) || m_failing.count(id) > 0) {
+      continue;
+    }
+    const QueueTerms* terms = TermsOf(job);
+    if (terms != nullptr && IsPlannedNow(job, *terms, full)) {
+      AddReadySteps(job, *terms, full, unix_ms, ready, out);
     }
   }
   std::stable_sort(ready.begin(), ready.end(), StartsBefore);
@@ -298,7 +308,7 @@
 }
 
 void Scheduler::AddReadySteps(const Job& job,
-                              const QueuePolicy& policy,
+                              const QueueTerms& terms,
                               bool full,
                               int64_t unix_ms,
                               std::vector<ReadyStep>& ready,
@@ -308,19 +318,19 @@
     const auto count = static_cast<int32_t>(progress.tasks.size());
     const bool gang = job.spec.steps[s].gang;
     const bool due =
-        full || policy.priority == 0 ||
+        full || terms.priority == 0 ||
         m_advised.count({job.spec.id, static_cast<int32_t>(s)}) > 0;
     if (!due || progress.done + progress.bound == count ||
         !StepIsReady(job, s) || (gang && progress.bound > 0)) {
       continue;
     }
-    if (FailIfAttemptsExhausted(job, s, policy, out)) {
+    if (FailIfAttemptsExhausted(job, s, terms, out)) {
       return;
     }
     ReadyStep step;
     step.ref = {job.spec.id, static_cast<int32_t>(s)};
     step.job = &job;
-    step.policy = &policy;
+    step.terms = &terms;
     for (int32_t i = 0; i < count; ++i) {
       const bool waits =
           progress.tasks[static_cast<size_t>(i)].phase == TaskPhase::kWaiting;
@@ -333,14 +343,14 @@
     if (step.waiting.empty() || (gang && !whole)) {
       continue;
     }
-    step.slack_ms = SlackMs(job, policy, s, unix_ms);
+    step.slack_ms = SlackMs(job, terms, s, unix_ms);
     ready.push_back(std::move(step));
   }
 }
 
 bool Scheduler::FailIfAttemptsExhausted(const Job& job,
                                         size_t s,
-                                        const QueuePolicy& policy,
+                                        const QueueTerms& terms,
                                         SchedulerOutput& out) {
   const StepProgress& progress = job.steps[s];
   int32_t failures = 0;
@@ -351,14 +361,14 @@
       failures = std::max(failures, task.failures);
     }
   }
-  if (failures < policy.max_attempts) {
+  if (failures < terms.max_attempts) {
     return false;
   }
   base::LogEvent(base::Severity::kInfo, "AZ9103", "job failed",
                  {{"job", FormatJobId(job.spec.id)},
                   {"step", std::to_string(s)},
                   {"failed_runs", std::to_string(failures)},
-                  {"max_attempts", std::to_string(policy.max_attempts)},
+                  {"max_attempts", std::to_string(terms.max_attempts)},
                   {"policy_version", std::to_string(m_policy.version)}});
   m_failing.insert(job.spec.id);
   AddRecord(out, JobFailedRecord{job.spec.id});
--- a/packages/jobs/src/scheduler_gang.cc
+++ b/packages/jobs/src/scheduler_gang.cc
@@ -91,7 +91,7 @@
 bool Scheduler::NeedsOnlyTickets(const ReadyStep& step,
                                  base::MonoTime now) const {
   const auto next_log = m_next_wait_log.find(step.ref);
-  return step.policy->advice && m_advice.HasPendingQuery(step.ref) &&
+  return step.terms->advice && m_advice.HasPendingQuery(step.ref) &&
          next_log != m_next_wait_log.end() && now < next_log->second;
 }
 
@@ -111,7 +111,7 @@
   }
   LogWaitingGang(step, capacity, now);
   if (capacity.max_slots < count ||
-      (step.policy->advice && m_advice.HasPendingQuery(step.ref))) {
+      (step.terms->advice && m_advice.HasPendingQuery(step.ref))) {
     return;
   }
   const bool may_query = MayQueryAdvice(step);
@@ -222,7 +222,7 @@
                                    SchedulerOutput& out) {
   SortBySlots(capacity.unknown);
   const StepSpec& spec = SpecOf(step);
-  const double share = m_advice.EligibleShare(step.policy->name);
+  const double share = m_advice.EligibleShare(step.job->spec.queue);
   const double wanted = static_cast<double>(spec.count) * kQueryMargin;
   auto expected = static_cast<double>(capacity.eligible_slots);
   std::vector<WorkerBoot> enough;
@@ -264,7 +264,7 @@
     }
   }
   const std::vector<WorkerPreemption> plans = PlanGangPreemption(
-      candidates, {spec.demand, spec.count, step.policy->priority});
+      candidates, {spec.demand, spec.count, step.terms->priority});
   if (plans.empty()) {
     return false;
   }
@@ -299,7 +299,7 @@
                   {"workers", std::to_string(workers.size())},
                   {"slack_ms", std::to_string(step.slack_ms)}});
   m_reservations[step.ref] = std::move(reservation);
-  if (step.policy->advice) {
+  if (step.terms->advice) {
     QueryAdvice(step, std::move(workers), now, out);
   }
 }
--- a/packages/jobs/src/scheduler_place.cc
+++ b/packages/jobs/src/scheduler_place.cc
@@ -34,7 +34,7 @@
 bool Scheduler::IsCompatible(const ReadyStep& step,
                              const Worker& worker) const {
   const StepSpec& spec = SpecOf(step);
-  return worker.entry.service == step.policy->service &&
+  return worker.entry.service == step.terms->service &&
          HasLabel(worker.entry, spec.required_label) &&
          placement::Fits(spec.demand, worker.entry.capacity);
 }
@@ -42,7 +42,7 @@
 // Reservations that are not firm leave their capacity to urgent tasks.
 StepView Scheduler::ViewOf(const ReadyStep& step) const {
   StepView view(step, m_advice.AdviceFor(step.ref));
-  const bool urgent = step.policy->priority == 0;
+  const bool urgent = step.terms->priority == 0;
   for (const auto& [ref, reservation] : m_reservations) {
     if (ref != step.ref && (reservation.firm || !urgent)) {
       view.AddKept(reservation.capacity);
@@ -96,7 +96,7 @@
   Run run;
   run.run = run_number;
   run.demand = SpecOf(step).demand;
-  run.priority = step.policy->priority;
+  run.priority = step.terms->priority;
   run.urgent = run.priority == 0;
   run.gang = SpecOf(step).gang;
   run.preemptible = SpecOf(step).checkpointing && !SpecOf(step).gang;
@@ -119,7 +119,7 @@
   SingleTaskWorkers workers = FindSingleTaskWorkers(step, now);
   size_t placed = 0;
   for (int32_t index : step.waiting) {
-    if (!m_pacer.MayBind(step.policy->priority == 0)) {
+    if (!m_pacer.MayBind(step.terms->priority == 0)) {
       return;
     }
     const auto failed =
@@ -150,7 +150,7 @@
                                       SchedulerOutput& out) {
   SortBySlots(candidates.expired);
   SortBySlots(candidates.unknown);
-  const double share = m_advice.EligibleShare(step.policy->name);
+  const double share = m_advice.EligibleShare(step.job->spec.queue);
   const double wanted = static_cast<double>(missing) * kQueryMargin + 1;
   double expected = 0;
   std::vector<WorkerBoot> workers;
@@ -172,12 +172,12 @@
 }
 
 bool Scheduler::PlansInOrder(const ReadyStep& step) const {
-  return m_plan_is_full || step.policy->priority == 0;
+  return m_plan_is_full || step.terms->priority == 0;
 }
 
 // The most urgent of the waiting steps gets the next free VM.
 bool Scheduler::MayQueryAdvice(const ReadyStep& step) const {
-  return step.policy->advice && PlansInOrder(step) &&
+  return step.terms->advice && PlansInOrder(step) &&
          !m_advice.HasPendingQuery(step.ref);
 }
 
@@ -189,7 +189,7 @@
     return false;
   }
   auto query =
-      m_advice.StartQuery(step.ref, step.policy->name, *step.policy->advice,
+      m_advice.StartQuery(step.ref, step.job->spec.queue, *step.terms->advice,
                           std::move(workers), now);
   if (!query) {
     return false;
--- a/packages/jobs/src/step_view.cc
+++ b/packages/jobs/src/step_view.cc
@@ -30,7 +30,7 @@
 
 Eligibility StepView::EligibilityOf(const Worker& worker, base::MonoTime now) {
   const WorkerBoot& boot = worker.entry.boot;
-  return m_step.policy->advice
+  return m_step.terms->advice
              ? AdviceTracker::EligibilityOf(m_advice.Find(boot.id), boot, now)
              : Eligibility::kEligible;
 }
--- a/packages/jobs/tests/job_table_snapshot_test.cc
+++ b/packages/jobs/tests/job_table_snapshot_test.cc
@@ -11,7 +11,9 @@
 #include <variant>
 #include <vector>
 
+#include "job_table_snapshot.h"
 #include "jobs/job_table.h"
+#include "wire/codec.h"
 
 namespace azurespur::jobs {
 
@@ -41,6 +43,15 @@
   return spec;
 }
 
+Submission MakeSubmission(JobId id) {
+  Submission submission;
+  submission.spec = MakeJob(id);
+  submission.terms.service = id % 2 == 0 ? "even" : "odd";
+  submission.terms.max_attempts = 3;
+  submission.terms.advice = AdvicePolicy{1.5, 0.5, 2000};
+  return submission;
+}
+
 AnyRecord RandomRecord(int64_t intake_end) {
   const auto pick = [](int end) { return *rc::gen::inRange(0, end); };
   const auto job = static_cast<JobId>(pick(kJobs));
@@ -48,8 +59,9 @@
   const int32_t run = pick(4) + 1;
   switch (pick(9)) {
     case 0:
-    case 1:
       return IntakeRecord(MakeJob(job));
+    case 1:
+      return IntakeRecord(MakeSubmission(job));
     case 2:
       return IntakeRecord(CancelRecord{job});
     case 3:
@@ -221,4 +233,32 @@
   CHECK(EncodeJobTable(table, kNow).size() < 1250000);
 }
 
+// Guards against accepted work that stops once its queue is removed, since the
+// VM that leads went on from a snapshot.
+TEST_CASE("a snapshot keeps the terms under which jobs were accepted") {
+  JobTable table;
+  table.Submit(MakeSubmission(1), kNow);
+  table.Submit(MakeSubmission(2), kNow);
+  table.Submit(MakeJob(3), kNow);
+  const auto restored = DecodeJobTable(EncodeJobTable(table, kNow), kNow);
+  REQUIRE(base::Ok(restored));
+  const JobTable& other = base::Value(restored);
+  REQUIRE(other.Find(1)->terms);
+  REQUIRE(other.Find(2)->terms);
+  CHECK(other.Find(1)->terms->service == "odd");
+  CHECK(other.Find(1)->terms->advice->valid_ms == 2000);
+  CHECK(other.Find(2)->terms->service == "even");
+  CHECK_FALSE(other.Find(3)->terms);
+}
+
+TEST_CASE("a snapshot of an earlier release is decoded") {
+  JobTableSnapshotV1 former;
+  former.jobs.emplace_back().spec = MakeJob(1);
+  former.jobs[0].steps.resize(2);
+  const auto restored = DecodeJobTable(wire::Encode(former), kNow);
+  REQUIRE(base::Ok(restored));
+  REQUIRE(base::Value(restored).Find(1) != nullptr);
+  CHECK_FALSE(base::Value(restored).Find(1)->terms);
+}
+
 }  // namespace azurespur::jobs
--- a/packages/jobs/tests/records_test.cc
+++ b/packages/jobs/tests/records_test.cc
@@ -30,6 +30,20 @@
   CHECK(std::get<JobSpec>(base::Value(record)).steps[1].count == 3);
 }
 
+TEST_CASE("a submission is decoded with the terms of its queue") {
+  QueueTerms terms;
+  terms.service = "s";
+  terms.stretch = 2.5;
+  const auto record =
+      DecodeIntake(EncodeIntake(Submission{MakeJob(3, {0}), terms}));
+  REQUIRE(base::Ok(record));
+  CHECK(JobOf(base::Value(record)) == 7);
+  const auto& submission = std::get<Submission>(base::Value(record));
+  CHECK(submission.terms.service == "s");
+  CHECK(submission.terms.stretch == 2.5);
+  CHECK_FALSE(submission.terms.advice);
+}
+
 // Guards against a process that ends on each read of a damaged record: a
 // negative count of tasks is no size, and a step that follows one outside the
 // job is read out of bounds.
@@ -37,10 +51,13 @@
   for (const JobSpec& spec :
        {MakeJob(-1, {}), MakeJob(kMaxTasksPerStep + 1, {}), MakeJob(1, {1}),
         MakeJob(1, {-1}), MakeJob(1, {1 << 30})}) {
-    const auto record = DecodeIntake(EncodeIntake(spec));
-    REQUIRE_FALSE(base::Ok(record));
-    CHECK(base::GetError(record).message ==
-          "steps of job 0000000000000007 are not valid");
+    for (const IntakeRecord& stored :
+         {IntakeRecord(spec), IntakeRecord(Submission{spec, {}})}) {
+      const auto record = DecodeIntake(EncodeIntake(stored));
+      REQUIRE_FALSE(base::Ok(record));
+      CHECK(base::GetError(record).message ==
+            "steps of job 0000000000000007 are not valid");
+    }
   }
 }
 
--- a/packages/jobs/tests/scheduler_fixture.h
+++ b/packages/jobs/tests/scheduler_fixture.h
@@ -69,7 +69,7 @@
     step.gang = gang;
     step.estimate_ms = estimate_ms;
     spec.steps = {step};
-    table.Submit(spec, now);
+    table.Submit(Submission{spec, policy.queues[queue]}, now);
     return spec;
   }
 
@@ -78,7 +78,7 @@
     JobSpec& spec = specs[id];
     spec.steps[0].checkpointing = true;
     table = JobTable();
-    table.Submit(spec, now);
+    table.Submit(Submission{spec, policy.queues[spec.queue]}, now);
   }
 
   int64_t UnixMs() const { return base::MillisBetween(base::MonoTime{}, now); }
