--- a/packages/jobs/tests/worker_restart_test.cc
+++ b/packages/jobs/tests/worker_restart_test.cc
@@ -86,4 +86,27 @@
   CHECK(f.IsRunning(f.task));
 }
 
+// Guards against a task on a worker without the label that it needs: the
+// labels of the worker's former boot say nothing of the new one.
+TEST_CASE("a restarted worker gets tasks once the directory describes it") {
+  RestartFixture f;
+  f.entries[0].labels = {"a"};
+  f.Run(Millis{200});
+  f.Restart();
+  f.Run(Millis{200});
+  JobSpec& spec = f.Submit(2, "batch", 1, 10);
+  spec.steps[0].required_label = "a";
+  f.table = JobTable();
+  f.table.Submit(spec, f.now);
+  f.Run(Millis{800});
+  CHECK_FALSE(f.IsRunning({2, 0, 0}));
+  f.UpdateDirectory();
+  f.entries[0].labels = {"b"};
+  f.Run(Millis{400});
+  CHECK_FALSE(f.IsRunning({2, 0, 0}));
+  f.entries[0].labels = {"a"};
+  f.Run(Millis{400});
+  CHECK(f.IsRunning({2, 0, 0}));
+}
+
 }  // namespace azurespur::jobs
