Answer what waits before the HTTP server is stopped

What callers saw: a VM that was stopped while the log was silent or slow aborted after 5 s (SIGABRT) instead of ending with 0; its open requests got no answer.

Cause: libmicrohttpd aborts when it is stopped with suspended connections, and each request that waits for its answer has one.

Change: a stopping server answers 504 to them, suspends no more, lets the answers be written for 0.5 s at most, then stops.

--- a/packages/http/include/http/http_server.h
+++ b/packages/http/include/http/http_server.h
@@ -52,7 +52,8 @@
   // When draining, every answer carries "Connection: close".
   virtual void SetDraining(bool draining) = 0;
 
-  // Stops listening and closes all connections.
+  // Answers 504 to requests that wait for their answer, stops listening and
+  // closes all connections.
   virtual void Stop() = 0;
 };
 
--- a/packages/http/src/http_server.cc
+++ b/packages/http/src/http_server.cc
@@ -6,10 +6,13 @@
 #include <sys/socket.h>
 
 #include <atomic>
+#include <chrono>
 #include <cstring>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string_view>
+#include <thread>
 #include <utility>
 
 namespace azurespur::http {
@@ -18,11 +21,29 @@
 
 class Server;
 
+// How long the answers of a stopping server may take to be written.
+constexpr std::chrono::milliseconds kMaxFlushTime{500};
+constexpr std::chrono::milliseconds kFlushCheckInterval{5};
+
+// The answer to a request whose handler has not answered yet.
+HttpResponse StoppingResponse() {
+  HttpResponse response;
+  response.status = MHD_HTTP_GATEWAY_TIMEOUT;
+  response.headers.push_back({"Connection", "close"});
+  response.body = R"({"error":"stopping; the outcome is not known"})";
+  return response;
+}
+
+// Set for all requests of a server once it stops.
+using StopFlag = std::atomic<bool>;
+
 // State of one request, shared by the server thread and the answering thread.
 class Exchange : public HttpReply {
  public:
-  Exchange(std::atomic<size_t>& in_flight, MHD_Connection* connection)
-      : m_in_flight(in_flight), m_connection(connection) {
+  Exchange(std::atomic<size_t>& in_flight,
+           const StopFlag& stopping,
+           MHD_Connection* connection)
+      : m_in_flight(in_flight), m_stopping(stopping), m_connection(connection) {
     m_in_flight.fetch_add(1);
   }
 
@@ -49,11 +70,26 @@
     if (m_response) {
       return std::exchange(m_response, std::nullopt);
     }
+    // Once the flag is set, nothing would resume the connection.
+    if (m_stopping.load()) {
+      m_gone = true;
+      return StoppingResponse();
+    }
     m_suspended = true;
     MHD_suspend_connection(m_connection);
     return std::nullopt;
   }
 
+  // Answers a request whose connection is suspended.
+  void AnswerIfSuspended() {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_suspended) {
+      m_response = StoppingResponse();
+      m_suspended = false;
+      MHD_resume_connection(m_connection);
+    }
+  }
+
   // The connection ended or the answer was sent.
   void Complete() {
     std::lock_guard<std::mutex> lock(m_mutex);
@@ -64,6 +100,7 @@
 
  private:
   std::atomic<size_t>& m_in_flight;
+  const StopFlag& m_stopping;
   mutable std::mutex m_mutex;
   MHD_Connection* m_connection;
   std::optional<HttpResponse> m_response;
@@ -152,8 +189,12 @@
                           MHD_RequestTerminationCode code);
 
   void StopDaemon();
+  // No connection may be suspended when the daemon is stopped.
+  void AnswerSuspended();
   void TakeBody(RequestState& state, std::string_view data);
   void ReleaseBody(RequestState& state);
+  void AddExchange(const std::shared_ptr<Exchange>& exchange);
+  void RemoveExchange(const std::shared_ptr<Exchange>& exchange);
   MHD_Result Continue(MHD_Connection* connection, RequestState& state);
   MHD_Result Queue(MHD_Connection* connection, HttpResponse response);
 
@@ -162,6 +203,9 @@
   std::atomic<size_t> m_in_flight{0};
   std::atomic<size_t> m_body_bytes{0};  // Received and not yet answered.
   std::atomic<bool> m_draining{false};
+  StopFlag m_stopping{false};
+  std::mutex m_exchanges_mutex;
+  std::set<std::shared_ptr<Exchange>> m_exchanges;  // Not completed yet.
   std::mutex m_stop_mutex;
   MHD_Daemon* m_daemon = nullptr;
   uint16_t m_port = 0;
@@ -204,10 +248,26 @@
 void Server::StopDaemon() {
   std::lock_guard<std::mutex> lock(m_stop_mutex);
   if (m_daemon != nullptr) {
+    AnswerSuspended();
     MHD_stop_daemon(std::exchange(m_daemon, nullptr));
   }
 }
 
+void Server::AnswerSuspended() {
+  m_stopping.store(true);
+  m_draining.store(true);
+  {
+    std::lock_guard<std::mutex> lock(m_exchanges_mutex);
+    for (const std::shared_ptr<Exchange>& exchange : m_exchanges) {
+      exchange->AnswerIfSuspended();
+    }
+  }
+  const auto end = std::chrono::steady_clock::now() + kMaxFlushTime;
+  while (m_in_flight.load() > 0 && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(kFlushCheckInterval);
+  }
+}
+
 MHD_Result Server::OnAccess(void* closure,
                             MHD_Connection* connection,
                             const char* url,
@@ -229,8 +289,9 @@
       field.name = UrlUnescape(field.name);
       field.value = UrlUnescape(field.value);
     }
-    fresh->exchange =
-        std::make_shared<Exchange>(server->m_in_flight, connection);
+    fresh->exchange = std::make_shared<Exchange>(
+        server->m_in_flight, server->m_stopping, connection);
+    server->AddExchange(fresh->exchange);
     *state = fresh;
     return MHD_YES;
   }
@@ -268,6 +329,16 @@
   m_body_bytes.fetch_sub(std::exchange(state.body_bytes, 0));
 }
 
+void Server::AddExchange(const std::shared_ptr<Exchange>& exchange) {
+  std::lock_guard<std::mutex> lock(m_exchanges_mutex);
+  m_exchanges.insert(exchange);
+}
+
+void Server::RemoveExchange(const std::shared_ptr<Exchange>& exchange) {
+  std::lock_guard<std::mutex> lock(m_exchanges_mutex);
+  m_exchanges.erase(exchange);
+}
+
 // The answer to a request that was not read to its end.
 HttpResponse ExcessResponse(Excess excess, size_t max_body_bytes) {
   HttpResponse response;
@@ -329,8 +400,10 @@
   if (request_state == nullptr) {
     return;
   }
-  static_cast<Server*>(closure)->ReleaseBody(*request_state);
+  auto* server = static_cast<Server*>(closure);
+  server->ReleaseBody(*request_state);
   request_state->exchange->Complete();
+  server->RemoveExchange(request_state->exchange);
   delete request_state;
   *state = nullptr;
 }
--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <future>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
@@ -295,6 +296,43 @@
   }
 }
 
+// Guards against a daemon that aborts when it is stopped while the log doesn't
+// answer: libmicrohttpd must not be stopped with suspended connections.
+TEST_CASE("a server that stops answers the requests that still wait") {
+  std::mutex mutex;
+  std::vector<std::shared_ptr<HttpReply>> waiting;
+  auto server = base::Value(StartHttpServer(
+      {}, [&](const HttpRequest&, std::shared_ptr<HttpReply> reply) {
+        std::lock_guard<std::mutex> lock(mutex);
+        waiting.push_back(std::move(reply));
+      }));
+  auto client = StartHttpClient();
+  constexpr int kCalls = 20;
+  std::atomic<int> answered{0};
+  std::atomic<int> ended{0};
+  for (int i = 0; i < kCalls; ++i) {
+    HttpCall call;
+    call.url = Url(*server, "/");
+    call.timeout = std::chrono::milliseconds(10000);
+    REQUIRE(client->Send(call, [&](HttpResult result) {
+      answered += base::Ok(result) && base::Value(result).status == 504 ? 1 : 0;
+      ++ended;
+    }));
+  }
+  while (server->InFlight() < kCalls) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  server->Stop();
+  while (ended.load() < kCalls) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  CHECK(answered.load() == kCalls);
+  std::lock_guard<std::mutex> lock(mutex);
+  for (const auto& reply : waiting) {
+    reply->Send({});  // Too late; no effect.
+  }
+}
+
 // Guards against a daemon that can't start again at its address, since
 // connections that its former process closed are kept by the kernel.
 TEST_CASE("a server binds the port of a former one that closed connections") {
