Store the cancellation of an unknown job; count open appends as possibly stored

Cause: the answer came from the stream alone, though this VM held an append of that very job without an outcome, and job tables ignored cancellations of unknown jobs.

A VM remembers its own appends without outcome for 15 s: meanwhile it tells neither "no such job" nor "never runs" of them.

--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -195,6 +195,7 @@
   if (now >= m_next_sweep) {
     m_next_sweep = now + kSweepInterval;
     m_job_table.RemoveExpired(now, m_options.finished_job_retention);
+    m_open_submissions.RemoveExpired(now);
   }
 }
 
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -29,6 +29,7 @@
 #include "log_tail.h"
 #include "log_timing.h"
 #include "node_load.h"
+#include "open_submissions.h"
 #include "peer_sender.h"
 #include "recent_records.h"
 #include "records_fan_out.h"
@@ -195,9 +196,12 @@
   void PostInTerm(uint64_t epoch, std::function<void(LeaderTerm&)> call);
 
   void PollPolicy();
+  void StoreSubmission(const jobs::Submission& submission,
+                       base::MonoTime deadline,
+                       std::function<void(IntakeOutcome)> done);
   void StoreIntake(const jobs::IntakeRecord& record,
                    base::MonoTime deadline,
-                   std::function<void(IntakeOutcome)> done);
+                   std::function<void(StoreOutcome)> done);
   // `own_outcome` is the outcome of this VM's own append, or kNotStored if it
   // made none.
   void Forward(jobs::JobId job,
@@ -227,6 +231,12 @@
   void CancelKnown(jobs::JobId job,
                    base::MonoTime deadline,
                    std::function<void(IntakeOutcome)> done);
+  // Cancels a job that the whole intake stream lacks.
+  void CancelUnknown(jobs::JobId job,
+                     base::MonoTime deadline,
+                     std::function<void(IntakeOutcome)> done);
+  // A refusal of a submission, unless an earlier one of the job may be stored.
+  IntakeOutcome RefusalOf(jobs::JobId job) const;
 
   const NodeOptions m_options;
   const NodeDependencies m_dependencies;
@@ -260,6 +270,7 @@
   LogTail m_work_tail;
   IntakeWriter m_intake_writer;
   IntakeForwarder m_intake_forwarder;
+  OpenSubmissions m_open_submissions;
   ViewWaiters m_view_waiters;
   RecordsFanOut m_fan_out;
   RecentRecords m_recent_intake{kRecentRecordsBytes};
--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -88,30 +88,52 @@
                   std::function<void(IntakeOutcome)> done) {
   const bool posted =
       Post([this, submission = std::move(submission), deadline, done] {
-        if (m_job_table.StateOf(submission.spec.id)) {
-          done(IntakeOutcome::kAccepted);
-          return;
-        }
-        if (m_draining) {
-          done(IntakeOutcome::kNotAccepted);
-          return;
-        }
-        StoreIntake(submission, deadline, done);
+        StoreSubmission(submission, deadline, done);
       });
   if (!posted) {
     done(IntakeOutcome::kNotAccepted);
   }
 }
 
+void Node::StoreSubmission(const jobs::Submission& submission,
+                           MonoTime deadline,
+                           std::function<void(IntakeOutcome)> done) {
+  const jobs::JobId job = submission.spec.id;
+  if (m_job_table.StateOf(job)) {
+    done(IntakeOutcome::kAccepted);
+    return;
+  }
+  if (m_draining) {
+    done(RefusalOf(job));
+    return;
+  }
+  m_open_submissions.Begin(job);
+  StoreIntake(submission, deadline,
+              [this, job, done = std::move(done)](StoreOutcome outcome) {
+                m_open_submissions.End(job, outcome, m_clock.Now());
+                done(outcome == StoreOutcome::kNotStored
+                         ? RefusalOf(job)
+                         : ToIntakeOutcome(outcome));
+              });
+}
+
+// An earlier request for the same job may have left an append without an
+// answer, so that "never runs" would not be true.
+IntakeOutcome Node::RefusalOf(jobs::JobId job) const {
+  return m_open_submissions.MayBeStored(job, m_clock.Now())
+             ? IntakeOutcome::kUnknown
+             : IntakeOutcome::kNotAccepted;
+}
+
 void Node::StoreIntake(const jobs::IntakeRecord& record,
                        MonoTime deadline,
-                       std::function<void(IntakeOutcome)> done) {
+                       std::function<void(StoreOutcome)> done) {
   const MonoTime began = m_clock.Now();
   const jobs::JobId job = jobs::JobOf(record);
   std::string bytes = jobs::EncodeIntake(record);
   auto finish = [this, began, done = std::move(done)](StoreOutcome outcome) {
     CountStored(outcome, began);
-    done(ToIntakeOutcome(outcome));
+    done(outcome);
   };
   // A slow log completes few appends per second, so the leader appends for all
   // VMs.
@@ -185,9 +207,10 @@
                        [this, job, deadline, done](bool certain) {
                          if (m_job_table.StateOf(job)) {
                            CancelKnown(job, deadline, done);
+                         } else if (certain) {
+                           CancelUnknown(job, deadline, done);
                          } else {
-                           done(certain ? IntakeOutcome::kNoSuchJob
-                                        : IntakeOutcome::kNotAccepted);
+                           done(IntakeOutcome::kNotAccepted);
                          }
                        });
   });
@@ -203,7 +226,24 @@
     done(IntakeOutcome::kAccepted);
     return;
   }
-  StoreIntake(jobs::CancelRecord{job}, deadline, std::move(done));
+  StoreIntake(jobs::CancelRecord{job}, deadline,
+              [done = std::move(done)](StoreOutcome outcome) {
+                done(ToIntakeOutcome(outcome));
+              });
+}
+
+// Some VM, this one included, may have sent an append of the job and not heard
+// of it. A stored cancellation meets that append whenever it is carried out.
+void Node::CancelUnknown(jobs::JobId job,
+                         MonoTime deadline,
+                         std::function<void(IntakeOutcome)> done) {
+  StoreIntake(
+      jobs::CancelRecord{job}, deadline,
+      [this, job, done = std::move(done)](StoreOutcome outcome) {
+        const bool missing =
+            outcome == StoreOutcome::kStored && !m_job_table.StateOf(job);
+        done(missing ? IntakeOutcome::kNoSuchJob : ToIntakeOutcome(outcome));
+      });
 }
 
 void Node::FindState(jobs::JobId job,
@@ -213,7 +253,10 @@
     const auto state = m_job_table.StateOf(job);
     if (!state) {
       WhenKnownOrMissing(job, deadline, [this, job, done](bool certain) {
-        done({certain, m_job_table.StateOf(job)});
+        const auto latest = m_job_table.StateOf(job);
+        const bool open =
+            !latest && m_open_submissions.MayBeStored(job, m_clock.Now());
+        done({certain && !open, latest});
       });
       return;
     }
--- /dev/null
+++ b/packages/cell/src/open_submissions.cc
@@ -0,0 +1,43 @@
+#include "open_submissions.h"
+
+#include <algorithm>
+
+namespace azurespur::cell {
+
+namespace {
+
+// The log may carry an unanswered append out some seconds later.
+constexpr base::Millis kMaxAppendDelay{15000};
+
+}  // namespace
+
+void OpenSubmissions::Begin(jobs::JobId job) {
+  ++m_open[job].in_flight;
+}
+
+void OpenSubmissions::End(jobs::JobId job,
+                          StoreOutcome outcome,
+                          base::MonoTime now) {
+  Open& open = m_open[job];
+  open.in_flight = std::max(0, open.in_flight - 1);
+  if (outcome == StoreOutcome::kUnknown) {
+    open.uncertain_until = now + kMaxAppendDelay;
+  }
+  if (open.in_flight == 0 && open.uncertain_until <= now) {
+    m_open.erase(job);
+  }
+}
+
+bool OpenSubmissions::MayBeStored(jobs::JobId job, base::MonoTime now) const {
+  const auto found = m_open.find(job);
+  return found != m_open.end() &&
+         (found->second.in_flight > 0 || now < found->second.uncertain_until);
+}
+
+void OpenSubmissions::RemoveExpired(base::MonoTime now) {
+  std::erase_if(m_open, [now](const auto& entry) {
+    return entry.second.in_flight == 0 && entry.second.uncertain_until <= now;
+  });
+}
+
+}  // namespace azurespur::cell
--- /dev/null
+++ b/packages/cell/src/open_submissions.h
@@ -0,0 +1,41 @@
+// Submissions of this VM whose appends may still be carried out, although
+// nobody was told so. Does no I/O and reads no clock.
+
+#ifndef CELL_SRC_OPEN_SUBMISSIONS_H_
+#define CELL_SRC_OPEN_SUBMISSIONS_H_
+
+#include <map>
+
+#include "base/clock.h"
+#include "cell/store_outcome.h"
+#include "jobs/job_id.h"
+
+namespace azurespur::cell {
+
+class OpenSubmissions {
+ public:
+  // An append of the job begins.
+  void Begin(jobs::JobId job);
+
+  // The append of the job is over as far as this VM learns.
+  void End(jobs::JobId job, StoreOutcome outcome, base::MonoTime now);
+
+  // True if an append of the job is in flight, or was left without an answer so
+  // recently that it may still be carried out.
+  bool MayBeStored(jobs::JobId job, base::MonoTime now) const;
+
+  // Forgets appends that are too old to be carried out.
+  void RemoveExpired(base::MonoTime now);
+
+ private:
+  struct Open {
+    int in_flight = 0;
+    base::MonoTime uncertain_until{};
+  };
+
+  std::map<jobs::JobId, Open> m_open;
+};
+
+}  // namespace azurespur::cell
+
+#endif  // CELL_SRC_OPEN_SUBMISSIONS_H_
--- /dev/null
+++ b/packages/cell/tests/node_cancel_test.cc
@@ -0,0 +1,134 @@
+// Cancellations, states and refusals of jobs whose append was not answered: the
+// log may still carry it out.
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <vector>
+
+#include "node_fixture.h"
+
+namespace azurespur::cell {
+
+namespace {
+
+using base::Millis;
+
+constexpr jobs::JobId kJob = 7;
+constexpr Millis kTimeout{2000};
+
+struct CancelFixture : NodeFixture {
+  CancelFixture() {
+    StoreWork(jobs::LeaderRecord{kOtherEpoch, "vm-b", "10.0.0.2:1"});
+    Pass(Millis{300});
+  }
+
+  static jobs::Submission MakeSubmission() {
+    jobs::Submission submission;
+    submission.spec.id = kJob;
+    submission.spec.queue = "q";
+    submission.spec.steps.resize(1);
+    return submission;
+  }
+
+  IntakeOutcome Submit() {
+    return Ask([this](const Done& done) {
+      node.Submit(MakeSubmission(), clock.now + kTimeout, done);
+    });
+  }
+
+  IntakeOutcome Cancel() {
+    return Ask([this](const Done& done) {
+      node.Cancel(kJob, clock.now + kTimeout, done);
+    });
+  }
+
+  // No append of this VM is answered or carried out in time.
+  IntakeOutcome SubmitUnanswered() {
+    for (int i = 0; i < 8; ++i) {
+      log.log.InjectFault(AppendFault::kLoseRequest);
+    }
+    const IntakeOutcome outcome = Submit();
+    log.log.ClearFaults();
+    return outcome;
+  }
+
+  // The log carries the unanswered append out.
+  void CarryOutLateAppend() {
+    StoreIntake(MakeSubmission());
+    Pass(Millis{1500});
+  }
+
+ private:
+  using Done = std::function<void(IntakeOutcome)>;
+
+  IntakeOutcome Ask(const std::function<void(const Done&)>& question) {
+    auto answers = std::make_shared<std::vector<IntakeOutcome>>();
+    question([answers](IntakeOutcome outcome) { answers->push_back(outcome); });
+    node.RunPending();
+    Pass(kTimeout + Millis{100});
+    REQUIRE(answers->size() == 1);
+    return answers->front();
+  }
+};
+
+}  // namespace
+
+// Guards against a job that runs after its caller was told that its
+// cancellation found no such job.
+TEST_CASE("a job that is stored after its cancellation is cancelled") {
+  CancelFixture f;
+  REQUIRE(f.SubmitUnanswered() == IntakeOutcome::kUnknown);
+  CHECK(f.Cancel() == IntakeOutcome::kNoSuchJob);
+  f.CarryOutLateAppend();
+  CHECK(f.FindState(kJob).state == jobs::JobState::kCancelled);
+}
+
+TEST_CASE("a job that is stored before its cancellation is cancelled") {
+  CancelFixture f;
+  REQUIRE(f.SubmitUnanswered() == IntakeOutcome::kUnknown);
+  f.CarryOutLateAppend();
+  CHECK(f.Cancel() == IntakeOutcome::kAccepted);
+  CHECK(f.FindState(kJob).state == jobs::JobState::kCancelled);
+}
+
+// Guards against the same at a VM that knows nothing of the append, as another
+// VM sent it, or this one before it was started again.
+TEST_CASE("a job that another VM stores after its cancellation is cancelled") {
+  CancelFixture f;
+  CHECK(f.Cancel() == IntakeOutcome::kNoSuchJob);
+  f.CarryOutLateAppend();
+  CHECK(f.FindState(kJob).state == jobs::JobState::kCancelled);
+}
+
+TEST_CASE("a cancellation of an unknown job shows no job") {
+  CancelFixture f;
+  CHECK(f.Cancel() == IntakeOutcome::kNoSuchJob);
+  const JobStateResult result = f.FindState(kJob);
+  CHECK(result.known);
+  CHECK_FALSE(result.state);
+}
+
+// Guards against "no such job" for one that is about to be stored.
+TEST_CASE("the state of a job is not known while its append is open") {
+  CancelFixture f;
+  REQUIRE(f.SubmitUnanswered() == IntakeOutcome::kUnknown);
+  CHECK_FALSE(f.FindState(kJob).known);
+  f.Pass(Millis{15000});
+  CHECK(f.FindState(kJob).known);
+}
+
+// Guards against "never runs" for a job whose earlier append is carried out
+// later.
+TEST_CASE("a repeat is not refused while the job's earlier append is open") {
+  CancelFixture f;
+  REQUIRE(f.SubmitUnanswered() == IntakeOutcome::kUnknown);
+  for (int i = 0; i < 8; ++i) {
+    f.log.log.InjectFault(AppendFault::kRefuse);
+  }
+  CHECK(f.Submit() == IntakeOutcome::kUnknown);
+  f.Pass(Millis{15000});
+  CHECK(f.Submit() == IntakeOutcome::kNotAccepted);
+}
+
+}  // namespace azurespur::cell
--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -73,8 +73,9 @@
   bool Submit(const Submission& submission, base::MonoTime now);
   bool Submit(const JobSpec& spec, base::MonoTime now);
 
-  // Returns false if the job is unknown. `offset` is the offset of the
-  // cancel record in the intake stream.
+  // Returns false if the job is unknown; if it is submitted later, it counts as
+  // cancelled. `offset` is the offset of the cancel record in the intake
+  // stream.
   bool Cancel(JobId id, int64_t offset, base::MonoTime now);
 
   void Apply(const IntakeRecord& record, int64_t offset, base::MonoTime now);
@@ -89,7 +90,8 @@
   // Counts the accepted jobs of `queue` of which no task has started.
   int64_t CountPending(std::string_view queue) const;
 
-  // Removes the states of jobs that have been final for longer than `keep`.
+  // Removes the states of jobs that have been final for longer than `keep`, and
+  // cancellations of unknown jobs of that age.
   void RemoveExpired(base::MonoTime now, base::Millis keep);
 
   // Jobs that are not final, or still have bound tasks.
@@ -122,6 +124,9 @@
 
   std::map<JobId, Job> m_jobs;
   std::unordered_map<JobId, FinalState> m_final;
+  // Cancellations of jobs that are not in the stream before them. A submission
+  // whose append was not answered may be stored after its cancellation.
+  std::unordered_map<JobId, base::MonoTime> m_early_cancels;
   // Cancelled jobs for which bindings may still be read: the work stream may
   // hold bindings that the leader recorded before it knew of the cancellation.
   std::map<JobId, int64_t> m_cancel_offsets;
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -83,6 +83,10 @@
   if (StateOf(spec.id)) {
     return false;
   }
+  if (m_early_cancels.erase(spec.id) > 0) {
+    m_final[spec.id] = {JobState::kCancelled, now};
+    return true;
+  }
   Job job;
   job.spec = spec;
   job.accepted_at = now;
@@ -100,14 +104,21 @@
   if (!Submit(submission.spec, now)) {
     return false;
   }
-  m_jobs.at(submission.spec.id).terms = submission.terms;
+  const auto found = m_jobs.find(submission.spec.id);
+  if (found != m_jobs.end()) {
+    found->second.terms = submission.terms;
+  }
   return true;
 }
 
 bool JobTable::Cancel(JobId id, int64_t offset, base::MonoTime now) {
   const auto found = m_jobs.find(id);
   if (found == m_jobs.end()) {
-    return m_final.count(id) > 0;
+    const bool known = m_final.count(id) > 0;
+    if (!known) {
+      m_early_cancels.emplace(id, now);
+    }
+    return known;
   }
   if (!IsFinal(found->second.state)) {
     SetState(found->second, JobState::kCancelled, now);
@@ -269,6 +280,9 @@
   std::erase_if(m_final, [now, keep](const auto& entry) {
     return entry.second.since + keep < now;
   });
+  std::erase_if(m_early_cancels, [now, keep](const auto& entry) {
+    return entry.second + keep < now;
+  });
 }
 
 }  // namespace azurespur::jobs
--- a/packages/jobs/src/job_table_snapshot.cc
+++ b/packages/jobs/src/job_table_snapshot.cc
@@ -173,6 +173,9 @@
     saved.final_jobs.push_back({id, static_cast<uint8_t>(final.state),
                                 base::MillisBetween(final.since, now)});
   }
+  for (const auto& [id, since] : table.m_early_cancels) {
+    saved.early_cancels.push_back({id, base::MillisBetween(since, now)});
+  }
   saved.workers = workers.TakeAll();
   saved.terms = terms.TakeAll();
   return wire::Encode(saved);
@@ -224,6 +227,9 @@
     }
     table.m_final[entry.id] = {state, now - base::Millis{entry.age_ms}};
   }
+  for (const EarlyCancelSnapshot& entry : saved.early_cancels) {
+    table.m_early_cancels[entry.id] = now - base::Millis{entry.age_ms};
+  }
   return table;
 }
 
--- a/packages/jobs/src/job_table_snapshot.h
+++ b/packages/jobs/src/job_table_snapshot.h
@@ -82,16 +82,27 @@
 // Stands where the earlier form has the leader's epoch, and is none.
 inline constexpr uint64_t kSnapshotFormat = UINT64_MAX;
 
+struct EarlyCancelSnapshot {
+  JobId id = 0;
+  int64_t age_ms = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, age_ms);
+  }
+};
+
 struct JobTableSnapshot : JobTableSnapshotV1 {
   uint64_t format = kSnapshotFormat;
   std::vector<QueueTerms> terms;   // Each once.
   std::vector<int32_t> job_terms;  // Index in `terms` of each job; -1: none.
+  std::vector<EarlyCancelSnapshot> early_cancels;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(format);
     JobTableSnapshotV1::serialize(archive);
-    archive(terms, job_terms);
+    archive(terms, job_terms, early_cancels);
   }
 };
 
--- a/packages/jobs/tests/job_table_snapshot_test.cc
+++ b/packages/jobs/tests/job_table_snapshot_test.cc
@@ -251,6 +251,20 @@
   CHECK_FALSE(other.Find(3)->terms);
 }
 
+// Guards against a cancelled job that runs since the VM that leads went on from
+// a snapshot.
+TEST_CASE("a snapshot keeps the cancellations of jobs that are not known yet") {
+  JobTable table;
+  CHECK_FALSE(table.Cancel(5, 0, kNow));
+  const auto restored = DecodeJobTable(EncodeJobTable(table, kNow), kNow);
+  REQUIRE(base::Ok(restored));
+  JobTable other = base::Value(restored);
+  CHECK_FALSE(other.StateOf(5));
+  other.Apply(IntakeRecord(MakeSubmission(5)), 1, kNow);
+  CHECK(other.StateOf(5) == JobState::kCancelled);
+  CHECK(other.CountPending("odd") == 0);
+}
+
 TEST_CASE("a snapshot of an earlier release is decoded") {
   JobTableSnapshotV1 former;
   former.jobs.emplace_back().spec = MakeJob(1);
