--- a/packages/cell/include/cell/cell_node.h
+++ b/packages/cell/include/cell/cell_node.h
@@ -87,6 +87,9 @@
   // When the policy was last known to be the newest; empty if never.
   virtual std::optional<base::MonoTime> policy_as_of() const = 0;
 
+  // Since when another VM has known a newer policy; empty if none does.
+  virtual std::optional<base::MonoTime> policy_outdated_since() const = 0;
+
   // True if the node can accept jobs now.
   virtual bool ready() const = 0;
 
--- a/packages/cell/include/cell/messages.h
+++ b/packages/cell/include/cell/messages.h
@@ -150,6 +150,18 @@
   }
 };
 
+// Sent by the leader at intervals, so that a VM that can't read the policy
+// learns whether its own is out of date.
+struct PolicyNotice {
+  uint64_t epoch = 0;
+  int64_t version = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(epoch, version);
+  }
+};
+
 using Message = std::variant<RecordsNotice,
                              LeaderHeartbeat,
                              FollowerHeartbeat,
@@ -157,7 +169,8 @@
                              AdviceReply,
                              RecordsRequest,
                              ForwardedIntake,
-                             ForwardedOutcome>;
+                             ForwardedOutcome,
+                             PolicyNotice>;
 
 }  // namespace azurespur::cell
 
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -88,6 +88,7 @@
                     std::function<void(PendingCountResult)> done) override;
   std::shared_ptr<const jobs::CellPolicy> policy() const override;
   std::optional<base::MonoTime> policy_as_of() const override;
+  std::optional<base::MonoTime> policy_outdated_since() const override;
   bool ready() const override { return m_ready.load(); }
   void Dump(std::function<void(std::string)> done) override;
 
@@ -135,6 +136,7 @@
   void OnMessage(const RecordsRequest& request);
   void OnMessage(const ForwardedIntake& forward);
   void OnMessage(const ForwardedOutcome& answer);
+  void OnMessage(const PolicyNotice& notice);
   // Learns about a new leader from a datagram, possibly before its leader
   // record was read.
   void UpdateAnnouncedLeader(const LeaderInfo& leader);
@@ -262,6 +264,7 @@
   mutable std::mutex m_policy_mutex;
   std::shared_ptr<const jobs::CellPolicy> m_policy;
   std::optional<base::MonoTime> m_policy_as_of;
+  std::optional<base::MonoTime> m_policy_outdated_since;
 
   // Used only on the node's thread.
   jobs::JobTable m_job_table;
--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -54,6 +54,7 @@
                            {{"version", std::to_string(latest->version)},
                             {"queues", std::to_string(latest->queues.size())}});
             m_policy = latest;
+            m_policy_outdated_since.reset();
           }
         }
         base::PushCompletion(m_mailbox, [this, ok] {
@@ -83,6 +84,25 @@
   return m_policy_as_of;
 }
 
+std::optional<MonoTime> Node::policy_outdated_since() const {
+  std::lock_guard<std::mutex> lock(m_policy_mutex);
+  return m_policy_outdated_since;
+}
+
+void Node::OnMessage(const PolicyNotice& notice) {
+  std::lock_guard<std::mutex> lock(m_policy_mutex);
+  const int64_t known = m_policy ? m_policy->version : 0;
+  if (notice.version <= known || m_policy_outdated_since) {
+    return;
+  }
+  m_policy_outdated_since = m_clock.Now();
+  base::LogEvent(base::Severity::kInfo, "AZ9218",
+                 "another VM knows a newer policy",
+                 {{"version", std::to_string(notice.version)},
+                  {"known_version", std::to_string(known)},
+                  {"epoch", std::to_string(notice.epoch)}});
+}
+
 void Node::Submit(jobs::Submission submission,
                   MonoTime deadline,
                   std::function<void(IntakeOutcome)> done) {
