Play all interleavings of a run, its sends and two boots of its worker

Cause: a restart released all confirmed runs, though the new boot might have accepted the start, or an earlier send of it was open.

Test: run_interleaving_test.

--- /dev/null
+++ b/packages/jobs/tests/run_interleaving_test.cc
@@ -0,0 +1,345 @@
+// All interleavings, to a depth, of what can happen to one run: sends and
+// answers of its start, its end, a restart of its worker, and reports and
+// directory entries of either boot. Judged by what a worker would see: a run
+// may be released only if it neither runs, nor can begin any more, nor has
+// ended as done.
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "jobs/fleet.h"
+
+namespace azurespur::jobs {
+
+namespace {
+
+using base::Millis;
+using base::MonoTime;
+
+constexpr TaskRef kTask{1, 0, 0};
+constexpr int32_t kRun = 1;
+constexpr Millis kStep{300};
+constexpr int kMaxSends = 2;
+constexpr int kMaxDepth = 9;
+constexpr size_t kMaxReportsInFlight = 2;
+
+enum class Event {
+  kDeliverFirstSend,
+  kDeliverSecondSend,
+  kAnswerStart,      // The answer to the newest send arrives.
+  kLoseStartAnswer,  // The leader gives up waiting for it.
+  kRunEnds,          // As done.
+  kRestart,
+  kEntryOfFirstBoot,
+  kEntryOfSecondBoot,
+  kReport,     // The worker answers a hold order.
+  kCutReport,  // The same; its list of ends is full without the run's end.
+  kDeliverReport,
+  kStop,  // The worker gets the stops that the leader has sent, and answers.
+};
+
+constexpr std::array kEvents = {
+    Event::kDeliverFirstSend, Event::kDeliverSecondSend, Event::kAnswerStart,
+    Event::kLoseStartAnswer,  Event::kRunEnds,           Event::kRestart,
+    Event::kEntryOfFirstBoot, Event::kEntryOfSecondBoot, Event::kReport,
+    Event::kCutReport,        Event::kDeliverReport,     Event::kStop,
+};
+
+enum class SendState { kUnsent, kInFlight, kAccepted, kRefused, kAnswered };
+
+struct ReportInFlight {
+  WorkerBoot asked_boot;
+  MonoTime asked_at;
+  WorkerReport report;
+};
+
+// The worker as it is.
+struct TrueWorker {
+  int64_t boot = 1;
+  bool running = false;
+  bool refuses = false;  // The run was stopped or has ended on this boot.
+  bool ended = false;    // The end is on the worker's list.
+};
+
+WorkerEntry MakeEntry(int64_t boot) {
+  WorkerEntry entry;
+  entry.boot = {"w", boot};
+  entry.address = "addr";
+  entry.capacity = {100, 100, 0};
+  return entry;
+}
+
+// The leader's fleet with one run, its worker, and what is under way between
+// them.
+class World {
+ public:
+  World() {
+    SetEntry(1);
+    ServeReport(/*cut=*/false);
+    DeliverReport();
+    Run run;
+    run.run = kRun;
+    m_fleet.Bind(kTask, run, "w", m_now);
+    m_fleet.BeginStart(kTask, kRun, m_now);
+    m_sends[0] = SendState::kInFlight;
+  }
+
+  // Returns false if the event can't happen now.
+  bool Apply(Event event);
+
+  bool over() const { return m_over; }
+  const std::string& fault() const { return m_fault; }
+
+ private:
+  bool DeliverSend(int number);
+  bool AnswerStart();
+  bool LoseStartAnswer();
+  bool EndRun();
+  bool Restart();
+  bool SetEntry(int64_t boot);
+  bool ServeReport(bool cut);
+  bool DeliverReport();
+  bool Stop();
+  bool SendIsOpen() const;
+  // Lets the leader act, and judges what it recorded.
+  void Settle();
+  void JudgeRelease();
+
+  SchedulerOptions m_options;
+  Fleet m_fleet{m_options};
+  SchedulerOutput m_out;
+  MonoTime m_now{Millis{1000000}};
+  TrueWorker m_worker;
+  std::array<SendState, kMaxSends> m_sends{};
+  int m_newest_send = 0;
+  std::vector<ReportInFlight> m_reports;
+  std::vector<StopOrder> m_stops;
+  bool m_over = false;
+  std::string m_fault;
+};
+
+bool World::Apply(Event event) {
+  m_now += kStep;
+  bool possible = false;
+  switch (event) {
+    case Event::kDeliverFirstSend:
+      possible = DeliverSend(0);
+      break;
+    case Event::kDeliverSecondSend:
+      possible = DeliverSend(1);
+      break;
+    case Event::kAnswerStart:
+      possible = AnswerStart();
+      break;
+    case Event::kLoseStartAnswer:
+      possible = LoseStartAnswer();
+      break;
+    case Event::kRunEnds:
+      possible = EndRun();
+      break;
+    case Event::kRestart:
+      possible = Restart();
+      break;
+    case Event::kEntryOfFirstBoot:
+      possible = SetEntry(1);
+      break;
+    case Event::kEntryOfSecondBoot:
+      possible = m_worker.boot == 2 && SetEntry(2);
+      break;
+    case Event::kReport:
+      possible = ServeReport(/*cut=*/false);
+      break;
+    case Event::kCutReport:
+      possible = m_worker.ended && ServeReport(/*cut=*/true);
+      break;
+    case Event::kDeliverReport:
+      possible = DeliverReport();
+      break;
+    case Event::kStop:
+      possible = Stop();
+      break;
+  }
+  if (possible) {
+    Settle();
+  }
+  return possible;
+}
+
+bool World::DeliverSend(int number) {
+  SendState& send = m_sends[static_cast<size_t>(number)];
+  if (send != SendState::kInFlight) {
+    return false;
+  }
+  const bool accepts = m_worker.running || !m_worker.refuses;
+  send = accepts ? SendState::kAccepted : SendState::kRefused;
+  m_worker.running = m_worker.running || accepts;
+  return true;
+}
+
+bool World::AnswerStart() {
+  SendState& send = m_sends[static_cast<size_t>(m_newest_send)];
+  if (send != SendState::kAccepted && send != SendState::kRefused) {
+    return false;
+  }
+  m_fleet.OnStarted(kTask, kRun, m_newest_send + 1,
+                    send == SendState::kAccepted ? OrderOutcome::kAccepted
+                                                 : OrderOutcome::kStaleRun,
+                    m_now, m_out);
+  send = SendState::kAnswered;
+  return true;
+}
+
+// The send stays under way, and the leader sends once more if it may.
+bool World::LoseStartAnswer() {
+  const bool waits =
+      m_sends[static_cast<size_t>(m_newest_send)] != SendState::kAnswered;
+  if (!waits || m_newest_send + 1 >= kMaxSends) {
+    return false;
+  }
+  if (m_fleet.MayRepeatStart(kTask, kRun)) {
+    m_fleet.OnStartRepeated(kTask, m_now);
+    ++m_newest_send;
+    m_sends[static_cast<size_t>(m_newest_send)] = SendState::kInFlight;
+    return true;
+  }
+  m_fleet.OnStarted(kTask, kRun, m_newest_send + 1, OrderOutcome::kUnknown,
+                    m_now, m_out);
+  return true;
+}
+
+bool World::EndRun() {
+  if (!m_worker.running) {
+    return false;
+  }
+  m_worker.running = false;
+  m_worker.refuses = true;
+  m_worker.ended = true;
+  return true;
+}
+
+bool World::Restart() {
+  if (m_worker.boot == 2) {
+    return false;
+  }
+  m_worker = TrueWorker{};
+  m_worker.boot = 2;
+  m_reports.clear();  // They came over connections that are broken now.
+  return true;
+}
+
+bool World::SetEntry(int64_t boot) {
+  const WorkerEntry entry = MakeEntry(boot);
+  m_fleet.SetEntries({&entry, 1}, m_now);
+  return true;
+}
+
+bool World::ServeReport(bool cut) {
+  if (m_reports.size() >= kMaxReportsInFlight) {
+    return false;
+  }
+  ReportInFlight answer;
+  answer.asked_boot = m_fleet.workers().at("w").entry.boot;
+  answer.asked_at = m_now;
+  answer.report.clock_ms = base::MillisBetween(MonoTime{}, m_now);
+  answer.report.boot_unix_ms = m_worker.boot;
+  if (m_worker.running) {
+    answer.report.running.push_back({kTask, kRun, "", 10});
+  }
+  if (m_worker.ended && !cut) {
+    answer.report.ended.push_back({1, kTask, kRun, EndCause::kDone, ""});
+  }
+  answer.report.more_ends = cut;
+  m_reports.push_back(std::move(answer));
+  return true;
+}
+
+bool World::DeliverReport() {
+  if (m_reports.empty()) {
+    return false;
+  }
+  const ReportInFlight answer = std::move(m_reports.back());
+  m_reports.pop_back();
+  m_fleet.OnReport(answer.asked_boot, answer.report, answer.asked_at, m_now,
+                   m_out);
+  return true;
+}
+
+bool World::Stop() {
+  if (m_stops.empty()) {
+    return false;
+  }
+  m_stops.clear();
+  m_worker.refuses = true;
+  m_worker.running = false;
+  m_fleet.OnStopped(kTask, kRun, OrderOutcome::kAccepted, m_now, m_out);
+  return true;
+}
+
+bool World::SendIsOpen() const {
+  return std::count(m_sends.begin(), m_sends.end(), SendState::kInFlight) > 0;
+}
+
+void World::Settle() {
+  m_fleet.Tick(m_now, /*may_renew=*/true, m_out);
+  m_stops.insert(m_stops.end(), m_out.stops.begin(), m_out.stops.end());
+  for (const PendingRecord& pending : std::exchange(m_out, {}).records) {
+    const auto* end = std::get_if<EndRecord>(&pending.record);
+    if (end != nullptr && end->kind == EndKind::kReleased) {
+      JudgeRelease();
+    }
+    m_over = true;
+  }
+}
+
+void World::JudgeRelease() {
+  if (m_worker.running) {
+    m_fault = "released while it runs";
+  } else if (m_worker.ended) {
+    m_fault = "released though it has ended as done";
+  } else if (SendIsOpen() && !m_worker.refuses) {
+    m_fault = "released while a send may still begin it";
+  }
+}
+
+// Returns the names of the first events that lead to a fault, nothing if none
+// do.
+std::string FindFault(const World& world, int depth, int64_t& explored) {
+  for (size_t i = 0; i < kEvents.size(); ++i) {
+    World next = world;
+    if (!next.Apply(kEvents[i])) {
+      continue;
+    }
+    ++explored;
+    if (!next.fault().empty()) {
+      return std::to_string(i) + ": " + next.fault();
+    }
+    if (next.over() || depth == 1) {
+      continue;
+    }
+    const std::string fault = FindFault(next, depth - 1, explored);
+    if (!fault.empty()) {
+      return std::to_string(i) + ", " + fault;
+    }
+  }
+  return {};
+}
+
+}  // namespace
+
+// Guards against a second run of a task beside the first one, and against one
+// after an end that the worker still has to tell.
+TEST_CASE("no interleaving releases a run that is not over") {
+  int64_t explored = 0;
+  // Numbers of the enumerators of Event.
+  CHECK(FindFault(World{}, kMaxDepth, explored) == "");
+  MESSAGE("states explored: " << explored);
+}
+
+}  // namespace azurespur::jobs
