One function for what follows from an event of a run

The phases of a run changed in eight places of Fleet, four of which released runs; the review's faults were releases that the others didn't know of. The boots of workers and the directory's entries move to a file of their own.

--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -19,6 +19,7 @@
 #include "base/clock.h"
 #include "jobs/orders.h"
 #include "jobs/own_delay.h"
+#include "jobs/run_phase.h"
 #include "jobs/scheduler_options.h"
 #include "jobs/scheduler_output.h"
 #include "jobs/worker_entry.h"
@@ -26,15 +27,6 @@
 
 namespace azurespur::jobs {
 
-enum class RunPhase {
-  kBinding,       // The binding is being stored; no start was sent.
-  kStarting,      // The start was sent; no answer yet.
-  kAdopted,       // Bound by an earlier leader; not yet reported by the worker.
-  kRunning,       // Confirmed by the worker.
-  kStartUnknown,  // The outcome of the start is unknown; stops are sent.
-  kStopConfirmed,  // The stop was answered; a later report decides.
-};
-
 struct Run {
   int32_t run = 0;
   RunPhase phase = RunPhase::kBinding;
@@ -215,10 +207,19 @@
   base::MonoTime LastProgressOf(const StepRef& step);
   // The end of a member is progress of its gang.
   void RecordGangProgress(const StepRef& step, base::MonoTime now);
+  // Moves the run to the phase that follows from the event, and releases it if
+  // that is kOver.
+  void Advance(Worker& worker,
+               const TaskRef& task,
+               RunEvent event,
+               SchedulerOutput& out);
+  void AdvanceAll(Worker& worker,
+                  std::span<const TaskRef> tasks,
+                  RunEvent event,
+                  SchedulerOutput& out);
   // Frees the run's capacity and records its end, for a run that is certainly
   // over and that the worker reported no end of.
   void Release(Worker& worker, const TaskRef& task, SchedulerOutput& out);
-  void ReleaseAll(Worker& worker, SchedulerOutput& out);
   void HandleEnd(Worker& worker,
                  const EndedTask& end,
                  base::MonoTime now,
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -6,27 +6,16 @@
 #include <vector>
 
 #include "base/event_log.h"
+#include "lease_time.h"
 
 namespace azurespur::jobs {
 
 namespace {
 
-// Slowest rate of a worker's clock relative to the leader's.
-constexpr double kMinClockRate = 0.98;
-constexpr base::Millis kLeaseMargin{150};
 constexpr base::Millis kFullWorkerBackoff{500};
 // An unanswered order may take effect at the worker up to this much later, and
 // the worker may then count the order's lease from the arrival.
 constexpr base::Millis kMaxOrderDelay{12500};
-// Of a worker; the directory lags by fewer restarts.
-constexpr size_t kMaxFormerBoots = 8;
-
-// Returns the longest time on the leader's clock in which the worker's clock
-// may advance by `worker_ms`.
-base::Millis ToLocalTime(int64_t worker_ms) {
-  return base::Millis{
-      static_cast<int64_t>(static_cast<double>(worker_ms) / kMinClockRate)};
-}
 
 // Returns how long after an unanswered start its run may still begin: until the
 // start is too old to arrive and its lease has certainly expired.
@@ -66,44 +55,44 @@
                   {"phase", std::to_string(static_cast<int>(run.phase))}});
 }
 
-// False only if both are known.
-bool IsSameBoot(int64_t a, int64_t b) {
-  return a == b || a == 0 || b == 0;
-}
-
-bool IsFormerBoot(const Worker& worker, int64_t boot_unix_ms) {
-  return std::count(worker.former_boots.begin(), worker.former_boots.end(),
-                    boot_unix_ms) > 0;
-}
-
-void AddFormerBoot(Worker& worker, int64_t boot_unix_ms) {
-  if (IsFormerBoot(worker, boot_unix_ms)) {
-    return;
-  }
-  if (worker.former_boots.size() >= kMaxFormerBoots) {
-    worker.former_boots.erase(worker.former_boots.begin());
+// What an answer to the newest of `send_count` sends of a start tells. Only an
+// acceptance tells something of the earlier ones.
+RunEvent EventOf(OrderOutcome outcome, int32_t send_count) {
+  switch (outcome) {
+    case OrderOutcome::kAccepted:
+      return RunEvent::kStartAccepted;
+    case OrderOutcome::kUnknown:
+    case OrderOutcome::kStaleRun:
+      return RunEvent::kStartInDoubt;
+    default:
+      return send_count > 1 ? RunEvent::kStartInDoubt : RunEvent::kStartRefused;
   }
-  worker.former_boots.push_back(boot_unix_ms);
 }
 
-// A start that was meant for an earlier boot may reach the new one, whose clock
-// is another, so it never becomes too late there. A stop prevents it.
-void ExpectLateStart(Run& run) {
-  run.phase = RunPhase::kStartUnknown;
-  run.start_deadline = base::MonoTime::max();
-  run.stop_sent_at = {};
+// True if a report that was asked for at `asked_at` would list the run.
+bool IsInReportsOf(const Run& run, base::MonoTime asked_at) {
+  if (run.phase == RunPhase::kAdopted) {
+    return true;
+  }
+  return run.phase == RunPhase::kStartUnknown ? run.start_deadline < asked_at
+                                              : run.confirmed_at < asked_at;
 }
 
-void LogBoot(const Worker& worker,
-             std::string_view id,
-             std::string_view message,
-             int64_t boot_unix_ms) {
-  base::LogEvent(
-      base::Severity::kWarning, id, message,
-      {{"worker", worker.entry.boot.id},
-       {"born", std::to_string(boot_unix_ms)},
-       {"known_born", std::to_string(worker.entry.boot.boot_unix_ms)},
-       {"runs", std::to_string(worker.runs.size())}});
+void AvoidAfterRefusal(Worker& worker,
+                       OrderOutcome outcome,
+                       base::MonoTime now) {
+  switch (outcome) {
+    case OrderOutcome::kNoRoom:
+    case OrderOutcome::kRefused:
+    case OrderOutcome::kLeaseExpired:
+      worker.avoid_until = now + kFullWorkerBackoff;
+      return;
+    case OrderOutcome::kOtherBoot:
+      worker.responsive = false;
+      return;
+    default:
+      return;
+  }
 }
 
 }  // namespace
@@ -165,117 +154,6 @@
   return count;
 }
 
-void Fleet::SetEntries(std::span<const WorkerEntry> entries,
-                       base::MonoTime now) {
-  std::set<std::string_view> present;
-  for (const WorkerEntry& entry : entries) {
-    present.insert(entry.boot.id);
-    Worker& worker = m_workers[entry.boot.id];
-    if (worker.entry.boot.id.empty()) {
-      worker.entry = entry;
-      worker.next_hold = now;
-    } else {
-      UpdateEntry(worker, entry, now);
-    }
-    worker.listed = true;
-  }
-  for (auto it = m_workers.begin(); it != m_workers.end();) {
-    if (present.count(it->first) == 0) {
-      it->second.listed = false;
-    }
-    const bool needed = it->second.listed || !it->second.runs.empty();
-    it = needed ? std::next(it) : m_workers.erase(it);
-  }
-}
-
-// The directory lags behind the worker, by one restart or several. So an entry
-// of another boot is only a reason to ask the worker, at the entry's address;
-// its own report decides which boot it is and what runs there.
-void Fleet::UpdateEntry(Worker& worker,
-                        const WorkerEntry& entry,
-                        base::MonoTime now) {
-  if (IsSameBoot(entry.boot.boot_unix_ms, worker.entry.boot.boot_unix_ms)) {
-    worker.entry = entry;
-    worker.undescribed = false;
-    worker.announced.reset();
-    return;
-  }
-  if (IsFormerBoot(worker, entry.boot.boot_unix_ms)) {
-    return;
-  }
-  const bool first = !worker.announced || worker.announced->boot != entry.boot;
-  worker.announced = entry;
-  if (first) {
-    worker.announced_at = now;
-    worker.responsive = false;
-    worker.holds_in_flight = 0;
-    worker.next_hold = now;
-    LogBoot(worker, "AZ9121",
-            "directory names another boot of the worker; asking the worker",
-            entry.boot.boot_unix_ms);
-  }
-}
-
-void Fleet::ObserveBoot(Worker& worker,
-                        int64_t boot_unix_ms,
-                        base::MonoTime asked_at,
-                        base::MonoTime now) const {
-  const bool asked_anew = worker.announced && asked_at >= worker.announced_at;
-  if (boot_unix_ms == 0 && asked_anew) {
-    HandleRestart(worker, worker.announced->boot.boot_unix_ms, now);
-  } else if (!IsSameBoot(boot_unix_ms, worker.entry.boot.boot_unix_ms)) {
-    HandleRestart(worker, boot_unix_ms, now);
-  } else if (asked_anew) {
-    AddFormerBoot(worker, worker.announced->boot.boot_unix_ms);
-    worker.announced.reset();
-  }
-}
-
-void Fleet::HandleRestart(Worker& worker,
-                          int64_t boot_unix_ms,
-                          base::MonoTime now) const {
-  LogBoot(worker, "AZ9106", "worker restarted", boot_unix_ms);
-  for (auto& [task, run] : worker.runs) {
-    switch (run.phase) {
-      case RunPhase::kBinding:
-        run.stop_requested = true;
-        break;
-      case RunPhase::kStarting:
-      case RunPhase::kStartUnknown:
-      case RunPhase::kStopConfirmed:
-        ExpectLateStart(run);
-        break;
-      case RunPhase::kRunning:
-        if (now < run.start_open_until) {
-          ExpectLateStart(run);
-        }
-        break;
-      case RunPhase::kAdopted:
-        break;
-    }
-  }
-  AddFormerBoot(worker, worker.entry.boot.boot_unix_ms);
-  std::erase(worker.former_boots, boot_unix_ms);
-  if (worker.announced && worker.announced->boot.boot_unix_ms == boot_unix_ms) {
-    worker.entry = *std::exchange(worker.announced, std::nullopt);
-    worker.undescribed = false;
-  } else {
-    worker.entry.boot.boot_unix_ms = boot_unix_ms;
-    worker.undescribed = true;
-  }
-  // A lease that was sent on the former clock may have reached the new boot,
-  // which grants its longest.
-  worker.lease_expires_at =
-      std::max(worker.lease_expires_at,
-               now + ToLocalTime(m_options.max_lease.count()) + kLeaseMargin);
-  worker.clock_known = false;
-  worker.max_lease_until_ms = 0;
-  worker.holds_in_flight = 0;
-  worker.ends_read = 0;
-  worker.ends_stored = 0;
-  worker.newest_hold_sent_at = {};
-}
-
 void Fleet::Adopt(const TaskRef& task,
                   int32_t run_number,
                   const WorkerBoot& boot,
@@ -323,14 +201,14 @@
       !worker->responsive || worker->entry.draining) {
     return nullptr;
   }
-  run->phase = RunPhase::kStarting;
+  run->phase = NextPhase(run->phase, RunEvent::kStartSent);
   run->start_sent_at = now;
   return worker;
 }
 
 void Fleet::ReleaseUnsent(const TaskRef& task, SchedulerOutput& out) {
   if (Worker* worker = WorkerOf(task)) {
-    Release(*worker, task, out);
+    Advance(*worker, task, RunEvent::kStartNotSent, out);
   }
 }
 
@@ -370,33 +248,16 @@
     RecordUnanswered(worker->entry.boot.id, now);
   }
   run->start_deadline = now + MaxStartDelay(m_options);
-  if (send_count > 1 && outcome != OrderOutcome::kAccepted) {
-    run->phase = RunPhase::kStartUnknown;
+  const RunEvent event = EventOf(outcome, send_count);
+  if (event == RunEvent::kStartAccepted) {
+    run->confirmed_at = now;
+    run->progress_at = now;
+  } else if (send_count > 1) {
     worker->avoid_until = now + m_options.worker_backoff;
-    return;
+  } else if (event == RunEvent::kStartRefused) {
+    AvoidAfterRefusal(*worker, outcome, now);
   }
-  switch (outcome) {
-    case OrderOutcome::kAccepted:
-      run->phase = RunPhase::kRunning;
-      run->confirmed_at = now;
-      run->progress_at = now;
-      return;
-    case OrderOutcome::kUnknown:
-    case OrderOutcome::kStaleRun:
-      run->phase = RunPhase::kStartUnknown;
-      return;
-    case OrderOutcome::kNoRoom:
-    case OrderOutcome::kRefused:
-    case OrderOutcome::kLeaseExpired:
-      worker->avoid_until = now + kFullWorkerBackoff;
-      break;
-    case OrderOutcome::kOtherBoot:
-      worker->responsive = false;
-      break;
-    default:
-      break;
-  }
-  Release(*worker, task, out);
+  Advance(*worker, task, event, out);
 }
 
 void Fleet::OnStopped(const TaskRef& task,
@@ -412,9 +273,9 @@
   }
   if (outcome == OrderOutcome::kAccepted &&
       run->phase == RunPhase::kStartUnknown) {
-    run->phase = RunPhase::kStopConfirmed;
     run->confirmed_at = now;
     worker->next_hold = now;
+    Advance(*worker, task, RunEvent::kStopAnswered, out);
   }
 }
 
@@ -487,10 +348,10 @@
     }
     seen.insert(running.task);
     if (run->phase == RunPhase::kStarting || run->phase == RunPhase::kAdopted) {
-      run->phase = RunPhase::kRunning;
       run->confirmed_at = now;
       run->progress_at = now;
     }
+    Advance(worker, running.task, RunEvent::kListed, out);
     if (running.percent != run->percent) {
       run->percent = running.percent;
       run->progress_at = now;
@@ -503,21 +364,13 @@
   if (report.more_ends) {
     return;  // A run that isn't listed may have ended as done.
   }
-  std::vector<TaskRef> released;
+  std::vector<TaskRef> missing;
   for (const auto& [task, run] : worker.runs) {
-    const bool known = run.phase == RunPhase::kRunning ||
-                       run.phase == RunPhase::kStopConfirmed;
-    const bool late =
-        run.phase == RunPhase::kStartUnknown && run.start_deadline < asked_at;
-    const bool gone = run.phase == RunPhase::kAdopted || late ||
-                      (known && run.confirmed_at < asked_at);
-    if (gone && seen.count(task) == 0) {
-      released.push_back(task);
+    if (seen.count(task) == 0 && IsInReportsOf(run, asked_at)) {
+      missing.push_back(task);
     }
   }
-  for (const TaskRef& task : released) {
-    Release(worker, task, out);
-  }
+  AdvanceAll(worker, missing, RunEvent::kMissing, out);
 }
 
 void Fleet::UpdateFailureCount(Worker& worker,
@@ -567,15 +420,25 @@
   RemoveRun(worker, task);
 }
 
-void Fleet::ReleaseAll(Worker& worker, SchedulerOutput& out) {
-  std::vector<TaskRef> released;
-  for (const auto& [task, run] : worker.runs) {
-    if (run.phase != RunPhase::kBinding) {
-      released.push_back(task);
-    }
-  }
-  for (const TaskRef& task : released) {
+void Fleet::Advance(Worker& worker,
+                    const TaskRef& task,
+                    RunEvent event,
+                    SchedulerOutput& out) {
+  Run& run = worker.runs.at(task);
+  const RunPhase next = NextPhase(run.phase, event);
+  if (next == RunPhase::kOver) {
     Release(worker, task, out);
+  } else {
+    run.phase = next;
+  }
+}
+
+void Fleet::AdvanceAll(Worker& worker,
+                       std::span<const TaskRef> tasks,
+                       RunEvent event,
+                       SchedulerOutput& out) {
+  for (const TaskRef& task : tasks) {
+    Advance(worker, task, event, out);
   }
 }
 
--- a/packages/jobs/src/fleet_holds.cc
+++ b/packages/jobs/src/fleet_holds.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 #include "base/event_log.h"
 #include "jobs/fleet.h"
@@ -28,6 +29,14 @@
       [phase](const auto& entry) { return entry.second.phase == phase; });
 }
 
+std::vector<TaskRef> TasksOn(const Worker& worker) {
+  std::vector<TaskRef> tasks;
+  for (const auto& [task, run] : worker.runs) {
+    tasks.push_back(task);
+  }
+  return tasks;
+}
+
 }  // namespace
 
 void Fleet::OnHoldFailed(const WorkerBoot& boot,
@@ -62,7 +71,7 @@
   for (auto& [id, worker] : m_workers) {
     if (!worker.responsive && !worker.runs.empty() &&
         now > worker.lease_expires_at) {
-      ReleaseAll(worker, out);
+      AdvanceAll(worker, TasksOn(worker), RunEvent::kLapsed, out);
     }
     StopStalled(worker, now);
     SendStops(worker, now, out);
--- /dev/null
+++ b/packages/jobs/src/run_phase.cc
@@ -0,0 +1,117 @@
+#include "jobs/run_phase.h"
+
+namespace azurespur::jobs {
+
+namespace {
+
+// No start was sent, so only the own decision to send one matters.
+RunPhase AfterBinding(RunEvent event) {
+  switch (event) {
+    case RunEvent::kStartSent:
+      return RunPhase::kStarting;
+    case RunEvent::kStartNotSent:
+      return RunPhase::kOver;
+    default:
+      return RunPhase::kBinding;
+  }
+}
+
+RunPhase AfterStarting(RunEvent event) {
+  switch (event) {
+    case RunEvent::kStartAccepted:
+    case RunEvent::kListed:
+      return RunPhase::kRunning;
+    // The start may still reach the new boot.
+    case RunEvent::kRestarted:
+    case RunEvent::kRestartedSendOpen:
+    case RunEvent::kStartInDoubt:
+      return RunPhase::kStartUnknown;
+    case RunEvent::kStartRefused:
+    case RunEvent::kEnded:
+    case RunEvent::kLapsed:
+      return RunPhase::kOver;
+    default:
+      return RunPhase::kStarting;
+  }
+}
+
+RunPhase AfterAdopted(RunEvent event) {
+  switch (event) {
+    case RunEvent::kListed:
+      return RunPhase::kRunning;
+    // The report came under a later fencing token than that of the start.
+    case RunEvent::kMissing:
+    case RunEvent::kEnded:
+    case RunEvent::kLapsed:
+      return RunPhase::kOver;
+    default:
+      return RunPhase::kAdopted;
+  }
+}
+
+// A restart ends no run: the new boot may have accepted the start. Its report
+// tells.
+RunPhase AfterRunning(RunEvent event) {
+  switch (event) {
+    case RunEvent::kRestartedSendOpen:
+      return RunPhase::kStartUnknown;
+    case RunEvent::kMissing:
+    case RunEvent::kEnded:
+    case RunEvent::kLapsed:
+      return RunPhase::kOver;
+    default:
+      return RunPhase::kRunning;
+  }
+}
+
+RunPhase AfterStartUnknown(RunEvent event) {
+  switch (event) {
+    case RunEvent::kStopAnswered:
+      return RunPhase::kStopConfirmed;
+    case RunEvent::kMissing:
+    case RunEvent::kEnded:
+    case RunEvent::kLapsed:
+      return RunPhase::kOver;
+    default:
+      return RunPhase::kStartUnknown;
+  }
+}
+
+RunPhase AfterStopConfirmed(RunEvent event) {
+  switch (event) {
+    // Only the former boot refuses the start from now on.
+    case RunEvent::kRestarted:
+    case RunEvent::kRestartedSendOpen:
+      return RunPhase::kStartUnknown;
+    case RunEvent::kMissing:
+    case RunEvent::kEnded:
+    case RunEvent::kLapsed:
+      return RunPhase::kOver;
+    default:
+      return RunPhase::kStopConfirmed;
+  }
+}
+
+}  // namespace
+
+RunPhase NextPhase(RunPhase phase, RunEvent event) {
+  switch (phase) {
+    case RunPhase::kBinding:
+      return AfterBinding(event);
+    case RunPhase::kStarting:
+      return AfterStarting(event);
+    case RunPhase::kAdopted:
+      return AfterAdopted(event);
+    case RunPhase::kRunning:
+      return AfterRunning(event);
+    case RunPhase::kStartUnknown:
+      return AfterStartUnknown(event);
+    case RunPhase::kStopConfirmed:
+      return AfterStopConfirmed(event);
+    case RunPhase::kOver:
+      return RunPhase::kOver;
+  }
+  return phase;
+}
+
+}  // namespace azurespur::jobs
