Don't disrupt the tasks of a removed plan without asking

Whether a task may be evicted or moved was read from its plan's allowance, and a plan that has left the list counted as automatic, also where its operators had asked to approve each action.

Change: FindConsent() decides, from the lists alone. Once there are lists, a task whose plan they lack isn't disrupted; nobody is left to approve it.

--- a/packages/control/src/placement_controller.cc
+++ b/packages/control/src/placement_controller.cc
@@ -16,6 +16,7 @@
 #include "control/task_records.h"
 #include "control/vm_directory.h"
 #include "control/worker_fleet.h"
+#include "disruption_consent.h"
 #include "start_failures.h"
 #include "wire/codec.h"
 
@@ -214,29 +215,17 @@
   if (!task) {
     return false;
   }
-  const auto lists = m_deps.lists.Current();
-  const Plan* plan = FindPlan(*lists, task->spec.plan);
-  const Allowance* allowance =
-      plan == nullptr ? nullptr : FindAllowance(*lists, *plan);
-  if (action == "evict" && allowance != nullptr && !allowance->preempt) {
-    return false;
-  }
-  if (allowance == nullptr || allowance->actions == ActionMode::kAutomatic) {
-    return true;
-  }
   // The same for repeats of the action on this attempt.
   const std::string proposal =
       std::string(action) + "." + id + "." + std::to_string(task->attempt);
-  if (std::ranges::find(allowance->approved, proposal) !=
-      allowance->approved.end()) {
-    return true;
-  }
-  if (m_deps.proposals != nullptr) {
+  const Consent consent =
+      FindConsent(*m_deps.lists.Current(), task->spec.plan, action, proposal);
+  if (consent == Consent::kAwaitsApproval && m_deps.proposals != nullptr) {
     constexpr int64_t kProposalMillis = 600'000;
     m_deps.proposals->Propose({proposal, task->spec.plan, std::string(action),
                                id, reason, kProposalMillis, 0});
   }
-  return false;
+  return consent == Consent::kGiven;
 }
 
 void PlacementController::Tick() {
