Count the answer to a stop only for the boot that it came from

Found by run_interleaving_test once it answers stops apart from serving them.

Cause: Fleet::OnStopped() didn't look at the boot that the stop was sent to. The former boot's answer, read after the restart, counted as the new boot's promise to refuse the start, and the run was released with both sends still open.

It now also lets the leader give up on the second send, which it missed before.

--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -149,8 +149,10 @@
                  OrderOutcome outcome,
                  base::MonoTime now,
                  SchedulerOutput& out);
+  // `boot` is the one that the stop was sent to.
   void OnStopped(const TaskRef& task,
                  int32_t run,
+                 const WorkerBoot& boot,
                  OrderOutcome outcome,
                  base::MonoTime now,
                  SchedulerOutput& out);
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -262,6 +262,7 @@
 
 void Fleet::OnStopped(const TaskRef& task,
                       int32_t run_number,
+                      const WorkerBoot& boot,
                       OrderOutcome outcome,
                       base::MonoTime now,
                       SchedulerOutput& out) {
@@ -271,7 +272,8 @@
   if (run == nullptr) {
     return;
   }
-  if (outcome == OrderOutcome::kAccepted &&
+  // A stop that a former boot answered doesn't prevent the start on this one.
+  if (outcome == OrderOutcome::kAccepted && worker->entry.boot == boot &&
       run->phase == RunPhase::kStartUnknown) {
     run->confirmed_at = now;
     worker->next_hold = now;
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -177,7 +177,7 @@
                           OrderOutcome outcome,
                           base::MonoTime now,
                           SchedulerOutput& out) {
-  m_fleet.OnStopped(order.task, order.run, outcome, now, out);
+  m_fleet.OnStopped(order.task, order.run, order.worker, outcome, now, out);
 }
 
 void Scheduler::OnReport(const HoldOrder& order,
--- a/packages/jobs/tests/run_interleaving_test.cc
+++ b/packages/jobs/tests/run_interleaving_test.cc
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <array>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <utility>
 #include <variant>
@@ -42,7 +43,8 @@
   kReport,     // The worker answers a hold order.
   kCutReport,  // The same; its list of ends is full without the run's end.
   kDeliverReport,
-  kStop,  // The worker gets the stops that the leader has sent, and answers.
+  kStop,  // The worker gets the newest stop that the leader has sent.
+  kAnswerStop,
 };
 
 constexpr std::array kEvents = {
@@ -50,6 +52,7 @@
     Event::kLoseStartAnswer,  Event::kRunEnds,           Event::kRestart,
     Event::kEntryOfFirstBoot, Event::kEntryOfSecondBoot, Event::kReport,
     Event::kCutReport,        Event::kDeliverReport,     Event::kStop,
+    Event::kAnswerStop,
 };
 
 enum class SendState { kUnsent, kInFlight, kAccepted, kRefused, kAnswered };
@@ -107,6 +110,7 @@
   bool ServeReport(bool cut);
   bool DeliverReport();
   bool Stop();
+  bool AnswerStop();
   bool SendIsOpen() const;
   // Lets the leader act, and judges what it recorded.
   void Settle();
@@ -119,8 +123,10 @@
   TrueWorker m_worker;
   std::array<SendState, kMaxSends> m_sends{};
   int m_newest_send = 0;
+  bool m_gave_up = false;  // The leader waits for no answer to its sends.
   std::vector<ReportInFlight> m_reports;
-  std::vector<StopOrder> m_stops;
+  std::optional<StopOrder> m_stop;           // Sent by the leader.
+  std::optional<StopOrder> m_answered_stop;  // Its answer is under way.
   bool m_over = false;
   std::string m_fault;
 };
@@ -165,6 +171,9 @@
     case Event::kStop:
       possible = Stop();
       break;
+    case Event::kAnswerStop:
+      possible = AnswerStop();
+      break;
   }
   if (possible) {
     Settle();
@@ -185,7 +194,8 @@
 
 bool World::AnswerStart() {
   SendState& send = m_sends[static_cast<size_t>(m_newest_send)];
-  if (send != SendState::kAccepted && send != SendState::kRefused) {
+  if (m_gave_up ||
+      (send != SendState::kAccepted && send != SendState::kRefused)) {
     return false;
   }
   m_fleet.OnStarted(kTask, kRun, m_newest_send + 1,
@@ -198,17 +208,17 @@
 
 // The send stays under way, and the leader sends once more if it may.
 bool World::LoseStartAnswer() {
-  const bool waits =
-      m_sends[static_cast<size_t>(m_newest_send)] != SendState::kAnswered;
-  if (!waits || m_newest_send + 1 >= kMaxSends) {
+  if (m_gave_up ||
+      m_sends[static_cast<size_t>(m_newest_send)] == SendState::kAnswered) {
     return false;
   }
-  if (m_fleet.MayRepeatStart(kTask, kRun)) {
+  if (m_newest_send + 1 < kMaxSends && m_fleet.MayRepeatStart(kTask, kRun)) {
     m_fleet.OnStartRepeated(kTask, m_now);
     ++m_newest_send;
     m_sends[static_cast<size_t>(m_newest_send)] = SendState::kInFlight;
     return true;
   }
+  m_gave_up = true;
   m_fleet.OnStarted(kTask, kRun, m_newest_send + 1, OrderOutcome::kUnknown,
                     m_now, m_out);
   return true;
@@ -272,13 +282,22 @@
 }
 
 bool World::Stop() {
-  if (m_stops.empty()) {
+  if (!m_stop) {
     return false;
   }
-  m_stops.clear();
+  m_answered_stop = std::exchange(m_stop, std::nullopt);
   m_worker.refuses = true;
   m_worker.running = false;
-  m_fleet.OnStopped(kTask, kRun, OrderOutcome::kAccepted, m_now, m_out);
+  return true;
+}
+
+bool World::AnswerStop() {
+  if (!m_answered_stop) {
+    return false;
+  }
+  const StopOrder stop = *std::exchange(m_answered_stop, std::nullopt);
+  m_fleet.OnStopped(kTask, kRun, stop.worker, OrderOutcome::kAccepted, m_now,
+                    m_out);
   return true;
 }
 
@@ -288,7 +307,9 @@
 
 void World::Settle() {
   m_fleet.Tick(m_now, /*may_renew=*/true, m_out);
-  m_stops.insert(m_stops.end(), m_out.stops.begin(), m_out.stops.end());
+  if (!m_out.stops.empty()) {
+    m_stop = m_out.stops.back();
+  }
   for (const PendingRecord& pending : std::exchange(m_out, {}).records) {
     const auto* end = std::get_if<EndRecord>(&pending.record);
     if (end != nullptr && end->kind == EndKind::kReleased) {
