Answer "no such job" only once that is stored

What callers saw: an append is not answered, the caller leaves and asks another VM for the job, or the same one after a restart: 410, and then the job runs.

Cause: Node::FindState() answered from the stream as it was. Open appends were known in the memory of the VM that sent them alone, and for 15 s.

Ruled out: the cancellation (0 starts after it at the same, another and a killed VM's peer); fencing by producer epochs, which reaches only the appends of the VM that answers; see docs/design/platform.md for the ways weighed.

Change: a declaration that the job is missing is stored before the 410. A submission carries how far its receiver had read the stream; one that is not beyond the latest declaration is void in each table. "Accepted" is said once the VM's own table has read the record.

A repeat is still not refused after 15 s; it was before.

--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -170,7 +170,10 @@
       std::max(m_intake_tail.last_read(), m_work_tail.last_read()));
   m_intake_writer.Tick(now);
   m_intake_forwarder.Tick(now, LeaderCanAppend(now));
-  m_view_waiters.Tick(View(), now);
+  m_view_waiters.Tick(
+      View(),
+      [this](jobs::JobId job) { return m_job_table.StateOf(job).has_value(); },
+      now);
   ReadSnapshotIfNeeded(now);
   PollForWaiters(now);
   PollStreams(now);
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -201,6 +201,16 @@
   void StoreSubmission(const jobs::Submission& submission,
                        base::MonoTime deadline,
                        std::function<void(IntakeOutcome)> done);
+  // Answers a submission that is stored. `intake_next` is how far the stream
+  // was read when it arrived.
+  void AnswerStored(jobs::JobId job,
+                    int64_t intake_next,
+                    base::MonoTime deadline,
+                    std::function<void(IntakeOutcome)> done);
+  // Stores that the job doesn't exist, and answers so unless it turns out to.
+  void DeclareMissing(jobs::JobId job,
+                      base::MonoTime deadline,
+                      std::function<void(JobStateResult)> done);
   void StoreIntake(const jobs::IntakeRecord& record,
                    base::MonoTime deadline,
                    std::function<void(StoreOutcome)> done);
@@ -273,7 +283,7 @@
   LogTail m_work_tail;
   IntakeWriter m_intake_writer;
   IntakeForwarder m_intake_forwarder;
-  OpenSubmissions m_open_submissions;
+  OpenSubmissions m_open_submissions{m_options.finished_job_retention};
   ViewWaiters m_view_waiters;
   RecordsFanOut m_fan_out;
   RecentRecords m_recent_intake{kRecentRecordsBytes};
--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -128,15 +128,49 @@
     return;
   }
   m_open_submissions.Begin(job);
-  StoreIntake(submission, deadline,
-              [this, job, done = std::move(done)](StoreOutcome outcome) {
+  const int64_t intake_next = m_intake_tail.next();
+  StoreIntake(jobs::ReceivedSubmission{submission, intake_next}, deadline,
+              [this, job, intake_next, deadline,
+               done = std::move(done)](StoreOutcome outcome) {
                 m_open_submissions.End(job, outcome, m_clock.Now());
+                if (outcome == StoreOutcome::kStored) {
+                  AnswerStored(job, intake_next, deadline, done);
+                  return;
+                }
                 done(outcome == StoreOutcome::kNotStored
                          ? RefusalOf(job)
-                         : ToIntakeOutcome(outcome));
+                         : IntakeOutcome::kUnknown);
               });
 }
 
+// A stored submission is void if the job was declared missing after the request
+// arrived, so it is accepted only once this VM has read it in the stream. A
+// void one is not stored again: its caller may have left and heard the
+// declaration.
+void Node::AnswerStored(jobs::JobId job,
+                        int64_t intake_next,
+                        MonoTime deadline,
+                        std::function<void(IntakeOutcome)> done) {
+  WhenKnownOrMissing(
+      job, deadline,
+      [this, job, intake_next, done = std::move(done)](bool certain) {
+        if (m_job_table.StateOf(job)) {
+          done(IntakeOutcome::kAccepted);
+          return;
+        }
+        if (!certain) {
+          done(IntakeOutcome::kUnknown);
+          return;
+        }
+        base::LogEvent(base::Severity::kInfo, "AZ9219",
+                       "stored submission is void",
+                       {{"job", jobs::FormatJobId(job)},
+                        {"received_at", std::to_string(intake_next)},
+                        {"intake_next", std::to_string(m_intake_tail.next())}});
+        done(RefusalOf(job));
+      });
+}
+
 // An earlier request for the same job may have left an append without an
 // answer, so that "never runs" would not be true.
 IntakeOutcome Node::RefusalOf(jobs::JobId job) const {
@@ -272,12 +306,15 @@
   const bool posted = Post([this, job, deadline, done] {
     const auto state = m_job_table.StateOf(job);
     if (!state) {
-      WhenKnownOrMissing(job, deadline, [this, job, done](bool certain) {
-        const auto latest = m_job_table.StateOf(job);
-        const bool open =
-            !latest && m_open_submissions.MayBeStored(job, m_clock.Now());
-        done({certain && !open, latest});
-      });
+      WhenKnownOrMissing(job, deadline,
+                         [this, job, deadline, done](bool certain) {
+                           const auto latest = m_job_table.StateOf(job);
+                           if (latest || !certain) {
+                             done({certain, latest});
+                           } else {
+                             DeclareMissing(job, deadline, done);
+                           }
+                         });
       return;
     }
     // A final state can't be out of date. While the log can't be read, the
@@ -303,12 +340,35 @@
   }
 }
 
+// Some VM, or a former life of this one, may have sent an append of the job
+// that is still to be carried out. The record makes that append void.
+void Node::DeclareMissing(jobs::JobId job,
+                          MonoTime deadline,
+                          std::function<void(JobStateResult)> done) {
+  StoreIntake(
+      jobs::MissingJobRecord{job}, deadline,
+      [this, job, deadline, done = std::move(done)](StoreOutcome outcome) {
+        if (outcome != StoreOutcome::kStored) {
+          done({});
+          return;
+        }
+        WhenKnownOrMissing(job, deadline, [this, job, done](bool certain) {
+          done({certain, m_job_table.StateOf(job)});
+        });
+      });
+}
+
 void Node::WhenKnownOrMissing(jobs::JobId job,
                               MonoTime deadline,
                               ViewWaiters::Done done) {
+  if (m_job_table.StateOf(job)) {
+    done(true);
+    return;
+  }
   ViewRequirement requirement;
   requirement.not_before = m_clock.Now();
   requirement.needs_work = false;
+  requirement.job = job;
   WhenCurrent(requirement, deadline,
               [this, job, done = std::move(done)](bool current) {
                 const bool known = m_job_table.StateOf(job).has_value();
--- a/packages/cell/src/open_submissions.cc
+++ b/packages/cell/src/open_submissions.cc
@@ -4,13 +4,6 @@
 
 namespace azurespur::cell {
 
-namespace {
-
-// The log may carry an unanswered append out some seconds later.
-constexpr base::Millis kMaxAppendDelay{15000};
-
-}  // namespace
-
 void OpenSubmissions::Begin(jobs::JobId job) {
   ++m_open[job].in_flight;
 }
@@ -21,7 +14,7 @@
   Open& open = m_open[job];
   open.in_flight = std::max(0, open.in_flight - 1);
   if (outcome == StoreOutcome::kUnknown) {
-    open.uncertain_until = now + kMaxAppendDelay;
+    open.uncertain_until = now + m_keep;
   }
   if (open.in_flight == 0 && open.uncertain_until <= now) {
     m_open.erase(job);
--- a/packages/cell/src/open_submissions.h
+++ b/packages/cell/src/open_submissions.h
@@ -14,6 +14,9 @@
 
 class OpenSubmissions {
  public:
+  // An append without an answer counts as open for `keep`.
+  explicit OpenSubmissions(base::Millis keep) : m_keep(keep) {}
+
   // An append of the job begins.
   void Begin(jobs::JobId job);
 
@@ -33,6 +36,7 @@
     base::MonoTime uncertain_until{};
   };
 
+  const base::Millis m_keep;
   std::map<jobs::JobId, Open> m_open;
 };
 
--- a/packages/cell/src/view_requirement.h
+++ b/packages/cell/src/view_requirement.h
@@ -6,6 +6,7 @@
 #include <optional>
 
 #include "base/clock.h"
+#include "jobs/job_id.h"
 
 namespace azurespur::cell {
 
@@ -20,6 +21,8 @@
   std::optional<base::Millis> max_age;
   std::optional<base::MonoTime> not_before;
   bool needs_work = true;  // False if the intake stream alone decides.
+  // If set, the question is also answered once this job is known.
+  std::optional<jobs::JobId> job;
 };
 
 inline bool IsCurrent(const std::optional<base::MonoTime>& as_of,
--- a/packages/cell/src/view_waiters.cc
+++ b/packages/cell/src/view_waiters.cc
@@ -21,13 +21,16 @@
   return true;
 }
 
-void ViewWaiters::Tick(const ViewTimes& view, base::MonoTime now) {
+void ViewWaiters::Tick(const ViewTimes& view,
+                       const IsKnown& is_known,
+                       base::MonoTime now) {
   // A callback may add a question, so the list is complete before any runs.
   std::vector<Waiter> ended;
   std::vector<Waiter> waiting;
   for (Waiter& waiter : m_waiters) {
-    const bool ends =
-        IsCurrent(view, waiter.requirement, now) || now >= waiter.deadline;
+    const auto& job = waiter.requirement.job;
+    const bool ends = IsCurrent(view, waiter.requirement, now) ||
+                      now >= waiter.deadline || (job && is_known(*job));
     (ends ? ended : waiting).push_back(std::move(waiter));
   }
   m_waiters = std::move(waiting);
--- a/packages/cell/src/view_waiters.h
+++ b/packages/cell/src/view_waiters.h
@@ -14,9 +14,11 @@
 
 class ViewWaiters {
  public:
-  // `current` is false if the deadline passed first.
+  // `current` is false if the requirement is not met.
   using Done = std::function<void(bool current)>;
 
+  using IsKnown = std::function<bool(jobs::JobId)>;
+
   // Which streams must be read for the waiting questions.
   struct Missing {
     bool intake = false;
@@ -28,8 +30,9 @@
            base::MonoTime deadline,
            Done done);
 
-  // Ends the questions whose requirement is met or whose deadline has passed.
-  void Tick(const ViewTimes& view, base::MonoTime now);
+  // Ends the questions whose requirement is met, whose job is known or whose
+  // deadline has passed.
+  void Tick(const ViewTimes& view, const IsKnown& is_known, base::MonoTime now);
 
   Missing FindMissing(const ViewTimes& view, base::MonoTime now) const;
 
--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -78,6 +78,10 @@
   // stream.
   bool Cancel(JobId id, int64_t offset, base::MonoTime now);
 
+  // Declares an unknown job missing. `offset` is the offset of the record in
+  // the intake stream.
+  void DeclareMissing(JobId id, int64_t offset, base::MonoTime now);
+
   void Apply(const IntakeRecord& record, int64_t offset, base::MonoTime now);
   void Apply(const WorkRecord& record, base::MonoTime now);
 
@@ -91,7 +95,7 @@
   int64_t CountPending(std::string_view queue) const;
 
   // Removes the states of jobs that have been final for longer than `keep`, and
-  // cancellations of unknown jobs of that age.
+  // cancellations and declarations of unknown jobs of that age.
   void RemoveExpired(base::MonoTime now, base::Millis keep);
 
   // Jobs that are not final, or still have bound tasks.
@@ -111,6 +115,16 @@
     base::MonoTime since;
   };
 
+  // When and where in the intake stream a job was declared missing.
+  struct Declaration {
+    int64_t offset = 0;
+    base::MonoTime since{};
+  };
+
+  // True if a submission is void: the job was declared missing, and the
+  // receiver had read the stream up to `intake_next` only.
+  bool IsVoid(JobId id, int64_t intake_next) const;
+
   void ApplyOne(const LeaderRecord& record, base::MonoTime now);
   void ApplyOne(const YieldRecord& record, base::MonoTime now);
   void ApplyOne(const HeartbeatRecord& record, base::MonoTime now);
@@ -127,6 +141,8 @@
   // Cancellations of jobs that are not in the stream before them. A submission
   // whose append was not answered may be stored after its cancellation.
   std::unordered_map<JobId, base::MonoTime> m_early_cancels;
+  // The latest declaration of each job that is unknown since.
+  std::unordered_map<JobId, Declaration> m_missing;
   // Cancelled jobs for which bindings may still be read: the work stream may
   // hold bindings that the leader recorded before it knew of the cancellation.
   std::map<JobId, int64_t> m_cancel_offsets;
--- a/packages/jobs/include/jobs/records.h
+++ b/packages/jobs/include/jobs/records.h
@@ -40,8 +40,37 @@
   }
 };
 
-// A JobSpec alone was stored by earlier releases.
-using IntakeRecord = std::variant<JobSpec, CancelRecord, Submission>;
+// A submission, and how much of the intake stream its receiver had read.
+struct ReceivedSubmission {
+  Submission submission;
+  // The receiver had applied all records before this offset when the request
+  // arrived.
+  int64_t intake_next = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(submission, intake_next);
+  }
+};
+
+// Declares that the job doesn't exist, so that a caller may be told so.
+// Submissions of the job that were received before this record was read, and
+// whose appends are carried out after it, are void.
+struct MissingJobRecord {
+  JobId job = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(job);
+  }
+};
+
+// A JobSpec or a Submission alone was stored by earlier releases.
+using IntakeRecord = std::variant<JobSpec,
+                                  CancelRecord,
+                                  Submission,
+                                  ReceivedSubmission,
+                                  MissingJobRecord>;
 
 // The job that the record is about.
 JobId JobOf(const IntakeRecord& record);
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -83,6 +83,7 @@
   if (StateOf(spec.id)) {
     return false;
   }
+  m_missing.erase(spec.id);
   if (m_early_cancels.erase(spec.id) > 0) {
     m_final[spec.id] = {JobState::kCancelled, now};
     return true;
@@ -127,15 +128,39 @@
   return true;
 }
 
+void JobTable::DeclareMissing(JobId id, int64_t offset, base::MonoTime now) {
+  if (!StateOf(id)) {
+    m_missing[id] = {offset, now};
+  }
+}
+
+bool JobTable::IsVoid(JobId id, int64_t intake_next) const {
+  const auto found = m_missing.find(id);
+  return found != m_missing.end() && intake_next <= found->second.offset;
+}
+
 void JobTable::Apply(const IntakeRecord& record,
                      int64_t offset,
                      base::MonoTime now) {
-  if (const auto* submission = std::get_if<Submission>(&record)) {
+  if (const auto* cancel = std::get_if<CancelRecord>(&record)) {
+    Cancel(cancel->job, offset, now);
+    return;
+  }
+  if (const auto* missing = std::get_if<MissingJobRecord>(&record)) {
+    DeclareMissing(missing->job, offset, now);
+    return;
+  }
+  const auto* received = std::get_if<ReceivedSubmission>(&record);
+  // Earlier releases don't store how far the receiver had read.
+  if (IsVoid(JobOf(record), received != nullptr ? received->intake_next : 0)) {
+    return;
+  }
+  if (received != nullptr) {
+    Submit(received->submission, now);
+  } else if (const auto* submission = std::get_if<Submission>(&record)) {
     Submit(*submission, now);
-  } else if (const auto* spec = std::get_if<JobSpec>(&record)) {
-    Submit(*spec, now);
   } else {
-    Cancel(std::get<CancelRecord>(record).job, offset, now);
+    Submit(std::get<JobSpec>(record), now);
   }
 }
 
@@ -283,6 +308,9 @@
   std::erase_if(m_early_cancels, [now, keep](const auto& entry) {
     return entry.second + keep < now;
   });
+  std::erase_if(m_missing, [now, keep](const auto& entry) {
+    return entry.second.since + keep < now;
+  });
 }
 
 }  // namespace azurespur::jobs
--- a/packages/jobs/src/job_table_snapshot.cc
+++ b/packages/jobs/src/job_table_snapshot.cc
@@ -79,18 +79,27 @@
   std::vector<QueueTerms> m_terms;
 };
 
-// Reads the form of this release, else that of earlier ones.
+// Reads the form of this release, else that of an earlier one.
 base::Outcome<JobTableSnapshot> DecodeSnapshot(std::string_view bytes) {
-  const auto format = wire::Decode<uint64_t>(bytes);
-  if (base::Ok(format) && base::Value(format) == kSnapshotFormat) {
+  const auto decoded = wire::Decode<uint64_t>(bytes);
+  const uint64_t format = base::Ok(decoded) ? base::Value(decoded) : 0;
+  if (format == kSnapshotFormat) {
     return wire::Decode<JobTableSnapshot>(bytes);
   }
-  auto former = wire::Decode<JobTableSnapshotV1>(bytes);
-  if (!base::Ok(former)) {
-    return base::GetError(former);
-  }
   JobTableSnapshot snapshot;
-  static_cast<JobTableSnapshotV1&>(snapshot) = base::Value(std::move(former));
+  if (format == kSnapshotFormatV2) {
+    auto former = wire::Decode<JobTableSnapshotV2>(bytes);
+    if (!base::Ok(former)) {
+      return base::GetError(former);
+    }
+    static_cast<JobTableSnapshotV2&>(snapshot) = base::Value(std::move(former));
+    return snapshot;
+  }
+  auto first = wire::Decode<JobTableSnapshotV1>(bytes);
+  if (!base::Ok(first)) {
+    return base::GetError(first);
+  }
+  static_cast<JobTableSnapshotV1&>(snapshot) = base::Value(std::move(first));
   snapshot.job_terms.assign(snapshot.jobs.size(), -1);
   return snapshot;
 }
@@ -176,6 +185,10 @@
   for (const auto& [id, since] : table.m_early_cancels) {
     saved.early_cancels.push_back({id, base::MillisBetween(since, now)});
   }
+  for (const auto& [id, declared] : table.m_missing) {
+    saved.missing_jobs.push_back(
+        {id, declared.offset, base::MillisBetween(declared.since, now)});
+  }
   saved.workers = workers.TakeAll();
   saved.terms = terms.TakeAll();
   return wire::Encode(saved);
@@ -230,6 +243,10 @@
   for (const EarlyCancelSnapshot& entry : saved.early_cancels) {
     table.m_early_cancels[entry.id] = now - base::Millis{entry.age_ms};
   }
+  for (const MissingJobSnapshot& entry : saved.missing_jobs) {
+    table.m_missing[entry.id] = {entry.offset,
+                                 now - base::Millis{entry.age_ms}};
+  }
   return table;
 }
 
--- a/packages/jobs/src/job_table_snapshot.h
+++ b/packages/jobs/src/job_table_snapshot.h
@@ -65,7 +65,7 @@
   }
 };
 
-// The form that earlier releases store.
+// The form that the first releases store.
 struct JobTableSnapshotV1 {
   LeaderRecord leader;
   bool yielded = false;
@@ -79,8 +79,9 @@
   }
 };
 
-// Stands where the earlier form has the leader's epoch, and is none.
-inline constexpr uint64_t kSnapshotFormat = UINT64_MAX;
+// Stand where the first form has the leader's epoch, and are none.
+inline constexpr uint64_t kSnapshotFormatV2 = UINT64_MAX;
+inline constexpr uint64_t kSnapshotFormat = UINT64_MAX - 1;
 
 struct EarlyCancelSnapshot {
   JobId id = 0;
@@ -92,8 +93,20 @@
   }
 };
 
-struct JobTableSnapshot : JobTableSnapshotV1 {
-  uint64_t format = kSnapshotFormat;
+struct MissingJobSnapshot {
+  JobId id = 0;
+  int64_t offset = 0;  // Of the declaration in the intake stream.
+  int64_t age_ms = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(id, offset, age_ms);
+  }
+};
+
+// The form of the release before this one.
+struct JobTableSnapshotV2 : JobTableSnapshotV1 {
+  uint64_t format = kSnapshotFormatV2;
   std::vector<QueueTerms> terms;   // Each once.
   std::vector<int32_t> job_terms;  // Index in `terms` of each job; -1: none.
   std::vector<EarlyCancelSnapshot> early_cancels;
@@ -106,6 +119,18 @@
   }
 };
 
+struct JobTableSnapshot : JobTableSnapshotV2 {
+  JobTableSnapshot() { format = kSnapshotFormat; }
+
+  std::vector<MissingJobSnapshot> missing_jobs;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    JobTableSnapshotV2::serialize(archive);
+    archive(missing_jobs);
+  }
+};
+
 }  // namespace azurespur::jobs
 
 #endif  // JOBS_SRC_JOB_TABLE_SNAPSHOT_H_
--- a/packages/jobs/src/records.cc
+++ b/packages/jobs/src/records.cc
@@ -6,8 +6,11 @@
 
 namespace {
 
-// Null for a cancellation.
+// Null if the record submits no job.
 const JobSpec* SpecOf(const IntakeRecord& record) {
+  if (const auto* received = std::get_if<ReceivedSubmission>(&record)) {
+    return &received->submission.spec;
+  }
   if (const auto* submission = std::get_if<Submission>(&record)) {
     return &submission->spec;
   }
@@ -17,8 +20,13 @@
 }  // namespace
 
 JobId JobOf(const IntakeRecord& record) {
-  const JobSpec* spec = SpecOf(record);
-  return spec != nullptr ? spec->id : std::get<CancelRecord>(record).job;
+  if (const JobSpec* spec = SpecOf(record)) {
+    return spec->id;
+  }
+  if (const auto* missing = std::get_if<MissingJobRecord>(&record)) {
+    return missing->job;
+  }
+  return std::get<CancelRecord>(record).job;
 }
 
 std::string EncodeIntake(const IntakeRecord& record) {
