Ask for open submissions at each refusal, from their arrival on

What callers saw: a request without an answer, its repeat at the same VM refused with 503 ("never runs"), and the job runs.

Cause: an outdated policy, an old policy that lacks the queue and a full mailbox were paths that refused without asking for open submissions, and a submission counted as open only once the node's thread handled it. How far the stream was read was noted then as well, so that a request that waited while its caller heard "no such job" elsewhere was accepted.

Ruled out: the stop of the server, which answers 504 (stop-while-waiting).

Change: Submit() marks the submission as open, and notes the offset, when it is called; CellNode::RefusalOf() tells any thread what a refusal may say.

--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -166,6 +166,7 @@
 
 void Node::Tick() {
   const MonoTime now = m_clock.Now();
+  m_intake_next.store(m_intake_tail.next());
   m_intake_writer.OnLogContact(
       std::max(m_intake_tail.last_read(), m_work_tail.last_read()));
   m_intake_writer.Tick(now);
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -77,6 +77,7 @@
   void Submit(jobs::Submission submission,
               base::MonoTime deadline,
               std::function<void(IntakeOutcome)> done) override;
+  IntakeOutcome RefusalOf(jobs::JobId job) const override;
   void Cancel(jobs::JobId job,
               base::MonoTime deadline,
               std::function<void(IntakeOutcome)> done) override;
@@ -198,15 +199,15 @@
   void PostInTerm(uint64_t epoch, std::function<void(LeaderTerm&)> call);
 
   void PollPolicy();
-  void StoreSubmission(const jobs::Submission& submission,
+  void StoreSubmission(const jobs::ReceivedSubmission& received,
                        base::MonoTime deadline,
-                       std::function<void(IntakeOutcome)> done);
-  // Answers a submission that is stored. `intake_next` is how far the stream
-  // was read when it arrived.
+                       std::function<void(StoreOutcome)> done);
+  // Answers a submission that is stored. The intake stream was read up to
+  // `intake_next` when it arrived.
   void AnswerStored(jobs::JobId job,
                     int64_t intake_next,
                     base::MonoTime deadline,
-                    std::function<void(IntakeOutcome)> done);
+                    std::function<void(StoreOutcome)> done);
   // Stores that the job doesn't exist, and answers so unless it turns out to.
   void DeclareMissing(jobs::JobId job,
                       base::MonoTime deadline,
@@ -247,8 +248,6 @@
   void CancelUnknown(jobs::JobId job,
                      base::MonoTime deadline,
                      std::function<void(IntakeOutcome)> done);
-  // A refusal of a submission, unless an earlier one of the job may be stored.
-  IntakeOutcome RefusalOf(jobs::JobId job) const;
 
   const NodeOptions m_options;
   const NodeDependencies m_dependencies;
@@ -270,6 +269,8 @@
   std::atomic<bool> m_stopping{false};
   std::atomic<bool> m_ready{false};
   std::atomic<bool> m_yielded{false};
+  // How far the intake stream is applied; may lag behind.
+  std::atomic<int64_t> m_intake_next{0};
 
   mutable std::mutex m_policy_mutex;
   std::shared_ptr<const jobs::CellPolicy> m_policy;
--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -103,43 +103,48 @@
                   {"epoch", std::to_string(notice.epoch)}});
 }
 
+// The submission counts as open from here on, so that another request for the
+// job that is refused meanwhile isn't told that it never runs.
 void Node::Submit(jobs::Submission submission,
                   MonoTime deadline,
                   std::function<void(IntakeOutcome)> done) {
-  const bool posted =
-      Post([this, submission = std::move(submission), deadline, done] {
-        StoreSubmission(submission, deadline, done);
-      });
+  const jobs::JobId job = submission.spec.id;
+  const int64_t intake_next = m_intake_next.load();
+  m_open_submissions.Begin(job);
+  auto finish = [this, job, done = std::move(done)](StoreOutcome outcome) {
+    m_open_submissions.End(job, outcome, m_clock.Now());
+    done(outcome == StoreOutcome::kNotStored ? RefusalOf(job)
+                                             : ToIntakeOutcome(outcome));
+  };
+  const bool posted = Post(
+      [this,
+       received = jobs::ReceivedSubmission{std::move(submission), intake_next},
+       deadline, finish] { StoreSubmission(received, deadline, finish); });
   if (!posted) {
-    done(IntakeOutcome::kNotAccepted);
+    finish(StoreOutcome::kNotStored);
   }
 }
 
-void Node::StoreSubmission(const jobs::Submission& submission,
+void Node::StoreSubmission(const jobs::ReceivedSubmission& received,
                            MonoTime deadline,
-                           std::function<void(IntakeOutcome)> done) {
-  const jobs::JobId job = submission.spec.id;
+                           std::function<void(StoreOutcome)> done) {
+  const jobs::JobId job = received.submission.spec.id;
   if (m_job_table.StateOf(job)) {
-    done(IntakeOutcome::kAccepted);
+    done(StoreOutcome::kStored);
     return;
   }
   if (m_draining) {
-    done(RefusalOf(job));
+    done(StoreOutcome::kNotStored);
     return;
   }
-  m_open_submissions.Begin(job);
-  const int64_t intake_next = m_intake_tail.next();
-  StoreIntake(jobs::ReceivedSubmission{submission, intake_next}, deadline,
-              [this, job, intake_next, deadline,
+  StoreIntake(received, deadline,
+              [this, job, intake_next = received.intake_next, deadline,
                done = std::move(done)](StoreOutcome outcome) {
-                m_open_submissions.End(job, outcome, m_clock.Now());
                 if (outcome == StoreOutcome::kStored) {
                   AnswerStored(job, intake_next, deadline, done);
-                  return;
+                } else {
+                  done(outcome);
                 }
-                done(outcome == StoreOutcome::kNotStored
-                         ? RefusalOf(job)
-                         : IntakeOutcome::kUnknown);
               });
 }
 
@@ -150,16 +155,16 @@
 void Node::AnswerStored(jobs::JobId job,
                         int64_t intake_next,
                         MonoTime deadline,
-                        std::function<void(IntakeOutcome)> done) {
+                        std::function<void(StoreOutcome)> done) {
   WhenKnownOrMissing(
       job, deadline,
       [this, job, intake_next, done = std::move(done)](bool certain) {
         if (m_job_table.StateOf(job)) {
-          done(IntakeOutcome::kAccepted);
+          done(StoreOutcome::kStored);
           return;
         }
         if (!certain) {
-          done(IntakeOutcome::kUnknown);
+          done(StoreOutcome::kUnknown);
           return;
         }
         base::LogEvent(base::Severity::kInfo, "AZ9219",
@@ -167,12 +172,10 @@
                        {{"job", jobs::FormatJobId(job)},
                         {"received_at", std::to_string(intake_next)},
                         {"intake_next", std::to_string(m_intake_tail.next())}});
-        done(RefusalOf(job));
+        done(StoreOutcome::kNotStored);
       });
 }
 
-// An earlier request for the same job may have left an append without an
-// answer, so that "never runs" would not be true.
 IntakeOutcome Node::RefusalOf(jobs::JobId job) const {
   return m_open_submissions.MayBeStored(job, m_clock.Now())
              ? IntakeOutcome::kUnknown
--- a/packages/cell/tests/node_cancel_test.cc
+++ b/packages/cell/tests/node_cancel_test.cc
@@ -129,4 +129,24 @@
   CHECK(f.Submit() == IntakeOutcome::kNotAccepted);
 }
 
+// Guards against "never runs" for a job whose earlier request still waits to be
+// handled by this VM.
+TEST_CASE("a repeat is not refused while an earlier request waits") {
+  CancelFixture f;
+  f.node.Submit(CancelFixture::MakeSubmission(), f.clock.now + kTimeout,
+                [](IntakeOutcome /*outcome*/) {});
+  CHECK(f.node.RefusalOf(kJob) == IntakeOutcome::kUnknown);
+  CHECK(f.node.RefusalOf(kJob + 1) == IntakeOutcome::kNotAccepted);
+  std::vector<IntakeOutcome> answers;
+  const auto note = [&answers](IntakeOutcome outcome) {
+    answers.push_back(outcome);
+  };
+  for (size_t i = 0; i < 2 * kMailboxSize && answers.empty(); ++i) {
+    f.node.Submit(CancelFixture::MakeSubmission(), f.clock.now + kTimeout,
+                  note);
+  }
+  REQUIRE(answers.size() == 1);
+  CHECK(answers.front() == IntakeOutcome::kUnknown);
+}
+
 }  // namespace azurespur::cell
--- a/packages/cell/tests/node_missing_job_test.cc
+++ b/packages/cell/tests/node_missing_job_test.cc
@@ -118,6 +118,25 @@
   CHECK(f.FindState(kJob).state == jobs::JobState::kQueued);
 }
 
+// Guards against a request that waits in this VM while its caller leaves, hears
+// elsewhere that there is no such job, and whose job then runs.
+TEST_CASE("a request that waited through the declaration is refused") {
+  MissingJobFixture f;
+  std::vector<IntakeOutcome> answers;
+  f.StoreIntake(jobs::MissingJobRecord{kJob});
+  // The declaration is read, and handled before the request.
+  f.clock.now += NodeOptions{}.poll_interval;
+  f.node.RunPending();
+  f.log.log.DeliverResponses();
+  f.node.Submit(
+      MissingJobFixture::MakeSubmission(), f.clock.now + kTimeout,
+      [&answers](IntakeOutcome outcome) { answers.push_back(outcome); });
+  f.Pass(kTimeout);
+  REQUIRE(answers.size() == 1);
+  CHECK(answers.front() == IntakeOutcome::kNotAccepted);
+  CHECK(f.IsMissing());
+}
+
 // Guards against "accepted" for a submission whose fate this VM can't read.
 TEST_CASE("a submission after records that can't be read is not accepted") {
   MissingJobFixture f;
