Stop open sends of a start on each new boot of the worker

Cause: that a send had no answer was kept with the run and forgotten at its end. The boot where the run ended refuses it, a later one doesn't know it.

Change: open sends outlive their run for as long as they may arrive; each new boot is told to refuse them. The window between the new boot and the stop stays.

--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -48,6 +48,16 @@
   std::string checkpoint;  // Latest one reported.
 };
 
+// A send of a start that got no answer, of a run that is over. It may still
+// reach the worker, and a later boot of it would begin the run again.
+struct OpenSend {
+  TaskRef task;
+  int32_t run = 0;
+  base::MonoTime until{};         // The latest time of its arrival.
+  bool refused = true;            // The current boot refuses the run.
+  base::MonoTime stop_sent_at{};  // To the current boot.
+};
+
 struct Worker {
   // `entry.boot` is the boot that the worker itself reported last.
   WorkerEntry entry;
@@ -64,6 +74,7 @@
   bool responsive = false;
   placement::Resources used;
   std::map<TaskRef, Run> runs;
+  std::vector<OpenSend> open_sends;
   int32_t failures_in_row = 0;
   base::MonoTime avoid_until{};  // Gets no new tasks before this time.
 
@@ -194,6 +205,8 @@
                      bool may_renew,
                      SchedulerOutput& out);
   void SendStops(Worker& worker, base::MonoTime now, SchedulerOutput& out);
+  // Makes a new boot refuse the runs of open sends.
+  void StopOpenSends(Worker& worker, base::MonoTime now, SchedulerOutput& out);
   // Not while this VM is behind: the answer may have been in time.
   void RecordUnanswered(std::string_view worker_id, base::MonoTime now);
   // Returns true if several workers recently left orders unanswered.
@@ -246,6 +259,10 @@
   void HandleRestart(Worker& worker,
                      int64_t boot_unix_ms,
                      base::MonoTime now) const;
+  // A stop of a run that is over was answered by the current boot.
+  static void OnOpenSendStopped(Worker& worker,
+                                const TaskRef& task,
+                                int32_t run);
 
   const SchedulerOptions m_options;
   OwnDelay m_own_delay;
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -246,6 +246,7 @@
   }
   if (outcome == OrderOutcome::kUnknown) {
     RecordUnanswered(worker->entry.boot.id, now);
+    run->start_open_until = now + kMaxOrderDelay;
   }
   run->start_deadline = now + MaxStartDelay(m_options);
   const RunEvent event = EventOf(outcome, send_count);
@@ -267,14 +268,15 @@
                       base::MonoTime now,
                       SchedulerOutput& out) {
   out.fenced = out.fenced || outcome == OrderOutcome::kFenced;
-  Worker* worker = WorkerOf(task);
-  Run* run = worker != nullptr ? FindRun(*worker, task, run_number) : nullptr;
-  if (run == nullptr) {
+  Worker* worker = FindWorker(boot.id);
+  // A stop that a former boot answered doesn't prevent the start on this one.
+  if (outcome != OrderOutcome::kAccepted || worker == nullptr ||
+      worker->entry.boot != boot) {
     return;
   }
-  // A stop that a former boot answered doesn't prevent the start on this one.
-  if (outcome == OrderOutcome::kAccepted && worker->entry.boot == boot &&
-      run->phase == RunPhase::kStartUnknown) {
+  OnOpenSendStopped(*worker, task, run_number);
+  Run* run = FindRun(*worker, task, run_number);
+  if (run != nullptr && run->phase == RunPhase::kStartUnknown) {
     run->confirmed_at = now;
     worker->next_hold = now;
     Advance(*worker, task, RunEvent::kStopAnswered, out);
@@ -410,6 +412,10 @@
 
 void Fleet::RemoveRun(Worker& worker, const TaskRef& task) {
   const auto found = worker.runs.find(task);
+  const Run& run = found->second;
+  if (run.start_open_until > base::MonoTime{}) {
+    worker.open_sends.push_back({task, run.run, run.start_open_until});
+  }
   worker.used = placement::Subtract(worker.used, found->second.demand);
   worker.runs.erase(found);
   m_index.erase(task);
--- a/packages/jobs/src/fleet_boots.cc
+++ b/packages/jobs/src/fleet_boots.cc
@@ -81,7 +81,8 @@
     if (present.count(it->first) == 0) {
       it->second.listed = false;
     }
-    const bool needed = it->second.listed || !it->second.runs.empty();
+    const bool needed = it->second.listed || !it->second.runs.empty() ||
+                        !it->second.open_sends.empty();
     it = needed ? std::next(it) : m_workers.erase(it);
   }
 }
@@ -136,6 +137,10 @@
   for (auto& [task, run] : worker.runs) {
     ObserveRestart(run, now);
   }
+  for (OpenSend& send : worker.open_sends) {
+    send.refused = false;
+    send.stop_sent_at = {};
+  }
   AddFormerBoot(worker, worker.entry.boot.boot_unix_ms);
   std::erase(worker.former_boots, boot_unix_ms);
   if (worker.announced && worker.announced->boot.boot_unix_ms == boot_unix_ms) {
@@ -158,4 +163,28 @@
   worker.newest_hold_sent_at = {};
 }
 
+void Fleet::StopOpenSends(Worker& worker,
+                          base::MonoTime now,
+                          SchedulerOutput& out) {
+  std::erase_if(worker.open_sends,
+                [now](const OpenSend& send) { return send.until < now; });
+  for (OpenSend& send : worker.open_sends) {
+    if (send.refused ||
+        now < send.stop_sent_at + m_options.stop_retry_interval) {
+      continue;
+    }
+    send.stop_sent_at = now;
+    out.stops.push_back({worker.entry.boot, worker.entry.address, send.task,
+                         send.run, m_options.fence, OrderTimeout(now)});
+  }
+}
+
+void Fleet::OnOpenSendStopped(Worker& worker,
+                              const TaskRef& task,
+                              int32_t run) {
+  for (OpenSend& send : worker.open_sends) {
+    send.refused = send.refused || (send.task == task && send.run == run);
+  }
+}
+
 }  // namespace azurespur::jobs
--- a/packages/jobs/src/fleet_holds.cc
+++ b/packages/jobs/src/fleet_holds.cc
@@ -75,6 +75,7 @@
     }
     StopStalled(worker, now);
     SendStops(worker, now, out);
+    StopOpenSends(worker, now, out);
     SendHoldIfDue(worker, now, may_renew, out);
   }
 }
--- a/packages/jobs/tests/worker_restart_test.cc
+++ b/packages/jobs/tests/worker_restart_test.cc
@@ -109,4 +109,41 @@
   CHECK(f.IsRunning({2, 0, 0}));
 }
 
+// Guards against a task that is done and runs again: an unanswered send of its
+// start arrives late, at a boot that doesn't know the run.
+TEST_CASE("a send without answer is stopped on each new boot of its worker") {
+  SchedulerFixture f;
+  f.AddQueue("batch", 1);
+  f.AddWorkers(1, 100);
+  f.Run(Millis{200});
+  f.unanswered_starts = 1;
+  f.Submit(1, "batch", 1, 10);
+  f.Run(Millis{1000});
+  const TaskRef task{1, 0, 0};
+  REQUIRE(f.IsRunning(task));
+  REQUIRE(f.started.size() == 2);
+  f.End(task, EndCause::kDone);
+  f.Run(Millis{400});
+  REQUIRE(f.table.StateOf(1) == JobState::kCompleted);
+  const auto restart = [&f](int64_t boot) {
+    f.stopped.clear();
+    f.running["w0"].clear();
+    f.ends["w0"].clear();
+    f.end_numbers["w0"] = 0;
+    f.boots["w0"] = boot;
+    f.entries[0].boot.boot_unix_ms = boot;
+    f.Run(Millis{800});
+  };
+  for (int64_t boot : {2, 3}) {
+    restart(boot);
+    REQUIRE(f.stopped.size() == 1);
+    CHECK(f.stopped[0].task == task);
+    CHECK(f.stopped[0].run == 1);
+    CHECK(f.stopped[0].worker.boot_unix_ms == boot);
+  }
+  f.Run(Millis{13000});
+  restart(4);
+  CHECK(f.stopped.empty());
+}
+
 }  // namespace azurespur::jobs
