Ask a silent worker sooner while a send to it is open

All eight sends arrived 17 to 142 ms after a new boot, and the stop came 4 to 143 ms after them: the leader asked a silent worker each 250 ms.

Change: each 50 ms while a send without answer is open. A worker without one is asked as before.

Ruled out: the stop itself, which is sent with the first report of the new boot.

--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -205,6 +205,8 @@
                      bool may_renew,
                      SchedulerOutput& out);
   void SendStops(Worker& worker, base::MonoTime now, SchedulerOutput& out);
+  // How long to wait before a worker that did not answer is asked again.
+  base::Millis SilentRetryInterval(const Worker& worker) const;
   // Makes a new boot refuse the runs of open sends.
   void StopOpenSends(Worker& worker, base::MonoTime now, SchedulerOutput& out);
   // Not while this VM is behind: the answer may have been in time.
--- a/packages/jobs/include/jobs/scheduler_options.h
+++ b/packages/jobs/include/jobs/scheduler_options.h
@@ -41,6 +41,9 @@
   int32_t max_late_holds = 1;
   // Between hold orders to a worker that does not answer.
   base::Millis silent_retry_interval{250};
+  // The same while a send of a start to the worker is open: a new boot has to
+  // be told of it.
+  base::Millis open_send_retry_interval{50};
   base::Millis stop_retry_interval{500};  // Between repeated stops of a run.
   // A start that stays unanswered after so many sends is followed by stops.
   int32_t max_start_sends = 3;
--- a/packages/jobs/src/fleet_holds.cc
+++ b/packages/jobs/src/fleet_holds.cc
@@ -49,7 +49,7 @@
     return;
   }
   worker->holds_in_flight = std::max(0, worker->holds_in_flight - 1);
-  worker->next_hold = now + m_options.silent_retry_interval;
+  worker->next_hold = now + SilentRetryInterval(*worker);
   if (outcome == OrderOutcome::kUnknown) {
     RecordUnanswered(boot.id, now);
   }
@@ -114,10 +114,15 @@
     }
   }
   ++worker.holds_in_flight;
-  worker.next_hold = now + m_options.silent_retry_interval;
+  worker.next_hold = now + SilentRetryInterval(worker);
   out.holds.push_back(std::move(order));
 }
 
+base::Millis Fleet::SilentRetryInterval(const Worker& worker) const {
+  return worker.open_sends.empty() ? m_options.silent_retry_interval
+                                   : m_options.open_send_retry_interval;
+}
+
 base::Millis Fleet::OrderTimeout(base::MonoTime now) const {
   return std::min(m_options.order_timeout + m_own_delay.Recent(now),
                   m_options.max_order_timeout);
