--- a/packages/cell/tests/node_cancel_test.cc
+++ b/packages/cell/tests/node_cancel_test.cc
@@ -3,10 +3,9 @@
 
 #include <doctest/doctest.h>
 
-#include <memory>
 #include <vector>
 
-#include "node_fixture.h"
+#include "submission_fixture.h"
 
 namespace azurespur::cell {
 
@@ -14,64 +13,22 @@
 
 using base::Millis;
 
-constexpr jobs::JobId kJob = 7;
-constexpr Millis kTimeout{2000};
-
-struct CancelFixture : NodeFixture {
-  CancelFixture() {
-    StoreWork(jobs::LeaderRecord{kOtherEpoch, "vm-b", "10.0.0.2:1"});
-    Pass(Millis{300});
-  }
-
-  static jobs::Submission MakeSubmission() {
-    jobs::Submission submission;
-    submission.spec.id = kJob;
-    submission.spec.queue = "q";
-    submission.spec.steps.resize(1);
-    return submission;
-  }
-
-  IntakeOutcome Submit() {
-    return Ask([this](const Done& done) {
-      node.Submit(MakeSubmission(), clock.now + kTimeout, done);
-    });
-  }
-
+struct CancelFixture : SubmissionFixture {
   IntakeOutcome Cancel() {
     return Ask([this](const Done& done) {
       node.Cancel(kJob, clock.now + kTimeout, done);
     });
   }
 
-  // No append of this VM is answered or carried out in time.
-  IntakeOutcome SubmitUnanswered() {
-    for (int i = 0; i < 8; ++i) {
-      log.log.InjectFault(AppendFault::kLoseRequest);
-    }
-    const IntakeOutcome outcome = Submit();
-    log.log.ClearFaults();
-    return outcome;
-  }
-
   // The log carries the unanswered append out.
   void CarryOutLateAppend() {
     StoreIntake(MakeSubmission());
     Pass(Millis{1500});
   }
-
- private:
-  using Done = std::function<void(IntakeOutcome)>;
-
-  IntakeOutcome Ask(const std::function<void(const Done&)>& question) {
-    auto answers = std::make_shared<std::vector<IntakeOutcome>>();
-    question([answers](IntakeOutcome outcome) { answers->push_back(outcome); });
-    node.RunPending();
-    Pass(kTimeout + Millis{100});
-    REQUIRE(answers->size() == 1);
-    return answers->front();
-  }
 };
 
+constexpr jobs::JobId kJob = CancelFixture::kJob;
+
 }  // namespace
 
 // Guards against a job that runs after its caller was told that its
@@ -114,18 +71,14 @@
 TEST_CASE("a repeat is not refused while the job's earlier append is open") {
   CancelFixture f;
   REQUIRE(f.SubmitUnanswered() == IntakeOutcome::kUnknown);
-  for (int i = 0; i < 8; ++i) {
-    f.log.log.InjectFault(AppendFault::kRefuse);
-  }
+  f.InjectFaults(AppendFault::kRefuse);
   CHECK(f.Submit() == IntakeOutcome::kUnknown);
-  // No page says how late an append may be carried out.
+  // The log sets no limit to how late it carries an append out.
   f.Pass(Millis{15000});
   CHECK(f.Submit() == IntakeOutcome::kUnknown);
   f.log.log.ClearFaults();
   f.Pass(NodeOptions{}.finished_job_retention);
-  for (int i = 0; i < 8; ++i) {
-    f.log.log.InjectFault(AppendFault::kRefuse);
-  }
+  f.InjectFaults(AppendFault::kRefuse);
   CHECK(f.Submit() == IntakeOutcome::kNotAccepted);
 }
 
@@ -133,7 +86,8 @@
 // handled by this VM.
 TEST_CASE("a repeat is not refused while an earlier request waits") {
   CancelFixture f;
-  f.node.Submit(CancelFixture::MakeSubmission(), f.clock.now + kTimeout,
+  f.node.Submit(CancelFixture::MakeSubmission(),
+                f.clock.now + CancelFixture::kTimeout,
                 [](IntakeOutcome /*outcome*/) {});
   CHECK(f.node.RefusalOf(kJob) == IntakeOutcome::kUnknown);
   CHECK(f.node.RefusalOf(kJob + 1) == IntakeOutcome::kNotAccepted);
@@ -142,8 +96,8 @@
     answers.push_back(outcome);
   };
   for (size_t i = 0; i < 2 * kMailboxSize && answers.empty(); ++i) {
-    f.node.Submit(CancelFixture::MakeSubmission(), f.clock.now + kTimeout,
-                  note);
+    f.node.Submit(CancelFixture::MakeSubmission(),
+                  f.clock.now + CancelFixture::kTimeout, note);
   }
   REQUIRE(answers.size() == 1);
   CHECK(answers.front() == IntakeOutcome::kUnknown);
--- a/packages/cell/tests/node_missing_job_test.cc
+++ b/packages/cell/tests/node_missing_job_test.cc
@@ -4,10 +4,9 @@
 
 #include <doctest/doctest.h>
 
-#include <memory>
 #include <vector>
 
-#include "node_fixture.h"
+#include "submission_fixture.h"
 
 namespace azurespur::cell {
 
@@ -15,23 +14,7 @@
 
 using base::Millis;
 
-constexpr jobs::JobId kJob = 7;
-constexpr Millis kTimeout{2000};
-
-struct MissingJobFixture : NodeFixture {
-  MissingJobFixture() {
-    StoreWork(jobs::LeaderRecord{kOtherEpoch, "vm-b", "10.0.0.2:1"});
-    Pass(Millis{300});
-  }
-
-  static jobs::Submission MakeSubmission() {
-    jobs::Submission submission;
-    submission.spec.id = kJob;
-    submission.spec.queue = "q";
-    submission.spec.steps.resize(1);
-    return submission;
-  }
-
+struct MissingJobFixture : SubmissionFixture {
   // The end of the intake stream.
   int64_t IntakeEnd() {
     return static_cast<int64_t>(Topic(kIntakeTopic).size());
@@ -44,23 +27,14 @@
     Pass(Millis{1500});
   }
 
-  IntakeOutcome Submit() {
-    auto answers = std::make_shared<std::vector<IntakeOutcome>>();
-    node.Submit(
-        MakeSubmission(), clock.now + kTimeout,
-        [answers](IntakeOutcome outcome) { answers->push_back(outcome); });
-    node.RunPending();
-    Pass(kTimeout + Millis{100});
-    REQUIRE(answers->size() == 1);
-    return answers->front();
-  }
-
   bool IsMissing() {
     const JobStateResult result = FindState(kJob);
     return result.known && !result.state;
   }
 };
 
+constexpr jobs::JobId kJob = MissingJobFixture::kJob;
+
 }  // namespace
 
 // Guards against a job that runs after its caller was told at another VM, or at
@@ -87,11 +61,7 @@
 TEST_CASE("the state of a job whose append is open is answered for good") {
   MissingJobFixture f;
   const int64_t received_at = f.IntakeEnd();
-  for (int i = 0; i < 8; ++i) {
-    f.log.log.InjectFault(AppendFault::kLoseRequest);
-  }
-  REQUIRE(f.Submit() == IntakeOutcome::kUnknown);
-  f.log.log.ClearFaults();
+  REQUIRE(f.SubmitUnanswered() == IntakeOutcome::kUnknown);
   SUBCASE("carried out before the question") {
     f.CarryOutAppend(received_at);
     CHECK(f.FindState(kJob).state == jobs::JobState::kQueued);
@@ -129,9 +99,10 @@
   f.node.RunPending();
   f.log.log.DeliverResponses();
   f.node.Submit(
-      MissingJobFixture::MakeSubmission(), f.clock.now + kTimeout,
+      MissingJobFixture::MakeSubmission(),
+      f.clock.now + MissingJobFixture::kTimeout,
       [&answers](IntakeOutcome outcome) { answers.push_back(outcome); });
-  f.Pass(kTimeout);
+  f.Pass(MissingJobFixture::kTimeout);
   REQUIRE(answers.size() == 1);
   CHECK(answers.front() == IntakeOutcome::kNotAccepted);
   CHECK(f.IsMissing());
@@ -156,9 +127,7 @@
 // Guards against "no such job" while nothing can make that true.
 TEST_CASE("a job is not answered as missing if that can't be stored") {
   MissingJobFixture f;
-  for (int i = 0; i < 8; ++i) {
-    f.log.log.InjectFault(AppendFault::kRefuse);
-  }
+  f.InjectFaults(AppendFault::kRefuse);
   CHECK_FALSE(f.FindState(kJob).known);
 }
 
