--- a/packages/http/src/http_client.cc
+++ b/packages/http/src/http_client.cc
@@ -14,6 +14,7 @@
 #include <thread>
 #include <utility>
 
+#include "base/event_log.h"
 #include "base/ring.h"
 #include "link_meter.h"
 #include "stall_watch.h"
@@ -121,8 +122,16 @@
                   int /*remote_port*/,
                   int /*local_port*/) {
   const auto* transfer = static_cast<const Transfer*>(closure);
-  return NothingSent(transfer->easy) ? CURL_PREREQFUNC_OK
-                                     : CURL_PREREQFUNC_ABORT;
+  if (NothingSent(transfer->easy)) {
+    return CURL_PREREQFUNC_OK;
+  }
+  const bool send_again = !transfer->call.send_once;
+  base::LogEvent(base::Severity::kWarning, "AZ6003",
+                 "connection closed without an answer to a request",
+                 {{"method", transfer->call.method},
+                  {"url", transfer->call.url},
+                  {"sent_again", send_again ? "true" : "false"}});
+  return send_again ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
 class Client : public HttpClient {
@@ -379,10 +388,8 @@
       static_cast<long>((call.connect_timeout + link_wait).count()));
   const bool fresh = call.send_once && !call.keep_connection;
   curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
-  if (call.send_once) {
-    curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &BeforeRequest);
-    curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
-  }
+  curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &BeforeRequest);
+  curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->header_list);
   curl_easy_setopt(easy, CURLOPT_WRITEFUNCTION, &OnBody);
   curl_easy_setopt(easy, CURLOPT_WRITEDATA, transfer.get());
