Let no call be sent twice by libcurl unless it says that it may

What callers saw: 503, 'nothing was stored', and the job ran.

Cause: libcurl sends a request again when a kept connection closes without an answer. The log had carried the first out and refused the second, and the append counted as refused. Only starts and non-idempotent requests were guarded, by the callers that asked for it.

Change: the safe behaviour is the default, and a call that may be repeated says so. A connection that closes without an answer leaves an unknown outcome.

--- a/bench/jobs/http_calls.cc
+++ b/bench/jobs/http_calls.cc
@@ -50,8 +50,7 @@
   call.url = "http://127.0.0.1:" + std::to_string(port) + "/order";
   call.headers = {{"Content-Type", "application/json"}};
   call.body = std::string(400, 'x');
-  call.send_once = true;
-  call.keep_connection = !fresh;
+  call.new_connection = fresh;
   for (int done = 0; done < calls; done += kCallsAtATime) {
     std::vector<std::promise<void>> answers(kCallsAtATime);
     for (std::promise<void>& answer : answers) {
--- a/packages/cli/src/api_client.cc
+++ b/packages/cli/src/api_client.cc
@@ -64,6 +64,7 @@
   http_call.body = call.body;
   http_call.timeout = call.timeout.count() > 0 ? call.timeout : m_timeout;
   http_call.connect_timeout = m_timeout;
+  http_call.repeatable = call.method == "GET";
   http::HttpResult result = m_http->Fetch(std::move(http_call));
   if (!base::Ok(result)) {
     return base::GetError(result);
--- a/packages/http/include/http/http_client.h
+++ b/packages/http/include/http/http_client.h
@@ -36,13 +36,15 @@
   // The call is not sent once this time is reached; it then ends with
   // kUnavailable. Zero: no limit.
   base::MonoTime send_by{};
-  // The request must reach the server at most once. libcurl sends a request
-  // again when a connection that it used before closes without an answer, so
-  // such a call gets a new connection, unless `keep_connection` is set.
-  bool send_once = false;
-  // With `send_once`: the call may use a connection that was used before. If it
-  // closes without an answer, the call ends with kUnknown.
-  bool keep_connection = false;
+  // The request may reach the server twice. libcurl sends a request again when
+  // a connection that it used before closes without an answer; the answer to
+  // the second says nothing about the first. Any other call ends with kUnknown
+  // then, so set this only where a second request changes nothing and its
+  // answer holds for both.
+  bool repeatable = false;
+  // The call gets a connection that no call has used before, so that it can't
+  // meet one that the server has closed.
+  bool new_connection = false;
 };
 
 // Errors of a call. `kUnavailable`: nothing was sent, the server has not seen
--- a/packages/http/src/http_client.cc
+++ b/packages/http/src/http_client.cc
@@ -125,7 +125,7 @@
   if (NothingSent(transfer->easy)) {
     return CURL_PREREQFUNC_OK;
   }
-  const bool send_again = !transfer->call.send_once;
+  const bool send_again = transfer->call.repeatable;
   base::LogEvent(base::Severity::kWarning, "AZ6003",
                  "connection closed without an answer to a request",
                  {{"method", transfer->call.method},
@@ -386,8 +386,7 @@
   curl_easy_setopt(
       easy, CURLOPT_CONNECTTIMEOUT_MS,
       static_cast<long>((call.connect_timeout + link_wait).count()));
-  const bool fresh = call.send_once && !call.keep_connection;
-  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, fresh ? 1L : 0L);
+  curl_easy_setopt(easy, CURLOPT_FRESH_CONNECT, call.new_connection ? 1L : 0L);
   curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, &BeforeRequest);
   curl_easy_setopt(easy, CURLOPT_PREREQDATA, transfer.get());
   curl_easy_setopt(easy, CURLOPT_HTTPHEADER, transfer->header_list);
--- a/packages/http/tests/http_test.cc
+++ b/packages/http/tests/http_test.cc
@@ -175,10 +175,10 @@
   CHECK(base::Value(client->Fetch(call)).status == 200);
 }
 
-// Guards against a start that libcurl sends a second time by itself: a worker
-// may have carried out the first, and a refusal of the second then says that
-// nothing runs.
-TEST_CASE("a call that is sent once is not repeated on a kept connection") {
+// Guards against a request that libcurl sends a second time by itself: the
+// server may have carried out the first, and a refusal of the second then says
+// that nothing was done.
+TEST_CASE("a call is not sent again by itself on a kept connection") {
   OneAnswerServer server;
   auto client = StartHttpClient();
   HttpCall call;
@@ -191,8 +191,6 @@
     call.body = "";
   }
   call.timeout = std::chrono::seconds(20);
-  call.send_once = true;
-  call.keep_connection = true;
   REQUIRE(base::Ok(client->Fetch(call)));
   const HttpResult second = client->Fetch(call);
   REQUIRE(!base::Ok(second));
@@ -203,8 +201,8 @@
   CHECK(server.later_bytes() == 0);
 }
 
-// The same server shows that other calls are repeated, so that the test above
-// doesn't pass by chance.
+// The same server shows that repeatable calls are repeated, so that the test
+// above doesn't pass by chance.
 TEST_CASE("a call that may be repeated is, on a new connection") {
   OneAnswerServer server;
   auto client = StartHttpClient();
@@ -213,6 +211,7 @@
   call.url = server.Url();
   call.body = R"({"run":1})";
   call.timeout = std::chrono::seconds(20);
+  call.repeatable = true;
   REQUIRE(base::Ok(client->Fetch(call)));
   CHECK(base::Ok(client->Fetch(call)));
   CHECK(server.connections() == 2);
@@ -233,7 +232,7 @@
   HttpCall call;
   call.url = Url(*server, "/");
   call.timeout = std::chrono::seconds(20);
-  call.send_once = true;
+  call.new_connection = true;
   for (int i = 0; i < 40; ++i) {
     CAPTURE(i);
     CHECK(base::Ok(client->Fetch(call)));
--- a/packages/services/src/executor_client.cc
+++ b/packages/services/src/executor_client.cc
@@ -69,7 +69,8 @@
     post.body = std::move(call.body);
     post.timeout = call.timeout;
     post.send_by = call.send_by;
-    post.send_once = !call.idempotent;
+    post.repeatable = call.idempotent;
+    post.new_connection = !call.idempotent;
     return m_client.Send(std::move(post), [id = std::move(call.request_id),
                                            done = std::move(done)](
                                               http::HttpResult result) {
--- a/packages/services/src/http_log_service.cc
+++ b/packages/services/src/http_log_service.cc
@@ -84,6 +84,7 @@
              "?from=" + std::to_string(from) + "&max=" + std::to_string(max) +
              "&wait_ms=" + std::to_string(wait.count());
   call.timeout = m_timeout + wait;
+  call.repeatable = true;
   const std::string url = call.url;
   const http::HttpResult result = m_client.Fetch(std::move(call));
   if (!base::Ok(result)) {
--- a/packages/services/src/http_vm_list.cc
+++ b/packages/services/src/http_vm_list.cc
@@ -58,6 +58,7 @@
   base::Outcome<std::shared_ptr<const VmListPage>> Fetch() override {
     http::HttpCall call;
     call.url = m_url;
+    call.repeatable = true;
     if (m_page != nullptr && !m_entity_tag.empty()) {
       call.headers.push_back({"If-None-Match", m_entity_tag});
     }
--- a/packages/services/src/worker_client.cc
+++ b/packages/services/src/worker_client.cc
@@ -206,6 +206,7 @@
     call.body = std::move(body);
     call.timeout = m_timeout;
     call.connect_timeout = m_timeout;
+    call.repeatable = method == "GET";
     std::string url = call.url;
     return m_client.Send(std::move(call),
                          [url = std::move(url), parse,
--- a/testing/standins/tests/relay_test.cc
+++ b/testing/standins/tests/relay_test.cc
@@ -44,7 +44,7 @@
   http::HttpCall call;
   call.url = "http://127.0.0.1:" + std::to_string(port) + "/";
   call.timeout = std::chrono::seconds(10);
-  call.send_once = true;
+  call.new_connection = true;
   return base::Ok(client.Fetch(std::move(call)));
 }
 
