--- a/tools/summarize_tests.py
+++ b/tools/summarize_tests.py
@@ -48,9 +48,9 @@
     return passed, failures
 
 
-def read_scenario(result_path):
-    """Returns (passed names, failures as {name: text}) of one scenario run."""
-    name = f"scenario: {result_path.stem}"
+def read_script(kind, result_path):
+    """Returns (passed names, failures as {name: text}) of one run of a script."""
+    name = f"{kind}: {result_path.stem}"
     if int(result_path.read_text(encoding="utf-8")) == 0:
         return [name], {}
     log = result_path.with_suffix(".log").read_text(encoding="utf-8")
@@ -68,10 +68,11 @@
         passed += program_passed
         failures.update(program_failures)
 
-    for result_path in sorted(results.glob("*.scenario")):
-        scenario_passed, scenario_failures = read_scenario(result_path)
-        passed += scenario_passed
-        failures.update(scenario_failures)
+    for kind in ("scenario", "processes"):
+        for result_path in sorted(results.glob(f"*.{kind}")):
+            script_passed, script_failures = read_script(kind, result_path)
+            passed += script_passed
+            failures.update(script_failures)
 
     unlisted = 0
     for name, text in failures.items():
--- a/tools/test.sh
+++ b/tools/test.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Builds and runs all tests, then each scenario with the seeds that its file
-# names: tools/test.sh [PRESET]
+# names, then cells of real processes with fixed seeds: tools/test.sh [PRESET]
 # The last line is "N passed, N failed", counting test cases. Fails if a test
 # fails that KNOWN-RED.txt does not list.
 set -euo pipefail
@@ -32,4 +32,16 @@
   done
 done
 
+# Each stands for a fault that once let refused jobs run; see the script.
+for case in closed_after_append error_status_after_append \
+  closed_after_append_two_vms_refused; do
+  name="refused.py $case --short --seed 1"
+  echo "running $name"
+  status=0
+  timeout 120 python3 "testing/processes/refused.py" "$case" --short --seed 1 \
+    --program "build/$preset/bin/azurespurd" \
+    >"$results/$name.log" 2>&1 || status=$?
+  echo "$status" >"$results/$name.processes"
+done
+
 exec python3 tools/summarize_tests.py "$results" KNOWN-RED.txt
