Take a response whose header is cut for no answer

What callers saw: an order that counts as accepted or refused, though the worker's answer was cut in its header.

Cause: libcurl takes a header that the end of the connection cuts for a whole one, and reports success with the status and an empty body.

Ruled out, by real sockets: a kept connection that is reset after the whole request or closed or reset within it, a new one the same, a second connection that is refused or would answer 503, other cut answers, a client that stops. All of these ended as unknown already.

Change: a response counts once the end of its header has arrived.

--- a/packages/http/src/http_client.cc
+++ b/packages/http/src/http_client.cc
@@ -39,7 +39,8 @@
   CURL* easy = nullptr;  // Set once the call is begun.
   curl_slist* header_list = nullptr;
   base::MonoTime began{};
-  bool answered = false;  // The first byte of the response has arrived.
+  bool answered = false;     // The first byte of the response has arrived.
+  bool has_headers = false;  // The whole header of the response has arrived.
   StallWatch<CURL*>* stalls = nullptr;  // Null without a stall timeout.
   LinkMeter* link = nullptr;            // Null if the link is unknown.
 
@@ -83,6 +84,9 @@
   while (!line.empty() && (line.back() == '\r' || line.back() == '\n')) {
     line.remove_suffix(1);
   }
+  // Interim responses have headers of their own, and trailers follow a body.
+  transfer->has_headers =
+      !line.starts_with("HTTP/") && (transfer->has_headers || line.empty());
   const size_t colon = line.find(':');
   if (colon != std::string_view::npos) {
     std::string_view value = line.substr(colon + 1);
@@ -421,7 +425,8 @@
     m_stalls.Remove(easy);
   }
   HttpResult result = base::Error{};
-  if (code == CURLE_OK) {
+  // libcurl takes a header that the end of the connection cuts for a whole one.
+  if (code == CURLE_OK && transfer->has_headers) {
     long status = 0;
     curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &status);
     transfer->response.status = static_cast<int>(status);
@@ -429,8 +434,10 @@
   } else {
     const auto error = NothingSent(easy) ? base::ErrorCode::kUnavailable
                                          : base::ErrorCode::kUnknown;
-    result = base::Error{error,
-                         transfer->call.url + ": " + curl_easy_strerror(code)};
+    result =
+        base::Error{error, transfer->call.url + ": " +
+                               (code == CURLE_OK ? "the answer's header is cut"
+                                                 : curl_easy_strerror(code))};
   }
   curl_multi_remove_handle(m_multi, easy);
   m_idle.push_back(easy);
