Take a worker's status for a refusal only where it is one

What callers saw: a task that runs at a worker which counts as having refused it, in the own worker protocol.

Cause: each status but 200, 404 and 409 was an error of the kind "refused", by which a run counts as not run. A 502 or 504 may come from something between, after the worker started the task.

Change: 400, 429, 500 (the worker's "failed to start") and 503 are refusals, all others leave the outcome unknown, so that the run is stopped.

--- a/packages/services/src/worker_client.cc
+++ b/packages/services/src/worker_client.cc
@@ -13,8 +13,12 @@
 using Json = nlohmann::json;
 
 constexpr int kStatusOk = 200;
+constexpr int kStatusBadRequest = 400;
 constexpr int kStatusNotFound = 404;
 constexpr int kStatusConflict = 409;
+constexpr int kStatusTooManyRequests = 429;
+constexpr int kStatusFailed = 500;  // "The task failed to start."
+constexpr int kStatusUnavailable = 503;
 
 base::Error Malformed(const std::string& url) {
   return {base::ErrorCode::kUnknown,
@@ -30,7 +34,13 @@
   if (status == kStatusConflict) {
     return {base::ErrorCode::kConflict, message};
   }
-  return {base::ErrorCode::kInvalid, message};
+  const bool refused = status == kStatusBadRequest ||
+                       status == kStatusTooManyRequests ||
+                       status == kStatusFailed || status == kStatusUnavailable;
+  // Any other status may come from something in between, after the worker
+  // carried the call out.
+  return {refused ? base::ErrorCode::kInvalid : base::ErrorCode::kUnknown,
+          message};
 }
 
 std::optional<WorkerTaskState> ParseState(const std::string& name) {
--- a/packages/services/tests/worker_client_test.cc
+++ b/packages/services/tests/worker_client_test.cc
@@ -103,6 +103,20 @@
   CHECK(base::GetError(start(failed)).code == base::ErrorCode::kInvalid);
 }
 
+// Guards against a task that runs twice: a start that something between
+// answered, or whose answer has no meaning here, counted as not carried out.
+TEST_CASE("a start has an unknown outcome after a status that promises none") {
+  for (int status : {202, 302, 403, 408, 421, 502, 504}) {
+    CAPTURE(status);
+    OneAnswerWorker worker(status, "{}");
+    const auto result = Wait<base::Unit>([&](auto done) {
+      return worker.client().Start(worker.address(), {}, done);
+    });
+    REQUIRE(!base::Ok(result));
+    CHECK(base::GetError(result).code == base::ErrorCode::kUnknown);
+  }
+}
+
 TEST_CASE("a stop tells whether the task ran and was released") {
   OneAnswerWorker worker(200, R"({"known":true,"released":false})");
   const auto result = Wait<WorkerStop>([&](auto done) {
