Let no request to an executor be sent twice by libcurl

What callers saw: the fate "not-run" of a request that ran.

Cause: an idempotent request was repeatable. An executor that ran it, closed the kept connection and then answered "leaving" to the second sending counted as not having run it.

Change: such a call ends as "may have run", and the dispatcher retries it, as it may run twice. Weighed against a mark on the response that it was sent before: that keeps libcurl's repeat free of the retry budget, for one more field that each caller must heed.

--- a/packages/services/src/executor_client.cc
+++ b/packages/services/src/executor_client.cc
@@ -69,7 +69,9 @@
     post.body = std::move(call.body);
     post.timeout = call.timeout;
     post.send_by = call.send_by;
-    post.repeatable = call.idempotent;
+    // Also not for an idempotent request: it may run twice, but the refusal of
+    // the second sending would be taken for the first's. The caller retries.
+    post.repeatable = false;
     post.new_connection = !call.idempotent;
     return m_client.Send(std::move(post), [id = std::move(call.request_id),
                                            done = std::move(done)](
--- a/packages/services/tests/executor_client_test.cc
+++ b/packages/services/tests/executor_client_test.cc
@@ -198,6 +198,25 @@
   CHECK(server.requests() == 2);
 }
 
+// Guards against a request that is told as not run, and ran: the executor ran
+// it, closed the connection, and refused the repeat that libcurl sent.
+TEST_CASE("a leaving executor's refusal of a second sending is no promise") {
+  const std::string good =
+      "HTTP/1.1 200 OK\r\nAzurespur-Request-Id: r1\r\n"
+      "Content-Length: 2\r\n\r\nok";
+  const std::string leaving =
+      "HTTP/1.1 503 Leaving\r\nAzurespur-Request-Id: r1\r\n"
+      "Azurespur-Leaving: 1\r\nContent-Length: 0\r\n\r\n";
+  RawServer server({good, "", leaving});
+  const auto http = http::StartHttpClient();
+  const auto client = MakeHttpExecutorClient(*http);
+  CHECK(Run(*client, server.address(), Call()).verdict ==
+        ExecutorVerdict::kRan);
+  CHECK(Run(*client, server.address(), Call()).verdict ==
+        ExecutorVerdict::kMayHaveRun);
+  CHECK(server.requests() == 2);
+}
+
 TEST_CASE("a request sent before its server went down may have run") {
   const std::string good =
       "HTTP/1.1 200 OK\r\nAzurespur-Request-Id: r1\r\n"
