Hand the ends that a term could not store to its successor

A leader that was cut off heard a task end on a worker that then left; its successor waited 15.7 s for the worker's lease and ran the task again.

Cause: what a term could not store was dropped when it ended. Now the VM keeps the ends that workers listed and sends them to the later leader until its table has them, for 30 s at most; the leader stores an end if it takes that run to be on that worker.

--- a/packages/cell/include/cell/messages.h
+++ b/packages/cell/include/cell/messages.h
@@ -15,6 +15,7 @@
 #include "cell/store_outcome.h"
 #include "cell/vm_resources.h"
 #include "jobs/orders.h"
+#include "jobs/records.h"
 
 namespace azurespur::cell {
 
@@ -162,6 +163,27 @@
   }
 };
 
+// The end of a run as its worker reported it.
+struct WorkerEnd {
+  jobs::EndRecord end;
+  std::string worker;  // Its id.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(end, worker);
+  }
+};
+
+// Sent to the leader by a VM that led before and could not store these ends.
+struct ForwardedEnds {
+  std::vector<WorkerEnd> ends;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(ends);
+  }
+};
+
 using Message = std::variant<RecordsNotice,
                              LeaderHeartbeat,
                              FollowerHeartbeat,
@@ -170,7 +192,8 @@
                              RecordsRequest,
                              ForwardedIntake,
                              ForwardedOutcome,
-                             PolicyNotice>;
+                             PolicyNotice,
+                             ForwardedEnds>;
 
 }  // namespace azurespur::cell
 
--- a/packages/cell/src/leader_term.cc
+++ b/packages/cell/src/leader_term.cc
@@ -143,6 +143,14 @@
   m_yield_stored = m_yielding && m_queue.empty();
 }
 
+std::vector<jobs::PendingRecord> LeaderTerm::Unstored() const {
+  std::vector<jobs::PendingRecord> unstored = m_batch.pending;
+  unstored.insert(unstored.end(), m_queue.begin(), m_queue.end());
+  unstored.insert(unstored.end(), m_output.records.begin(),
+                  m_output.records.end());
+  return unstored;
+}
+
 void LeaderTerm::Yield() {
   m_yielding = true;
 }
--- a/packages/cell/src/leader_term.h
+++ b/packages/cell/src/leader_term.h
@@ -53,6 +53,9 @@
   // for `max_append_interval`.
   void AppendPending(base::MonoTime now, int64_t intake_end);
 
+  // The records that are not known to be stored, in their order.
+  std::vector<jobs::PendingRecord> Unstored() const;
+
   // Ends the term: scheduling stops, and a yield record is appended last.
   void Yield();
   bool yielding() const { return m_yielding; }
--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -184,6 +184,7 @@
   } else {
     BeginTermIfElected();
     SendFollowerHeartbeat(now);
+    ForwardUnstoredEnds(now);
     StartElectionIfDue(now);
   }
   m_load.OnLinkWait(m_peer_sender.LinkWait());
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -36,6 +36,7 @@
 #include "request_pacer.h"
 #include "snapshot_writer.h"
 #include "speed_probe.h"
+#include "unstored_ends.h"
 #include "view_requirement.h"
 #include "view_waiters.h"
 
@@ -138,6 +139,9 @@
   void OnMessage(const ForwardedIntake& forward);
   void OnMessage(const ForwardedOutcome& answer);
   void OnMessage(const PolicyNotice& notice);
+  void OnMessage(const ForwardedEnds& forwarded);
+  // Hands the ends that the last term on this VM could not store to the leader.
+  void ForwardUnstoredEnds(base::MonoTime now);
   // Learns about a new leader from a datagram, possibly before its leader
   // record was read.
   void UpdateAnnouncedLeader(const LeaderInfo& leader);
@@ -291,6 +295,7 @@
   RecentRecords m_recent_work{kRecentRecordsBytes};
   LeaderInfo m_announced_leader;  // The latest leader that a datagram named.
   std::shared_ptr<LeaderTerm> m_term;
+  UnstoredEnds m_unstored_ends;  // Of former terms on this VM.
   std::shared_ptr<SnapshotWriter> m_snapshot_writer;  // Null between terms.
   std::map<std::string, PeerState> m_peers;  // By VM; maintained by the leader.
   std::vector<std::string>
--- a/packages/cell/src/node_leader.cc
+++ b/packages/cell/src/node_leader.cc
@@ -152,6 +152,7 @@
   if (const auto current = policy()) {
     m_term->scheduler().SetPolicy(*current);
   }
+  OnMessage(ForwardedEnds{m_unstored_ends.All()});
   m_term_started = m_clock.Now();
   LogTermStart();
   m_next_directory = {};
@@ -172,6 +173,7 @@
                   {"reason", std::string(reason)}});
   m_leading.Set(0);
   m_fan_out.Flush(m_clock.Now(), OwnLeaderInfo(), PeerAddresses());
+  m_unstored_ends.Add(m_term->Unstored(), m_clock.Now());
   m_term.reset();
   m_snapshot_writer.reset();
   m_peers.clear();
--- a/packages/cell/src/node_peers.cc
+++ b/packages/cell/src/node_peers.cc
@@ -162,6 +162,35 @@
   }
 }
 
+void Node::OnMessage(const ForwardedEnds& forwarded) {
+  if (!m_term) {
+    return;
+  }
+  for (const WorkerEnd& end : forwarded.ends) {
+    m_term->scheduler().OnForwardedEnd(end.end, end.worker, m_clock.Now(),
+                                       m_term->output());
+  }
+  m_scheduling_needed = true;
+}
+
+void Node::ForwardUnstoredEnds(MonoTime now) {
+  const std::string& leader = LeaderAddress();
+  if (m_unstored_ends.empty() || leader.empty() ||
+      leader == m_options.peer_address) {
+    return;
+  }
+  m_unstored_ends.RemoveKnown(m_job_table, now);
+  ForwardedEnds forwarded{m_unstored_ends.TakeDue(kMaxNoticeRecordBytes, now)};
+  if (forwarded.ends.empty()) {
+    return;
+  }
+  base::LogEvent(
+      base::Severity::kInfo, "AZ9410",
+      "handing ends of runs to the later leader",
+      {{"ends", std::to_string(forwarded.ends.size())}, {"leader", leader}});
+  SendTo(leader, forwarded);
+}
+
 void Node::SendFollowerHeartbeat(MonoTime now) {
   const std::string& leader = LeaderAddress();
   if (leader.empty() || leader == m_options.peer_address ||
--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -178,6 +178,13 @@
                     base::MonoTime now,
                     SchedulerOutput& out);
 
+  // A former leader heard from `worker_id` that the run has ended. Ignored
+  // unless the run is still taken to be on that worker.
+  void OnForwardedEnd(const EndRecord& end,
+                      std::string_view worker_id,
+                      base::MonoTime now,
+                      SchedulerOutput& out);
+
   // The record of an end that a worker reported is stored.
   void OnEndStored(const PendingRecord& stored);
 
--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -13,6 +13,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "base/clock.h"
@@ -91,6 +92,12 @@
                     OrderOutcome outcome,
                     base::MonoTime now,
                     SchedulerOutput& out);
+  // A former leader heard from `worker_id` that the run has ended, and could
+  // not store it.
+  void OnForwardedEnd(const EndRecord& end,
+                      std::string_view worker_id,
+                      base::MonoTime now,
+                      SchedulerOutput& out);
   void OnAdvice(uint64_t query_id,
                 std::span<const AdviceTicket> tickets,
                 base::MonoTime now);
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -336,6 +336,31 @@
             worker.entry.boot, end.number);
 }
 
+// An end is final whoever stores it, as the numbers of runs only rise.
+void Fleet::OnForwardedEnd(const EndRecord& end,
+                           std::string_view worker_id,
+                           base::MonoTime now,
+                           SchedulerOutput& out) {
+  Worker* worker = WorkerOf(end.task);
+  if (worker == nullptr || worker->entry.boot.id != worker_id) {
+    return;
+  }
+  const Run* run = FindRun(*worker, end.task, end.run);
+  if (run == nullptr) {
+    return;
+  }
+  if (run->gang) {
+    RecordGangProgress(end.task.StepOf(), now);
+  }
+  RemoveRun(*worker, end.task);
+  base::LogEvent(base::Severity::kInfo, "AZ9122",
+                 "a former leader told of the end of a run",
+                 {{"task", ToString(end.task)},
+                  {"run", std::to_string(end.run)},
+                  {"worker", std::string(worker_id)}});
+  AddRecord(out, end);
+}
+
 void Fleet::HandleRunning(Worker& worker,
                           const WorkerReport& report,
                           base::MonoTime asked_at,
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -198,6 +198,13 @@
   m_fleet.OnHoldFailed(order.worker, outcome, now, out);
 }
 
+void Scheduler::OnForwardedEnd(const EndRecord& end,
+                               std::string_view worker_id,
+                               base::MonoTime now,
+                               SchedulerOutput& out) {
+  m_fleet.OnForwardedEnd(end, worker_id, now, out);
+}
+
 void Scheduler::OnAdvice(uint64_t query_id,
                          std::span<const AdviceTicket> tickets,
                          base::MonoTime now) {
