--- a/testing/processes/refused.py
+++ b/testing/processes/refused.py
@@ -320,13 +320,14 @@
         while True:
             data = self._addresses.for_vm(self._vm, self._socket.recv(1 << 16))
             self.passed += 1
-            if not self.copy_after_s:
+            copy_after_s = self.copy_after_s  # Another thread may change it.
+            if not copy_after_s:
                 self._send(data)
                 continue
             self._send_after(self._rng.uniform(*DATAGRAM_DELAY_S), data)
             if self._rng.random() < COPY_SHARE:
                 self.copied += 1
-                self._send_after(self._rng.uniform(*self.copy_after_s), data)
+                self._send_after(self._rng.uniform(*copy_after_s), data)
 
     def _send_after(self, delay_s, data):
         timer = threading.Timer(delay_s, self._send, (data,))
