Carry out a record that is handed on once, whatever copies arrive

Callers saw 503 ("nothing was stored") at a VM that hands its submissions on to the leader, and the job ran.

Cause: the leader stored each copy of a ForwardedIntake that arrived and told the outcome of each. The sender takes "not stored" for unknown only if it sent the message again itself; it can't know of a copy that the network made. So the refusal of the second copy was told while the first copy's append was open, and a late copy of a refused record was stored.

Ruled out: the sender's own retries (attempts > 1 is unknown already); a retry that meets another leader (the same); outcomes of a former life (numbers differ).

The fix: ReceivedForwards, a module without I/O and clock, keeps sender, number and outcome. A copy of a record that is being stored waits for its outcome, later ones hear it again. Refusals are kept for finished_job_retention, other outcomes until their sender has stopped waiting, since a copy that is stored after that contradicts nothing that was told. With 65536 kept, a further record is answered as unknown and not stored.

--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -200,6 +200,7 @@
     m_next_sweep = now + kSweepInterval;
     m_job_table.RemoveExpired(now, m_options.finished_job_retention);
     m_open_submissions.RemoveExpired(now);
+    m_received_forwards.RemoveExpired(now);
   }
 }
 
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -31,6 +31,7 @@
 #include "node_load.h"
 #include "open_submissions.h"
 #include "peer_sender.h"
+#include "received_forwards.h"
 #include "recent_records.h"
 #include "records_fan_out.h"
 #include "request_pacer.h"
@@ -44,6 +45,8 @@
 inline constexpr size_t kMailboxSize = 16384;
 // Per stream; enough for several seconds of records.
 inline constexpr size_t kRecentRecordsBytes = 256 << 10;
+// About 8 MB. Only refused records are kept for longer than a caller waits.
+inline constexpr size_t kMaxReceivedForwards = 64 << 10;
 
 struct PeerState {
   std::string address;
@@ -136,6 +139,7 @@
   void OnMessage(const AdviceReply& reply);
   void OnMessage(const RecordsRequest& request);
   void OnMessage(const ForwardedIntake& forward);
+  void StoreForwarded(const ForwardedIntake& forward, base::MonoTime deadline);
   void OnMessage(const ForwardedOutcome& answer);
   void OnMessage(const PolicyNotice& notice);
   // Learns about a new leader from a datagram, possibly before its leader
@@ -284,6 +288,8 @@
   LogTail m_work_tail;
   IntakeWriter m_intake_writer;
   IntakeForwarder m_intake_forwarder;
+  ReceivedForwards m_received_forwards{m_options.finished_job_retention,
+                                       kMaxReceivedForwards};
   OpenSubmissions m_open_submissions{m_options.finished_job_retention};
   ViewWaiters m_view_waiters;
   RecordsFanOut m_fan_out;
--- a/packages/cell/src/node_relay.cc
+++ b/packages/cell/src/node_relay.cc
@@ -74,9 +74,21 @@
   const MonoTime deadline =
       m_clock.Now() +
       std::clamp(Millis{forward.wait_ms}, Millis{0}, kMaxForwardWait);
+  const ForwardReceipt receipt =
+      m_received_forwards.Receive(forward.reply_to, forward.id, deadline);
+  if (receipt.step == ForwardStep::kAnswer) {
+    SendTo(forward.reply_to, ForwardedOutcome{forward.id, receipt.outcome});
+  } else if (receipt.step == ForwardStep::kStore) {
+    StoreForwarded(forward, deadline);
+  }
+}
+
+void Node::StoreForwarded(const ForwardedIntake& forward, MonoTime deadline) {
   m_intake_writer.Store(forward.record, deadline,
                         [this, id = forward.id,
                          reply_to = forward.reply_to](StoreOutcome outcome) {
+                          m_received_forwards.Finish(reply_to, id, outcome,
+                                                     m_clock.Now());
                           SendTo(reply_to, ForwardedOutcome{id, outcome});
                         });
 }
