Count a submission as open at the VM that appends it for another one

Callers saw 503 ("never runs") at the leader for a job whose earlier request another VM had handed on to that same leader, whose append had no answer; or at the other VM, for a job with an append open at the leader. The append was carried out, and the job ran.

Cause: OpenSubmissions knew only the requests that callers made of this VM, and "not stored" was told to other VMs without asking it.

Ruled out: cancellations and declarations that are handed on; they submit nothing, so they aren't counted.

The fix: the submission counts as open from its arrival to its outcome, and as left open if that is unknown; "not stored" is told as unknown where the job may be stored.

--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -139,7 +139,12 @@
   void OnMessage(const AdviceReply& reply);
   void OnMessage(const RecordsRequest& request);
   void OnMessage(const ForwardedIntake& forward);
-  void StoreForwarded(const ForwardedIntake& forward, base::MonoTime deadline);
+  // `record` is the decoded one of `forward`.
+  void StoreForwarded(const ForwardedIntake& forward,
+                      const jobs::IntakeRecord& record,
+                      base::MonoTime deadline);
+  // What another VM may hear of a submission that this one appended for it.
+  StoreOutcome OutcomeToTell(jobs::JobId job, StoreOutcome outcome) const;
   void OnMessage(const ForwardedOutcome& answer);
   void OnMessage(const PolicyNotice& notice);
   // Learns about a new leader from a datagram, possibly before its leader
--- a/packages/cell/src/node_relay.cc
+++ b/packages/cell/src/node_relay.cc
@@ -79,20 +79,40 @@
   if (receipt.step == ForwardStep::kAnswer) {
     SendTo(forward.reply_to, ForwardedOutcome{forward.id, receipt.outcome});
   } else if (receipt.step == ForwardStep::kStore) {
-    StoreForwarded(forward, deadline);
+    StoreForwarded(forward, base::Value(record), deadline);
   }
 }
 
-void Node::StoreForwarded(const ForwardedIntake& forward, MonoTime deadline) {
+// A submission counts as open at this VM too, since the append is its own.
+void Node::StoreForwarded(const ForwardedIntake& forward,
+                          const jobs::IntakeRecord& record,
+                          MonoTime deadline) {
+  const bool submits = jobs::SubmitsJob(record);
+  const jobs::JobId job = jobs::JobOf(record);
+  if (submits) {
+    m_open_submissions.Begin(job);
+  }
   m_intake_writer.Store(forward.record, deadline,
-                        [this, id = forward.id,
+                        [this, submits, job, id = forward.id,
                          reply_to = forward.reply_to](StoreOutcome outcome) {
+                          if (submits) {
+                            m_open_submissions.End(job, outcome, m_clock.Now());
+                            outcome = OutcomeToTell(job, outcome);
+                          }
                           m_received_forwards.Finish(reply_to, id, outcome,
                                                      m_clock.Now());
                           SendTo(reply_to, ForwardedOutcome{id, outcome});
                         });
 }
 
+// Another VM tells its caller that a job that isn't stored never runs.
+StoreOutcome Node::OutcomeToTell(jobs::JobId job, StoreOutcome outcome) const {
+  const bool refused = outcome == StoreOutcome::kNotStored;
+  return refused && RefusalOf(job) != IntakeOutcome::kNotAccepted
+             ? StoreOutcome::kUnknown
+             : outcome;
+}
+
 void Node::OnMessage(const ForwardedOutcome& answer) {
   m_intake_forwarder.OnOutcome(answer.id, answer.outcome);
 }
--- a/packages/jobs/include/jobs/records.h
+++ b/packages/jobs/include/jobs/records.h
@@ -75,6 +75,9 @@
 // The job that the record is about.
 JobId JobOf(const IntakeRecord& record);
 
+// True if the record submits a job.
+bool SubmitsJob(const IntakeRecord& record);
+
 // A VM becomes the leader of the cell.
 struct LeaderRecord {
   uint64_t epoch = 0;
--- a/packages/jobs/src/records.cc
+++ b/packages/jobs/src/records.cc
@@ -29,6 +29,10 @@
   return std::get<CancelRecord>(record).job;
 }
 
+bool SubmitsJob(const IntakeRecord& record) {
+  return SpecOf(record) != nullptr;
+}
+
 std::string EncodeIntake(const IntakeRecord& record) {
   return wire::Encode(record);
 }
