Refuse no job that this VM's table holds, on any path

Callers saw 503 ("never runs") for a job that was accepted, from a VM that shows it: with an outdated policy, an old one that lacks the queue, none at all, content that isn't supported, a full mailbox, or an own append that was refused while the job was read from another VM. Without a policy and for unsupported content, open submissions weren't asked for either.

Cause: CellNode::RefusalOf() was made for any thread, so it knew the open submissions and not the table, which belongs to the node's thread; and two paths of the job API didn't call it.

Ruled out: shutdown (m_draining is set on the node's thread, which looks for the job first; requests that still wait when the server stops hear 504), void submissions, and dropped replies (500, which promises nothing).

The fix: Refuse() takes the place of RefusalOf(). It answers on the node's thread: accepted if the table holds the job, unknown if a submission may be stored, else refused. Who can't ask that thread (full mailbox) says unknown.

node_cancel_test "a repeat is not refused while an earlier request waits" asks by Refuse(), as the former function is gone, and demands the same.

--- a/packages/cell/include/cell/cell_node.h
+++ b/packages/cell/include/cell/cell_node.h
@@ -71,10 +71,11 @@
   virtual void Submit(jobs::Submission submission,
                       base::MonoTime deadline,
                       std::function<void(IntakeOutcome)> done) = 0;
-  // The outcome of a request to submit the job that is not passed to Submit():
-  // kNotAccepted, or kUnknown if an earlier one for the job may be stored. For
-  // any thread.
-  virtual IntakeOutcome RefusalOf(jobs::JobId job) const = 0;
+  // Passes the outcome of a request to submit the job that is not passed to
+  // Submit(): kNotAccepted, or what is known of an earlier request for the job:
+  // kAccepted, or kUnknown if it may be stored.
+  virtual void Refuse(jobs::JobId job,
+                      std::function<void(IntakeOutcome)> done) = 0;
   virtual void Cancel(jobs::JobId job,
                       base::MonoTime deadline,
                       std::function<void(IntakeOutcome)> done) = 0;
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -80,7 +80,8 @@
   void Submit(jobs::Submission submission,
               base::MonoTime deadline,
               std::function<void(IntakeOutcome)> done) override;
-  IntakeOutcome RefusalOf(jobs::JobId job) const override;
+  void Refuse(jobs::JobId job,
+              std::function<void(IntakeOutcome)> done) override;
   void Cancel(jobs::JobId job,
               base::MonoTime deadline,
               std::function<void(IntakeOutcome)> done) override;
@@ -217,6 +218,8 @@
                     int64_t intake_next,
                     base::MonoTime deadline,
                     std::function<void(StoreOutcome)> done);
+  // What a refused request for the job may hear.
+  IntakeOutcome RefusalOf(jobs::JobId job) const;
   // Stores that the job doesn't exist, and answers so unless it turns out to.
   void DeclareMissing(jobs::JobId job,
                       base::MonoTime deadline,
--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -104,14 +104,15 @@
 }
 
 // The submission counts as open from here on, so that another request for the
-// job that is refused meanwhile isn't told that it never runs.
+// job that is refused meanwhile isn't told that it never runs. With a full
+// mailbox the job can't be looked up, so it may be known.
 void Node::Submit(jobs::Submission submission,
                   MonoTime deadline,
                   std::function<void(IntakeOutcome)> done) {
   const jobs::JobId job = submission.spec.id;
   const int64_t intake_next = m_intake_next.load();
   m_open_submissions.Begin(job);
-  auto finish = [this, job, done = std::move(done)](StoreOutcome outcome) {
+  auto finish = [this, job, done](StoreOutcome outcome) {
     m_open_submissions.End(job, outcome, m_clock.Now());
     done(outcome == StoreOutcome::kNotStored ? RefusalOf(job)
                                              : ToIntakeOutcome(outcome));
@@ -121,7 +122,8 @@
        received = jobs::ReceivedSubmission{std::move(submission), intake_next},
        deadline, finish] { StoreSubmission(received, deadline, finish); });
   if (!posted) {
-    finish(StoreOutcome::kNotStored);
+    m_open_submissions.End(job, StoreOutcome::kNotStored, m_clock.Now());
+    done(IntakeOutcome::kUnknown);
   }
 }
 
@@ -176,7 +178,16 @@
       });
 }
 
+void Node::Refuse(jobs::JobId job, std::function<void(IntakeOutcome)> done) {
+  if (!Post([this, job, done] { done(RefusalOf(job)); })) {
+    done(IntakeOutcome::kUnknown);
+  }
+}
+
 IntakeOutcome Node::RefusalOf(jobs::JobId job) const {
+  if (m_job_table.StateOf(job)) {
+    return IntakeOutcome::kAccepted;
+  }
   return m_open_submissions.MayBeStored(job, m_clock.Now())
              ? IntakeOutcome::kUnknown
              : IntakeOutcome::kNotAccepted;
--- a/packages/cell/tests/node_cancel_test.cc
+++ b/packages/cell/tests/node_cancel_test.cc
@@ -89,12 +89,17 @@
   f.node.Submit(CancelFixture::MakeSubmission(),
                 f.clock.now + CancelFixture::kTimeout,
                 [](IntakeOutcome /*outcome*/) {});
-  CHECK(f.node.RefusalOf(kJob) == IntakeOutcome::kUnknown);
-  CHECK(f.node.RefusalOf(kJob + 1) == IntakeOutcome::kNotAccepted);
   std::vector<IntakeOutcome> answers;
   const auto note = [&answers](IntakeOutcome outcome) {
     answers.push_back(outcome);
   };
+  f.node.Refuse(kJob, note);
+  f.node.Refuse(kJob + 1, note);
+  f.node.RunPending();
+  REQUIRE(answers.size() == 2);
+  CHECK(answers[0] == IntakeOutcome::kUnknown);
+  CHECK(answers[1] == IntakeOutcome::kNotAccepted);
+  answers.clear();
   for (size_t i = 0; i < 2 * kMailboxSize && answers.empty(); ++i) {
     f.node.Submit(CancelFixture::MakeSubmission(),
                   f.clock.now + CancelFixture::kTimeout, note);
