Say that a job never runs only after that is stored

Callers saw 503 at a VM that knew nothing of an earlier request for the job, whose append was open at another VM, at one that had died since, or at a former life of the same VM. The log carried that append out, and the job ran.

Cause: "never runs" was said from what one VM knows. An answer to a request says nothing of the requests before it.

Ruled out: asking the other VMs by datagram. No VM knows all others: the leader knows who sent heartbeats in the last 1.3 s, nobody keeps who died, and a VM whose datagrams don't arrive may still reach the log and its callers. So silence can't be told from absence; see docs/design/platform.md.

The fix: each refusal of a submission passes Node::SettleRefusal(). Where the table doesn't hold the job and nothing is open here it declares the job missing, as a question for its state does. That makes all submissions void that were received before, at whichever VM or life of one and whenever they are carried out, also by a late copy of a message. Then it says 503.

--- a/packages/cell/include/cell/cell_node.h
+++ b/packages/cell/include/cell/cell_node.h
@@ -25,9 +25,11 @@
 // The outcome of a submission or cancellation.
 enum class IntakeOutcome {
   kAccepted,
-  kNotAccepted,  // The job never runs. It may be submitted again.
-  kUnknown,      // May have been accepted.
-  kNoSuchJob,    // Only for cancellations.
+  // The job never runs, whatever became of earlier requests to submit it. It
+  // may be submitted again.
+  kNotAccepted,
+  kUnknown,    // May have been accepted.
+  kNoSuchJob,  // Only for cancellations.
 };
 
 struct NodeDependencies {
@@ -72,9 +74,10 @@
                       base::MonoTime deadline,
                       std::function<void(IntakeOutcome)> done) = 0;
   // Passes the outcome of a request to submit the job that is not passed to
-  // Submit(): kNotAccepted, or what is known of an earlier request for the job:
-  // kAccepted, or kUnknown if it may be stored.
+  // Submit(): kNotAccepted once that is settled for each earlier request for
+  // the job, kAccepted if one was accepted, or kUnknown.
   virtual void Refuse(jobs::JobId job,
+                      base::MonoTime deadline,
                       std::function<void(IntakeOutcome)> done) = 0;
   virtual void Cancel(jobs::JobId job,
                       base::MonoTime deadline,
--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -81,6 +81,7 @@
               base::MonoTime deadline,
               std::function<void(IntakeOutcome)> done) override;
   void Refuse(jobs::JobId job,
+              base::MonoTime deadline,
               std::function<void(IntakeOutcome)> done) override;
   void Cancel(jobs::JobId job,
               base::MonoTime deadline,
@@ -218,8 +219,13 @@
                     int64_t intake_next,
                     base::MonoTime deadline,
                     std::function<void(StoreOutcome)> done);
-  // What a refused request for the job may hear.
+  // What this VM knows of earlier requests for the job.
   IntakeOutcome RefusalOf(jobs::JobId job) const;
+  // Refuses a request for the job, if need be by storing that the job doesn't
+  // exist.
+  void SettleRefusal(jobs::JobId job,
+                     base::MonoTime deadline,
+                     std::function<void(IntakeOutcome)> done);
   // Stores that the job doesn't exist, and answers so unless it turns out to.
   void DeclareMissing(jobs::JobId job,
                       base::MonoTime deadline,
--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -112,10 +112,13 @@
   const jobs::JobId job = submission.spec.id;
   const int64_t intake_next = m_intake_next.load();
   m_open_submissions.Begin(job);
-  auto finish = [this, job, done](StoreOutcome outcome) {
+  auto finish = [this, job, deadline, done](StoreOutcome outcome) {
     m_open_submissions.End(job, outcome, m_clock.Now());
-    done(outcome == StoreOutcome::kNotStored ? RefusalOf(job)
-                                             : ToIntakeOutcome(outcome));
+    if (outcome == StoreOutcome::kNotStored) {
+      SettleRefusal(job, deadline, done);
+    } else {
+      done(ToIntakeOutcome(outcome));
+    }
   };
   const bool posted = Post(
       [this,
@@ -178,12 +181,43 @@
       });
 }
 
-void Node::Refuse(jobs::JobId job, std::function<void(IntakeOutcome)> done) {
-  if (!Post([this, job, done] { done(RefusalOf(job)); })) {
+void Node::Refuse(jobs::JobId job,
+                  MonoTime deadline,
+                  std::function<void(IntakeOutcome)> done) {
+  const bool posted =
+      Post([this, job, deadline, done] { SettleRefusal(job, deadline, done); });
+  if (!posted) {
     done(IntakeOutcome::kUnknown);
   }
 }
 
+// Any VM, a former life of one, or a message that is late may have an append of
+// the job open, or may have stored it without this VM knowing. No VM knows all
+// others, so only the log can settle that: a stored declaration makes all of
+// them void. Where none can be stored, the caller isn't told that the job never
+// runs.
+void Node::SettleRefusal(jobs::JobId job,
+                         MonoTime deadline,
+                         std::function<void(IntakeOutcome)> done) {
+  const IntakeOutcome known = RefusalOf(job);
+  if (known != IntakeOutcome::kNotAccepted) {
+    done(known);
+    return;
+  }
+  if (m_clock.Now() >= deadline) {
+    done(IntakeOutcome::kUnknown);
+    return;
+  }
+  DeclareMissing(
+      job, deadline,
+      [this, job, done = std::move(done)](const JobStateResult& result) {
+        const IntakeOutcome latest = RefusalOf(job);
+        const bool settled =
+            result.known || latest != IntakeOutcome::kNotAccepted;
+        done(settled ? latest : IntakeOutcome::kUnknown);
+      });
+}
+
 IntakeOutcome Node::RefusalOf(jobs::JobId job) const {
   if (m_job_table.StateOf(job)) {
     return IntakeOutcome::kAccepted;
--- a/packages/cell/tests/node_cancel_test.cc
+++ b/packages/cell/tests/node_cancel_test.cc
@@ -77,9 +77,9 @@
   f.Pass(Millis{15000});
   CHECK(f.Submit() == IntakeOutcome::kUnknown);
   f.log.log.ClearFaults();
+  CHECK(f.Refuse() == IntakeOutcome::kUnknown);
   f.Pass(NodeOptions{}.finished_job_retention);
-  f.InjectFaults(AppendFault::kRefuse);
-  CHECK(f.Submit() == IntakeOutcome::kNotAccepted);
+  CHECK(f.Refuse() == IntakeOutcome::kNotAccepted);
 }
 
 // Guards against "never runs" for a job whose earlier request still waits to be
@@ -93,18 +93,22 @@
   const auto note = [&answers](IntakeOutcome outcome) {
     answers.push_back(outcome);
   };
-  f.node.Refuse(kJob, note);
-  f.node.Refuse(kJob + 1, note);
-  f.node.RunPending();
-  REQUIRE(answers.size() == 2);
-  CHECK(answers[0] == IntakeOutcome::kUnknown);
-  CHECK(answers[1] == IntakeOutcome::kNotAccepted);
-  answers.clear();
-  for (size_t i = 0; i < 2 * kMailboxSize && answers.empty(); ++i) {
-    f.node.Submit(CancelFixture::MakeSubmission(),
-                  f.clock.now + CancelFixture::kTimeout, note);
+  const base::MonoTime deadline = f.clock.now + CancelFixture::kTimeout;
+  SUBCASE("refused without an append") {
+    f.node.Refuse(kJob, deadline, note);
+    f.node.Refuse(kJob + 1, deadline, note);
+    f.node.RunPending();
+    REQUIRE(answers.size() == 1);
+    f.Pass(CancelFixture::kTimeout);
+    REQUIRE(answers.size() == 2);
+    CHECK(answers.back() == IntakeOutcome::kNotAccepted);
+  }
+  SUBCASE("refused by a full mailbox") {
+    for (size_t i = 0; i < 2 * kMailboxSize && answers.empty(); ++i) {
+      f.node.Submit(CancelFixture::MakeSubmission(), deadline, note);
+    }
+    REQUIRE(answers.size() == 1);
   }
-  REQUIRE(answers.size() == 1);
   CHECK(answers.front() == IntakeOutcome::kUnknown);
 }
 
--- a/packages/cell/tests/node_forward_open_test.cc
+++ b/packages/cell/tests/node_forward_open_test.cc
@@ -59,6 +59,8 @@
   }
   f.InjectFaults(AppendFault::kRefuse);
   CHECK(f.Submit() == IntakeOutcome::kUnknown);
+  f.log.log.ClearFaults();
+  CHECK(f.Refuse() == IntakeOutcome::kUnknown);
 }
 
 // Guards against the same where the repeat is handed on as well, or reaches the
--- a/packages/cell/tests/submission_fixture.h
+++ b/packages/cell/tests/submission_fixture.h
@@ -45,6 +45,12 @@
     });
   }
 
+  IntakeOutcome Refuse() {
+    return Ask([this](const Done& done) {
+      node.Refuse(kJob, clock.now + kTimeout, done);
+    });
+  }
+
   // No append of this VM is answered or carried out in time.
   IntakeOutcome SubmitUnanswered() {
     InjectFaults(AppendFault::kLoseRequest);
