--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -31,6 +31,7 @@
 #include "node_load.h"
 #include "open_submissions.h"
 #include "peer_sender.h"
+#include "received_forwards.h"
 #include "recent_records.h"
 #include "records_fan_out.h"
 #include "request_pacer.h"
@@ -45,6 +46,8 @@
 inline constexpr size_t kMailboxSize = 16384;
 // Per stream; enough for several seconds of records.
 inline constexpr size_t kRecentRecordsBytes = 256 << 10;
+// About 8 MB. Only refused records are kept for longer than a caller waits.
+inline constexpr size_t kMaxReceivedForwards = 64 << 10;
 
 struct PeerState {
   std::string address;
@@ -78,7 +81,9 @@
   void Submit(jobs::Submission submission,
               base::MonoTime deadline,
               std::function<void(IntakeOutcome)> done) override;
-  IntakeOutcome RefusalOf(jobs::JobId job) const override;
+  void Refuse(jobs::JobId job,
+              base::MonoTime deadline,
+              std::function<void(IntakeOutcome)> done) override;
   void Cancel(jobs::JobId job,
               base::MonoTime deadline,
               std::function<void(IntakeOutcome)> done) override;
@@ -137,6 +142,12 @@
   void OnMessage(const AdviceReply& reply);
   void OnMessage(const RecordsRequest& request);
   void OnMessage(const ForwardedIntake& forward);
+  // `record` is the decoded one of `forward`.
+  void StoreForwarded(const ForwardedIntake& forward,
+                      const jobs::IntakeRecord& record,
+                      base::MonoTime deadline);
+  // What another VM may hear of a submission that this one appended for it.
+  StoreOutcome OutcomeToTell(jobs::JobId job, StoreOutcome outcome) const;
   void OnMessage(const ForwardedOutcome& answer);
   void OnMessage(const PolicyNotice& notice);
   void OnMessage(const ForwardedEnds& forwarded);
@@ -212,6 +223,13 @@
                     int64_t intake_next,
                     base::MonoTime deadline,
                     std::function<void(StoreOutcome)> done);
+  // What this VM knows of earlier requests for the job.
+  IntakeOutcome RefusalOf(jobs::JobId job) const;
+  // Refuses a request for the job, if need be by storing that the job doesn't
+  // exist.
+  void SettleRefusal(jobs::JobId job,
+                     base::MonoTime deadline,
+                     std::function<void(IntakeOutcome)> done);
   // Stores that the job doesn't exist, and answers so unless it turns out to.
   void DeclareMissing(jobs::JobId job,
                       base::MonoTime deadline,
@@ -288,6 +306,8 @@
   LogTail m_work_tail;
   IntakeWriter m_intake_writer;
   IntakeForwarder m_intake_forwarder;
+  ReceivedForwards m_received_forwards{m_options.finished_job_retention,
+                                       kMaxReceivedForwards};
   OpenSubmissions m_open_submissions{m_options.finished_job_retention};
   ViewWaiters m_view_waiters;
   RecordsFanOut m_fan_out;
--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -104,24 +104,29 @@
 }
 
 // The submission counts as open from here on, so that another request for the
-// job that is refused meanwhile isn't told that it never runs.
+// job that is refused meanwhile isn't told that it never runs. With a full
+// mailbox the job can't be looked up, so it may be known.
 void Node::Submit(jobs::Submission submission,
                   MonoTime deadline,
                   std::function<void(IntakeOutcome)> done) {
   const jobs::JobId job = submission.spec.id;
   const int64_t intake_next = m_intake_next.load();
   m_open_submissions.Begin(job);
-  auto finish = [this, job, done = std::move(done)](StoreOutcome outcome) {
+  auto finish = [this, job, deadline, done](StoreOutcome outcome) {
     m_open_submissions.End(job, outcome, m_clock.Now());
-    done(outcome == StoreOutcome::kNotStored ? RefusalOf(job)
-                                             : ToIntakeOutcome(outcome));
+    if (outcome == StoreOutcome::kNotStored) {
+      SettleRefusal(job, deadline, done);
+    } else {
+      done(ToIntakeOutcome(outcome));
+    }
   };
   const bool posted = Post(
       [this,
        received = jobs::ReceivedSubmission{std::move(submission), intake_next},
        deadline, finish] { StoreSubmission(received, deadline, finish); });
   if (!posted) {
-    finish(StoreOutcome::kNotStored);
+    m_open_submissions.End(job, StoreOutcome::kNotStored, m_clock.Now());
+    done(IntakeOutcome::kUnknown);
   }
 }
 
@@ -176,7 +181,47 @@
       });
 }
 
+void Node::Refuse(jobs::JobId job,
+                  MonoTime deadline,
+                  std::function<void(IntakeOutcome)> done) {
+  const bool posted =
+      Post([this, job, deadline, done] { SettleRefusal(job, deadline, done); });
+  if (!posted) {
+    done(IntakeOutcome::kUnknown);
+  }
+}
+
+// Any VM, a former life of one, or a message that is late may have an append of
+// the job open, or may have stored it without this VM knowing. No VM knows all
+// others, so only the log can settle that: a stored declaration makes all of
+// them void. Where none can be stored, the caller isn't told that the job never
+// runs.
+void Node::SettleRefusal(jobs::JobId job,
+                         MonoTime deadline,
+                         std::function<void(IntakeOutcome)> done) {
+  const IntakeOutcome known = RefusalOf(job);
+  if (known != IntakeOutcome::kNotAccepted) {
+    done(known);
+    return;
+  }
+  if (m_clock.Now() >= deadline) {
+    done(IntakeOutcome::kUnknown);
+    return;
+  }
+  DeclareMissing(
+      job, deadline,
+      [this, job, done = std::move(done)](const JobStateResult& result) {
+        const IntakeOutcome latest = RefusalOf(job);
+        const bool settled =
+            result.known || latest != IntakeOutcome::kNotAccepted;
+        done(settled ? latest : IntakeOutcome::kUnknown);
+      });
+}
+
 IntakeOutcome Node::RefusalOf(jobs::JobId job) const {
+  if (m_job_table.StateOf(job)) {
+    return IntakeOutcome::kAccepted;
+  }
   return m_open_submissions.MayBeStored(job, m_clock.Now())
              ? IntakeOutcome::kUnknown
              : IntakeOutcome::kNotAccepted;
