--- a/tools/tidy.py
+++ b/tools/tidy.py
@@ -11,7 +11,6 @@
 1 if there are any.
 """
 import concurrent.futures
-import functools
 import hashlib
 import json
 import os
@@ -19,16 +18,13 @@
 import shlex
 import subprocess
 import sys
-import threading
 
 CACHE = os.path.join(
     os.environ.get("XDG_CACHE_HOME", os.path.expanduser("~/.cache")),
     "azurespur-tidy")
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), ".."))
-HASH_LOCK = threading.Lock()
 
 
-@functools.lru_cache(maxsize=None)
 def hash_file(path):
     with open(path, "rb") as file:
         return hashlib.sha256(file.read()).hexdigest()
@@ -53,8 +49,9 @@
     if listed.returncode != 0:
         return None
     words = listed.stdout.replace("\\\n", " ").split()
-    return sorted({os.path.realpath(os.path.join(entry["directory"], word))
-                   for word in words[1:]})
+    files = {os.path.realpath(os.path.join(entry["directory"], word))
+             for word in words[1:]}
+    return sorted(files) if os.path.realpath(entry["file"]) in files else None
 
 
 def verdict_key(entry, fixed):
@@ -64,25 +61,26 @@
         return None
     parts = [fixed] + compiler_arguments(entry)
     for path in files:
-        with HASH_LOCK:
-            parts.append(path + " " + hash_file(path))
+        parts.append(path + " " + hash_file(path))
     text = "\n".join(parts).replace(ROOT, ".")
     return hashlib.sha256(text.encode()).hexdigest()
 
 
 def check(entry, build, fixed):
-    """The findings in one file, empty if it is clean."""
+    """Returns (whether the file is clean, the findings)."""
     key = verdict_key(entry, fixed)
     known = key and os.path.join(CACHE, key)
     if known and os.path.exists(known) and "CI" not in os.environ:
-        return ""
+        return True, ""
     run = subprocess.run(["clang-tidy", "-quiet", "-p", build, entry["file"]],
                          capture_output=True, text=True)
     if run.returncode != 0:
-        return run.stdout + run.stderr
-    if known:
+        return False, (f"{entry['file']}: error: clang-tidy ended with "
+                       f"{run.returncode}\n{run.stdout}{run.stderr}")
+    # A file that was edited meanwhile may not be the one that was looked at.
+    if known and verdict_key(entry, fixed) == key:
         open(known, "w", encoding="utf-8").close()
-    return ""
+    return True, ""
 
 
 def main():
@@ -98,8 +96,8 @@
     with concurrent.futures.ThreadPoolExecutor(int(jobs)) as pool:
         results = list(pool.map(lambda entry: check(entry, build, fixed),
                                 entries))
-    print("".join(results), end="")
-    return 1 if any(results) else 0
+    print("".join(findings for _, findings in results), end="")
+    return 0 if all(clean for clean, _ in results) else 1
 
 
 sys.exit(main())
