Let no refusal of the command line speak for an earlier try

What callers saw: `azurespur submit` says that the task is refused, and the task runs.

Cause: once a try ended without an answer, any answer of the next server but a 503 was returned as the call's. And each status but 202 and 504 counted as a refusal, also 500 and 502, which something between may send.

Change: after a try without an answer only an acceptance, or the answer to a read, counts; else the fate is unknown. `submit` names the statuses that are refusals.

--- a/packages/cli/src/api_client.cc
+++ b/packages/cli/src/api_client.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr int kUnavailableStatus = 503;
+constexpr int kHundred = 100;
+constexpr int kSuccessClass = 2;  // Statuses 200 to 299.
 
 // Whether another server may take the call over: the first did not run it.
 bool MayTryNext(const http::HttpResponse& response) {
@@ -15,6 +17,13 @@
          http::FindField(response.headers, "Azurespur-Fate") != "may-have-run";
 }
 
+// Whether the answer holds although an earlier try of the call was sent and not
+// answered. The answer to a read does, and an acceptance; a refusal speaks only
+// for its own try.
+bool HoldsForAllTries(const ApiCall& call, const http::HttpResponse& response) {
+  return call.method == "GET" || response.status / kHundred == kSuccessClass;
+}
+
 }  // namespace
 
 ApiClient::ApiClient(std::vector<std::string> servers, base::Millis timeout)
@@ -32,6 +41,9 @@
     if (base::Ok(answer)) {
       if (!MayTryNext(base::Value(answer).response)) {
         m_preferred = place;
+        if (unknown && !HoldsForAllTries(call, base::Value(answer).response)) {
+          return *unknown;
+        }
         return answer;
       }
       refusal = base::Value(std::move(answer));
--- a/packages/cli/src/api_client.h
+++ b/packages/cli/src/api_client.h
@@ -39,7 +39,8 @@
 
   // Sends the call to the first server that answers with a status other than
   // 503. Errors: kUnavailable (no server was reached), kUnknown (sent, no
-  // answer). The last 503 is returned if all servers are unavailable.
+  // answer; also if another server then refused what is no read). The last 503
+  // is returned if all servers are unavailable.
   base::Outcome<ApiAnswer> Call(const ApiCall& call);
 
   // Sends the call to one server only.
--- a/packages/cli/src/submit_command.cc
+++ b/packages/cli/src/submit_command.cc
@@ -20,7 +20,11 @@
 
 constexpr int64_t kDefaultWaitMs = 600000;
 constexpr int kAccepted = 202;
-constexpr int kGatewayTimeout = 504;
+constexpr int kBadRequest = 400;
+constexpr int kConflict = 409;
+constexpr int kUnprocessable = 422;
+constexpr int kTooManyRequests = 429;
+constexpr int kUnavailable = 503;
 
 // Flags that are absent leave the file's fields as they are.
 struct SubmitOptions {
@@ -42,6 +46,14 @@
   int64_t wait_ms = kDefaultWaitMs;
 };
 
+// The statuses by which a server says that the task won't run. Any other may
+// come from something in between, after the server took the task.
+bool IsRefusal(int status) {
+  return status == kBadRequest || status == kConflict ||
+         status == kUnprocessable || status == kTooManyRequests ||
+         status == kUnavailable;
+}
+
 template <typename T>
 void SetField(json& task, const char* field, const std::optional<T>& value) {
   if (value) {
@@ -111,8 +123,7 @@
   const ApiAnswer& value = base::Value(answer);
   if (value.response.status != kAccepted) {
     const ExitCode refused = ReportRefusal(context, value);
-    return value.response.status == kGatewayTimeout ? ExitCode::kUnknownFate
-                                                    : refused;
+    return IsRefusal(value.response.status) ? refused : ExitCode::kUnknownFate;
   }
   if (options.wait) {
     return FollowTask(context, FieldText(value.body, "id"),
--- a/packages/cli/tests/canned_server.h
+++ b/packages/cli/tests/canned_server.h
@@ -22,10 +22,23 @@
     m_server = base::Value(http::StartHttpServer(
         {}, [this](http::HttpRequest request,
                    const std::shared_ptr<http::HttpReply>& reply) {
-          reply->Send(Answer(std::move(request)));
+          const std::string call = request.method + " " + request.path;
+          http::HttpResponse response = Answer(std::move(request));
+          if (!KeepIfHeld(call, reply)) {
+            reply->Send(std::move(response));
+          }
         }));
   }
 
+  CannedServer(const CannedServer&) = delete;
+  CannedServer& operator=(const CannedServer&) = delete;
+
+  // Ends the held calls before the server that they belong to.
+  ~CannedServer() {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_held.clear();
+  }
+
   // Answers to "METHOD /path", in order; the last one is repeated.
   void On(const std::string& call, int status, std::string body) {
     http::HttpResponse response;
@@ -38,6 +51,12 @@
     m_answers[call].push_back(std::move(response));
   }
 
+  // Leaves calls to "METHOD /path" without an answer.
+  void Hold(const std::string& call) {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    m_held[call];
+  }
+
   std::string address() const {
     return "127.0.0.1:" + std::to_string(m_server->port());
   }
@@ -48,6 +67,17 @@
   }
 
  private:
+  bool KeepIfHeld(const std::string& call,
+                  const std::shared_ptr<http::HttpReply>& reply) {
+    std::lock_guard<std::mutex> lock(m_mutex);
+    const auto held = m_held.find(call);
+    if (held == m_held.end()) {
+      return false;
+    }
+    held->second.push_back(reply);
+    return true;
+  }
+
   http::HttpResponse Answer(http::HttpRequest request) {
     const std::string call = request.method + " " + request.path;
     std::lock_guard<std::mutex> lock(m_mutex);
@@ -69,6 +99,7 @@
   std::mutex m_mutex;
   std::map<std::string, std::deque<http::HttpResponse>> m_answers;
   std::map<std::string, std::vector<http::HttpRequest>> m_asked;
+  std::map<std::string, std::vector<std::shared_ptr<http::HttpReply>>> m_held;
   std::unique_ptr<http::HttpServer> m_server;
 };
 
--- a/packages/cli/tests/tasks_test.cc
+++ b/packages/cli/tests/tasks_test.cc
@@ -69,6 +69,46 @@
   CHECK(RunAgainst(slow, {"submit", "--file", "/nonexistent"}).code == 2);
 }
 
+// Guards against a task that the caller takes for refused, and that runs: the
+// first server took it and didn't answer, the second one refused the repeat.
+TEST_CASE("a refusal after a try without an answer leaves the fate unknown") {
+  for (int status : {429, 503, 409, 404, 500}) {
+    CAPTURE(status);
+    CannedServer silent;
+    silent.Hold("POST /v1/tasks");
+    CannedServer second;
+    second.On("POST /v1/tasks", status, R"({"error":"no","fate":"not-run"})");
+    const Ran ran =
+        RunCommand({"--server", silent.address(), "--server", second.address(),
+                    "--timeout-ms", "300", "submit", "--plan", "gold"});
+    CHECK(second.Asked("POST /v1/tasks").size() == 1);
+    CHECK(ran.code == 4);
+    CHECK(ran.err.find("submit again with this key") != std::string::npos);
+  }
+}
+
+// The same key is the same task, so an acceptance holds for both tries.
+TEST_CASE("an acceptance after a try without an answer is an acceptance") {
+  CannedServer silent;
+  silent.Hold("POST /v1/tasks");
+  CannedServer second;
+  second.On("POST /v1/tasks", 202, R"({"id":"t1","fate":"accepted"})");
+  CHECK(RunCommand({"--server", silent.address(), "--server", second.address(),
+                    "--timeout-ms", "300", "submit", "--plan", "gold"})
+            .code == 0);
+}
+
+// Guards against a task that the caller takes for refused, and that runs: what
+// stands between answered after the server took it.
+TEST_CASE("a submission has an unknown fate after a status without promise") {
+  for (int status : {200, 404, 408, 500, 502}) {
+    CAPTURE(status);
+    CannedServer server;
+    server.On("POST /v1/tasks", status, "{}");
+    CHECK(RunAgainst(server, {"submit", "--plan", "gold"}).code == 4);
+  }
+}
+
 TEST_CASE("fate gives the true fate and never a guess") {
   CannedServer server;
   server.On("GET /v1/tasks/a%2Fb", 200, R"({"id":"a/b","fate":"running"})");
