Append the intake as numbered producers, and fence a VM's former life

What callers saw: a VM that was started again says that a submission never runs, and the log carries out an append of its former life.

Cause: the intake writer appended without a producer, four at a time. Neither a repeat nor the next life could end the doubt about an append without an answer.

Change: a lane for each append in flight, each a producer with one append at a time. A repeat has its number and the same records; an abandoned append is fenced by a higher epoch; a life sets the epoch of its lanes once the log is reachable. `former_life_fenced()` tells when that is done; nothing uses it yet.

Ruled out: a single producer, as one append without an answer would hold up all callers; another epoch after this life was fenced, as two processes would fence each other.

Tests: the fake log has producers by name, keeps five answers of each, and carries out appends late. No existing case was changed but for the writer's new parameter.

--- a/packages/cell/src/node.cc
+++ b/packages/cell/src/node.cc
@@ -75,6 +75,7 @@
           m_mailbox,
           clock,
           std::string(kIntakeTopic),
+          options.vm,
           m_log_timing,
           [this](int64_t offset, const std::vector<std::string>& records) {
             OnIntakeStored(offset, records);
--- a/packages/cell/tests/fake_log.h
+++ b/packages/cell/tests/fake_log.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -21,15 +22,22 @@
   kRefuse,        // Rejected without an effect.
   kLoseResponse,  // Takes effect, but the response is lost.
   kLoseRequest,   // Has no effect, and there is no response.
+  kLate,          // No response; takes effect in CarryOutLate().
 };
 
 class FakeLog : public FencedLog {
  public:
+  // What a topic knows of the appends of one name.
+  struct ProducerState {
+    uint64_t epoch = 0;
+    uint64_t next_sequence = 0;
+    std::deque<std::pair<uint64_t, int64_t>> recent;  // Sequence and offset.
+  };
+
   struct Topic {
     std::vector<std::string> records;
     int64_t first = 0;  // Records before it were removed.
-    uint64_t epoch = 0;
-    std::map<uint64_t, int64_t> offset_of_sequence;  // Of the current epoch.
+    std::map<std::string, ProducerState> producers;
   };
 
   void Append(AppendRequest request,
@@ -54,6 +62,9 @@
     if (fault == AppendFault::kLoseResponse) {
       result = {};
     }
+    if (fault == AppendFault::kLate) {
+      m_late.push_back(request);
+    }
     m_responses.push_back([done = std::move(done), result] { done(result); });
   }
 
@@ -80,6 +91,19 @@
   // Queues `fault` for the next append without a queued fault.
   void InjectFault(AppendFault fault) { m_faults.push_back(fault); }
 
+  // Carries out the late appends, newest first if `reversed`. Returns how many
+  // of them were appended.
+  int CarryOutLate(bool reversed = false) {
+    std::vector<AppendRequest> late = std::exchange(m_late, {});
+    if (reversed) {
+      std::reverse(late.begin(), late.end());
+    }
+    return static_cast<int>(
+        std::count_if(late.begin(), late.end(), [this](const auto& request) {
+          return ApplyAppend(request).status == AppendStatus::kAppended;
+        }));
+  }
+
   void ClearFaults() { m_faults.clear(); }
 
   // Delivers the held responses, oldest first.
@@ -99,6 +123,36 @@
   int64_t last_from = 0;  // Of the last read.
 
  private:
+  static constexpr size_t kRecentAppends = 5;
+
+  // Returns the answer to an append whose number forbids it or was seen before.
+  static std::optional<AppendResult> Number(Topic& topic,
+                                            const Producer& producer) {
+    const auto [found, is_new] = topic.producers.try_emplace(producer.name);
+    ProducerState& state = found->second;
+    if (producer.epoch < state.epoch) {
+      return AppendResult{AppendStatus::kFenced, 0};
+    }
+    if (is_new || producer.epoch > state.epoch) {
+      state = {producer.epoch, producer.sequence, {}};
+    }
+    for (const auto& [sequence, offset] : state.recent) {
+      if (sequence == producer.sequence) {
+        return AppendResult{AppendStatus::kAppended, offset};
+      }
+    }
+    if (producer.sequence != state.next_sequence) {
+      return AppendResult{AppendStatus::kWrongSequence, 0};
+    }
+    ++state.next_sequence;
+    state.recent.emplace_back(producer.sequence,
+                              static_cast<int64_t>(topic.records.size()));
+    if (state.recent.size() > kRecentAppends) {
+      state.recent.pop_front();
+    }
+    return std::nullopt;
+  }
+
   AppendResult ApplyAppend(const AppendRequest& request) {
     Topic& topic = topics[request.topic];
     const auto end = static_cast<int64_t>(topic.records.size());
@@ -106,19 +160,9 @@
       return {AppendStatus::kWrongEnd, 0};
     }
     if (request.producer) {
-      if (request.producer->epoch < topic.epoch) {
-        return {AppendStatus::kFenced, 0};
-      }
-      if (request.producer->epoch > topic.epoch) {
-        topic.epoch = request.producer->epoch;
-        topic.offset_of_sequence.clear();
-      }
-      const auto repeat =
-          topic.offset_of_sequence.find(request.producer->sequence);
-      if (repeat != topic.offset_of_sequence.end()) {
-        return {AppendStatus::kAppended, repeat->second};
+      if (const auto known = Number(topic, *request.producer)) {
+        return *known;
       }
-      topic.offset_of_sequence[request.producer->sequence] = end;
     }
     topic.records.insert(topic.records.end(), request.records.begin(),
                          request.records.end());
@@ -126,6 +170,7 @@
   }
 
   std::deque<AppendFault> m_faults;
+  std::vector<AppendRequest> m_late;
   std::vector<std::function<void()>> m_responses;
 };
 
--- a/packages/cell/tests/intake_writer_test.cc
+++ b/packages/cell/tests/intake_writer_test.cc
@@ -19,15 +19,21 @@
                  [this](StoreOutcome outcome) { outcomes.push_back(outcome); });
   }
 
+  void RunMail() {
+    while (auto mail = mailbox.Pop()) {
+      (*mail)();
+    }
+  }
+
   void RunUntilIdle() {
     while (log.waiting() > 0) {
       log.DeliverResponses();
-      while (auto mail = mailbox.Pop()) {
-        (*mail)();
-      }
+      RunMail();
     }
   }
 
+  std::vector<std::string>& records() { return log.topics["t"].records; }
+
   FakeLog log;
   base::Mailbox mailbox{64};
   FakeClock clock;
@@ -38,12 +44,35 @@
                       mailbox,
                       clock,
                       "t",
+                      "vm",
                       timing,
                       [this](int64_t, const std::vector<std::string>& records) {
                         stored += static_cast<int64_t>(records.size());
                       }};
 };
 
+// Another life of the fixture's VM, which starts `later`.
+struct LifeFixture {
+  LifeFixture(WriterFixture& former, Millis later)
+      : clock(AdvancedClock(former.clock, later)),
+        writer(former.log,
+               former.mailbox,
+               clock,
+               "t",
+               "vm",
+               timing,
+               [](int64_t, const std::vector<std::string>&) {}) {}
+
+  static FakeClock AdvancedClock(FakeClock clock, Millis by) {
+    clock.now += by;
+    return clock;
+  }
+
+  FakeClock clock;
+  LogTiming timing{Millis{500}};
+  IntakeWriter writer;
+};
+
 }  // namespace
 
 TEST_CASE("records that arrive together share appends") {
@@ -164,6 +193,146 @@
   CHECK(f.outcomes.back() == StoreOutcome::kNotStored);
 }
 
+// Guards against a record that is stored twice by a repeat whose first try was
+// late, or under a number that other records have.
+TEST_CASE("a repeated append stores its records once") {
+  WriterFixture f;
+  f.log.InjectFault(AppendFault::kLate);
+  f.Store("r");
+  f.writer.OnLogContact(f.clock.now);
+  f.RunUntilIdle();
+  CHECK(f.outcomes == std::vector<StoreOutcome>{StoreOutcome::kStored});
+  f.Store("s");
+  f.RunUntilIdle();
+  f.log.CarryOutLate();
+  CHECK(f.records() == std::vector<std::string>{"r", "s"});
+}
+
+// Guards against a submission that is told as uncertain, though the log works:
+// it keeps the answers of few appends, and others came between.
+TEST_CASE("a repeat whose number the log has forgotten is a new append") {
+  WriterFixture f;
+  f.log.InjectFault(AppendFault::kLoseResponse);
+  f.Store("r");
+  f.writer.OnLogContact(f.clock.now);
+  f.log.topics["t"].producers["vm.0"].recent.clear();
+  f.RunUntilIdle();
+  CHECK(f.outcomes == std::vector<StoreOutcome>{StoreOutcome::kStored});
+  CHECK_FALSE(f.writer.failing());
+  CHECK(f.records() == std::vector<std::string>{"r", "r"});
+}
+
+// Guards against a record whose caller heard nothing and left, and that is
+// stored after all records that this VM stored later.
+TEST_CASE("an abandoned append is not stored after a later one of its lane") {
+  WriterFixture f;
+  f.log.InjectFault(AppendFault::kLate);
+  f.Store("r");
+  f.clock.now += Millis{500};
+  f.RunUntilIdle();
+  REQUIRE(f.outcomes == std::vector<StoreOutcome>{StoreOutcome::kUnknown});
+  f.Store("s");
+  f.RunUntilIdle();
+  CHECK(f.log.CarryOutLate() == 0);
+  CHECK(f.records() == std::vector<std::string>{"s"});
+}
+
+// Guards against a caller that waits beyond its deadline for a repeat that is
+// not made, as a refusal stops all appends for a while.
+TEST_CASE("a record whose repeat waits ends as unknown at its deadline") {
+  WriterFixture f;
+  f.log.InjectFault(AppendFault::kRefuse);
+  f.log.InjectFault(AppendFault::kNone);
+  f.log.InjectFault(AppendFault::kLate);
+  f.Store("refused");
+  f.Store("stored");
+  f.writer.Store("late", f.clock.now + Millis{50},
+                 [&f](StoreOutcome outcome) { f.outcomes.push_back(outcome); });
+  f.writer.OnLogContact(f.clock.now);
+  f.log.DeliverResponses();
+  f.RunMail();
+  CHECK(f.outcomes == std::vector<StoreOutcome>{StoreOutcome::kStored});
+  CHECK(f.log.waiting() == 0);
+  f.clock.now += Millis{50};
+  f.writer.Tick(f.clock.now);
+  CHECK(f.outcomes == std::vector<StoreOutcome>{StoreOutcome::kStored,
+                                                StoreOutcome::kUnknown});
+}
+
+// Guards against a submission of a VM's former life that is stored after the
+// next life has told that it can't be.
+TEST_CASE("a new life fences all appends of the former life") {
+  WriterFixture f;
+  for (int i = 0; i < 4; ++i) {
+    f.log.InjectFault(AppendFault::kLate);
+    f.Store("r" + std::to_string(i));
+  }
+  LifeFixture next(f, Millis{1});
+  next.writer.Tick(f.clock.now);
+  CHECK(f.log.waiting() == 4);
+  next.writer.OnLogContact(f.clock.now);
+  next.writer.Tick(f.clock.now);
+  CHECK(f.log.waiting() == 5);
+  CHECK_FALSE(next.writer.former_life_fenced());
+  f.RunUntilIdle();
+  CHECK(next.writer.former_life_fenced());
+  CHECK(f.log.CarryOutLate() == 0);
+  CHECK(f.records().empty());
+  const int appends = f.log.appends;
+  next.writer.Tick(f.clock.now);
+  CHECK(f.log.appends == appends);
+}
+
+// Guards against a VM that takes its former life for fenced, as one of its
+// lanes is, or as the log refused.
+TEST_CASE("a former life is not fenced while a lane's fencing has no outcome") {
+  WriterFixture f;
+  LifeFixture next(f, Millis{1});
+  next.writer.OnLogContact(f.clock.now);
+  for (const AppendFault fault :
+       {AppendFault::kLoseRequest, AppendFault::kLate, AppendFault::kRefuse}) {
+    f.log.InjectFault(fault);
+    next.writer.Tick(f.clock.now);
+    f.RunUntilIdle();
+    CHECK_FALSE(next.writer.former_life_fenced());
+    CHECK_FALSE(next.writer.failing());
+    f.clock.now += Millis{1000};
+  }
+  for (int i = 0; i < 4; ++i) {
+    next.writer.Tick(f.clock.now);
+    f.RunUntilIdle();
+  }
+  CHECK(next.writer.former_life_fenced());
+}
+
+// Guards against a process that was paused, and stores or refuses wrongly once
+// its successor has started.
+TEST_CASE("a life that has a successor stores nothing more") {
+  WriterFixture f;
+  f.Store("a");
+  f.RunUntilIdle();
+  f.log.InjectFault(AppendFault::kLate);
+  f.Store("b");
+  f.clock.now += Millis{10};
+  f.writer.OnLogContact(f.clock.now);
+  LifeFixture next(f, Millis{1});
+  next.writer.OnLogContact(f.clock.now);
+  for (int i = 0; i < 5; ++i) {
+    next.writer.Tick(f.clock.now);
+    f.RunUntilIdle();
+  }
+  REQUIRE(next.writer.former_life_fenced());
+  CHECK(f.outcomes == std::vector<StoreOutcome>{StoreOutcome::kStored,
+                                                StoreOutcome::kUnknown});
+  f.Store("c");
+  f.RunUntilIdle();
+  CHECK(f.outcomes.back() == StoreOutcome::kNotStored);
+  CHECK(f.writer.failing());
+  CHECK(f.log.CarryOutLate() == 0);
+  CHECK(f.records() == std::vector<std::string>{"a"});
+  CHECK_FALSE(next.writer.failing());
+}
+
 // Four appends of 256 KB take 840 ms at 10 Mbit/s and end at 500 ms. None of
 // them would be stored, and their records were sent again in appends of that
 // size.
