--- a/packages/cell/tests/node_unstored_ends_test.cc
+++ b/packages/cell/tests/node_unstored_ends_test.cc
@@ -266,4 +266,25 @@
   CHECK(ends[0].kind == jobs::EndKind::kDone);
 }
 
+// Guards against the same wait if the successor has ended meanwhile, and the
+// former leader leads once more.
+TEST_CASE("a VM that leads again stores the ends of its former term") {
+  CutLeaderFixture f;
+  f.leader.log.cut = true;
+  f.Pass(Millis{2000});
+  REQUIRE(f.StoredLeader() == "vm-b");
+  f.EndTask(jobs::EndCause::kDone);
+  f.Pass(Millis{200});
+  f.worker.gone = true;
+  f.directory.entries.clear();
+  f.other_runs = false;
+  f.leader.log.cut = false;
+  f.Pass(Millis{4000});
+  REQUIRE(f.StoredLeader() == "vm-a");
+  const auto ends = f.StoredEnds();
+  REQUIRE(ends.size() == 1);
+  CHECK(ends[0].run == 1);
+  CHECK(ends[0].kind == jobs::EndKind::kDone);
+}
+
 }  // namespace azurespur::cell
