Name the kinds of all datagrams in their metrics

Two kinds were counted under an empty name: the list of names was shorter than the list of messages, which the array's type filled up. Now it must have as many.

--- a/packages/cell/src/peer_sender.cc
+++ b/packages/cell/src/peer_sender.cc
@@ -7,11 +7,20 @@
 namespace {
 
 // In the order of the alternatives of Message.
-constexpr std::array<std::string_view, std::variant_size_v<Message>> kKinds = {
-    "records", "leader_heartbeat", "follower_heartbeat",
-    "advice",  "advice_reply",     "records_request",
-    "forward", "forward_reply",
-};
+// In the order of the alternatives of Message.
+constexpr auto kKinds = std::to_array<std::string_view>({
+    "records",
+    "leader_heartbeat",
+    "follower_heartbeat",
+    "advice",
+    "advice_reply",
+    "records_request",
+    "forward",
+    "forward_reply",
+    "policy_notice",
+    "ends",
+});
+static_assert(kKinds.size() == std::variant_size_v<Message>);
 
 // Ethernet, IPv4 and UDP.
 constexpr size_t kPacketHeaderBytes = 42;
