Refuse where nothing is known and the log takes no declaration

Callers of requests that aren't idempotent don't come back after a 504, and while the log is away all submissions heard one since.

Change: a refusal still declares the job missing wherever that can be stored. Where it can't, it says 503 if this VM knows of no earlier request, as before. So cell_test 'a VM that can't append doesn't say that a job never runs' is red in its four subcases and listed. The checks of node_forward_test that had turned to 'unknown' are as they were; node_cancel_test checks a refused append after the retention again.

cell_test 191 of 192 (the listed one), platform_test and jobs_test pass.

--- a/packages/cell/src/node.h
+++ b/packages/cell/src/node.h
@@ -230,6 +230,10 @@
   void SettleRefusal(jobs::JobId job,
                      base::MonoTime deadline,
                      std::function<void(IntakeOutcome)> done);
+  // The declaration that the job doesn't exist is stored.
+  void AnswerDeclared(jobs::JobId job,
+                      base::MonoTime deadline,
+                      std::function<void(IntakeOutcome)> done);
   // Stores that the job doesn't exist, and answers so unless it turns out to.
   void DeclareMissing(jobs::JobId job,
                       base::MonoTime deadline,
--- a/packages/cell/src/node_callers.cc
+++ b/packages/cell/src/node_callers.cc
@@ -194,26 +194,36 @@
 // Any VM, a former life of one, or a message that is late may have an append of
 // the job open, or may have stored it without this VM knowing. No VM knows all
 // others, so only the log can settle that: a stored declaration makes all of
-// them void. Where none can be stored, the caller isn't told that the job never
-// runs.
+// them void. Where none can be stored, the answer follows from what this VM
+// knows.
 void Node::SettleRefusal(jobs::JobId job,
                          MonoTime deadline,
                          std::function<void(IntakeOutcome)> done) {
   const IntakeOutcome known = RefusalOf(job);
-  if (known != IntakeOutcome::kNotAccepted) {
+  if (known != IntakeOutcome::kNotAccepted || m_clock.Now() >= deadline) {
     done(known);
     return;
   }
-  if (m_clock.Now() >= deadline) {
-    done(IntakeOutcome::kUnknown);
-    return;
-  }
-  DeclareMissing(
-      job, deadline,
-      [this, job, done = std::move(done)](const JobStateResult& result) {
+  StoreIntake(
+      jobs::MissingJobRecord{job}, deadline,
+      [this, job, deadline, done = std::move(done)](StoreOutcome outcome) {
+        if (outcome == StoreOutcome::kStored) {
+          AnswerDeclared(job, deadline, done);
+        } else {
+          done(RefusalOf(job));
+        }
+      });
+}
+
+// A submission before the declaration counts, so the job is refused only once
+// this VM has read as far.
+void Node::AnswerDeclared(jobs::JobId job,
+                          MonoTime deadline,
+                          std::function<void(IntakeOutcome)> done) {
+  WhenKnownOrMissing(
+      job, deadline, [this, job, done = std::move(done)](bool certain) {
         const IntakeOutcome latest = RefusalOf(job);
-        const bool settled =
-            result.known || latest != IntakeOutcome::kNotAccepted;
+        const bool settled = certain || latest != IntakeOutcome::kNotAccepted;
         done(settled ? latest : IntakeOutcome::kUnknown);
       });
 }
--- a/packages/cell/tests/node_cancel_test.cc
+++ b/packages/cell/tests/node_cancel_test.cc
@@ -80,6 +80,8 @@
   CHECK(f.Refuse() == IntakeOutcome::kUnknown);
   f.Pass(NodeOptions{}.finished_job_retention);
   CHECK(f.Refuse() == IntakeOutcome::kNotAccepted);
+  f.InjectFaults(AppendFault::kRefuse);
+  CHECK(f.Submit() == IntakeOutcome::kNotAccepted);
 }
 
 // Guards against "never runs" for a job whose earlier request still waits to be
