--- a/packages/cell/include/cell/cell_node.h
+++ b/packages/cell/include/cell/cell_node.h
@@ -74,9 +74,9 @@
                       base::MonoTime deadline,
                       std::function<void(IntakeOutcome)> done) = 0;
   // Passes the outcome of a request to submit the job that is not passed to
-  // Submit(): kAccepted if an earlier request for the job was accepted, kUnknown
-  // if one may be, else kNotAccepted. While the log takes nothing from this VM,
-  // kNotAccepted speaks only for the requests that this VM knows of.
+  // Submit(): kAccepted if an earlier request for the job was accepted,
+  // kUnknown if one may be, else kNotAccepted. While the log takes nothing from
+  // this VM, kNotAccepted speaks only for the requests that this VM knows of.
   virtual void Refuse(jobs::JobId job,
                       base::MonoTime deadline,
                       std::function<void(IntakeOutcome)> done) = 0;
