Say why a run was released, and when its worker still has it

It names the cause (missing, lapsed, refused, not sent), the boot, and the times since the restart was seen, since the newest report was asked for and since the lease was over.

AZ9123 shows a worker that lists a run, or its end, after the leader has released it: as running it is the fault itself, and azurespur_released_runs_running_total{cause} counts these.

--- a/packages/cell/src/node_load.cc
+++ b/packages/cell/src/node_load.cc
@@ -49,6 +49,11 @@
         &metrics.GetCounter("azurespur_stops_total{reason=\"" +
                             std::string(jobs::StopReasonName(reason)) + "\"}"));
   }
+  for (const jobs::RunEvent event : jobs::kReleasingEvents) {
+    m_released_runs_running.push_back(
+        &metrics.GetCounter("azurespur_released_runs_running_total{cause=\"" +
+                            std::string(jobs::RunEventName(event)) + "\"}"));
+  }
 }
 
 void NodeLoad::OnMail(size_t handled, base::Micros spent) {
@@ -97,6 +102,11 @@
   for (size_t i = 0; i < m_stops.size(); ++i) {
     m_stops[i]->Set(stops.Get(jobs::kStopReasons.at(i)));
   }
+  const jobs::ReleasedRuns& released = scheduler.fleet().released_runs();
+  for (size_t i = 0; i < m_released_runs_running.size(); ++i) {
+    m_released_runs_running[i]->Set(
+        released.CountRunning(jobs::kReleasingEvents.at(i)));
+  }
   const int64_t plans = scheduler.plan_counts().full_plans;
   if (plans >= m_accounts_shown_at + kPlansPerAccountFigures) {
     m_accounts_shown_at = plans;
--- a/packages/cell/src/node_load.h
+++ b/packages/cell/src/node_load.h
@@ -48,6 +48,8 @@
   base::Counter& m_bindings_no_worker;
   // In the order of jobs::kStopReasons.
   std::vector<base::Counter*> m_stops;
+  // In the order of jobs::kReleasingEvents.
+  std::vector<base::Counter*> m_released_runs_running;
   base::Distribution& m_time_to_declared;
   base::Distribution& m_time_to_expected;
   base::Counter& m_speed_workers;
--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -21,6 +21,7 @@
 #include "jobs/account_usage.h"
 #include "jobs/orders.h"
 #include "jobs/own_delay.h"
+#include "jobs/released_runs.h"
 #include "jobs/run_phase.h"
 #include "jobs/scheduler_options.h"
 #include "jobs/scheduler_output.h"
@@ -100,6 +101,8 @@
   base::MonoTime announced_at{};
   // Earlier boots; an entry that names one of them is out of date.
   std::vector<int64_t> former_boots;
+  // When the worker reported its newest boot, if it has restarted in this term.
+  base::MonoTime restart_seen_at{};
   bool listed = true;
   // The last hold order was answered, under this leader's fencing token.
   bool responsive = false;
@@ -167,7 +170,9 @@
                            base::MonoTime now);
 
   // Releases a run whose binding was stored but whose start was not sent.
-  void ReleaseUnsent(const TaskRef& task, SchedulerOutput& out);
+  void ReleaseUnsent(const TaskRef& task,
+                     base::MonoTime now,
+                     SchedulerOutput& out);
 
   // Extends the worker's lease and returns its new end, on the worker's clock.
   int64_t ExtendLease(const Worker& worker, base::MonoTime now);
@@ -252,6 +257,7 @@
   void SetSpeeds(const WorkerSpeeds& speeds, base::MonoTime now);
   // Of this term.
   const StopCounts& stop_counts() const { return m_stop_counts; }
+  const ReleasedRuns& released_runs() const { return m_released_runs; }
 
  private:
   Worker* FindWorker(std::string_view id);
@@ -286,14 +292,20 @@
   void Advance(Worker& worker,
                const TaskRef& task,
                RunEvent event,
+               base::MonoTime now,
                SchedulerOutput& out);
   void AdvanceAll(Worker& worker,
                   std::span<const TaskRef> tasks,
                   RunEvent event,
+                  base::MonoTime now,
                   SchedulerOutput& out);
   // Frees the run's capacity and records its end, for a run that is certainly
   // over and that the worker reported no end of.
-  void Release(Worker& worker, const TaskRef& task, SchedulerOutput& out);
+  void Release(Worker& worker,
+               const TaskRef& task,
+               RunEvent event,
+               base::MonoTime now,
+               SchedulerOutput& out);
   void HandleEnd(Worker& worker,
                  const EndedTask& end,
                  base::MonoTime now,
@@ -330,6 +342,7 @@
   const SchedulerOptions m_options;
   OwnDelay m_own_delay;
   StopCounts m_stop_counts;
+  ReleasedRuns m_released_runs;
   std::vector<TimedRun> m_timed_runs;
   std::map<std::string, Worker, std::less<>> m_workers;  // By id.
   std::map<TaskRef, std::string> m_index;  // Worker id of each run.
--- a/packages/jobs/include/jobs/run_phase.h
+++ b/packages/jobs/include/jobs/run_phase.h
@@ -4,6 +4,8 @@
 #ifndef JOBS_RUN_PHASE_H_
 #define JOBS_RUN_PHASE_H_
 
+#include <string_view>
+
 namespace azurespur::jobs {
 
 enum class RunPhase {
@@ -31,6 +33,9 @@
   kLapsed,             // The worker is silent, its lease is surely over.
 };
 
+// The name in log lines and metrics.
+std::string_view RunEventName(RunEvent event);
+
 // Returns the phase that follows; the same one if the event changes nothing.
 RunPhase NextPhase(RunPhase phase, RunEvent event);
 
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -47,13 +47,29 @@
   }
 }
 
-void LogRelease(const Worker& worker, const TaskRef& task, const Run& run) {
-  base::LogEvent(base::Severity::kInfo, "AZ9105",
-                 "run released without an end report",
-                 {{"task", ToString(task)},
-                  {"run", std::to_string(run.run)},
-                  {"worker", worker.entry.boot.id},
-                  {"phase", std::to_string(static_cast<int>(run.phase))}});
+// Milliseconds since `then`, empty if that never was.
+std::string AgeOf(base::MonoTime then, base::MonoTime now) {
+  return then == base::MonoTime{}
+             ? std::string()
+             : std::to_string(base::MillisBetween(then, now));
+}
+
+void LogRelease(const Worker& worker,
+                const TaskRef& task,
+                const Run& run,
+                RunEvent event,
+                base::MonoTime now) {
+  base::LogEvent(
+      base::Severity::kInfo, "AZ9105", "run released without an end report",
+      {{"task", ToString(task)},
+       {"run", std::to_string(run.run)},
+       {"worker", worker.entry.boot.id},
+       {"phase", std::to_string(static_cast<int>(run.phase))},
+       {"cause", std::string(RunEventName(event))},
+       {"born", std::to_string(worker.entry.boot.boot_unix_ms)},
+       {"restart_seen_ms_ago", AgeOf(worker.restart_seen_at, now)},
+       {"report_asked_ms_ago", AgeOf(worker.newest_hold_sent_at, now)},
+       {"lease_over_ms_ago", AgeOf(worker.lease_expires_at, now)}});
 }
 
 // What an answer to the newest of `send_count` sends of a start tells. Only an
@@ -211,9 +227,11 @@
   return worker;
 }
 
-void Fleet::ReleaseUnsent(const TaskRef& task, SchedulerOutput& out) {
+void Fleet::ReleaseUnsent(const TaskRef& task,
+                          base::MonoTime now,
+                          SchedulerOutput& out) {
   if (Worker* worker = WorkerOf(task)) {
-    Advance(*worker, task, RunEvent::kStartNotSent, out);
+    Advance(*worker, task, RunEvent::kStartNotSent, now, out);
   }
 }
 
@@ -266,7 +284,7 @@
   } else if (event == RunEvent::kStartRefused) {
     AvoidAfterRefusal(*worker, outcome, now);
   }
-  Advance(*worker, task, event, out);
+  Advance(*worker, task, event, now, out);
 }
 
 void Fleet::OnStopped(const TaskRef& task,
@@ -287,7 +305,7 @@
   if (run != nullptr && run->phase == RunPhase::kStartUnknown) {
     run->confirmed_at = now;
     worker->next_hold = now;
-    Advance(*worker, task, RunEvent::kStopAnswered, out);
+    Advance(*worker, task, RunEvent::kStopAnswered, now, out);
   }
 }
 
@@ -336,6 +354,9 @@
       RecordGangProgress(end.task.StepOf(), now);
     }
     RemoveRun(worker, end.task);
+  } else {
+    m_released_runs.OnReported(end.task, end.run, worker.entry.boot, end.cause,
+                               now);
   }
   base::LogEvent(base::Severity::kInfo, "AZ9104", "task ended",
                  {{"task", ToString(end.task)},
@@ -381,6 +402,8 @@
   for (const RunningTask& running : report.running) {
     Run* run = FindRun(worker, running.task, running.run);
     if (run == nullptr) {
+      m_released_runs.OnReported(running.task, running.run, worker.entry.boot,
+                                 std::nullopt, now);
       out.stops.push_back({worker.entry.boot, worker.entry.address,
                            running.task, running.run, m_options.fence,
                            OrderTimeout(now), StopReason::kUnknownRun});
@@ -395,7 +418,7 @@
       run->confirmed_at = now;
       run->progress_at = now;
     }
-    Advance(worker, running.task, RunEvent::kListed, out);
+    Advance(worker, running.task, RunEvent::kListed, now, out);
     if (running.percent != run->percent) {
       run->percent = running.percent;
       run->progress_at = now;
@@ -414,7 +437,7 @@
       missing.push_back(task);
     }
   }
-  AdvanceAll(worker, missing, RunEvent::kMissing, out);
+  AdvanceAll(worker, missing, RunEvent::kMissing, now, out);
 }
 
 void Fleet::RecordRunTime(const Worker& worker,
@@ -490,9 +513,14 @@
   m_index.erase(task);
 }
 
-void Fleet::Release(Worker& worker, const TaskRef& task, SchedulerOutput& out) {
+void Fleet::Release(Worker& worker,
+                    const TaskRef& task,
+                    RunEvent event,
+                    base::MonoTime now,
+                    SchedulerOutput& out) {
   const Run& run = worker.runs.at(task);
-  LogRelease(worker, task, run);
+  LogRelease(worker, task, run, event, now);
+  m_released_runs.Add(task, run.run, worker.entry.boot.id, event, now);
   AddRecord(out, EndRecord{task, run.run, EndKind::kReleased, run.checkpoint});
   RemoveRun(worker, task);
 }
@@ -500,11 +528,12 @@
 void Fleet::Advance(Worker& worker,
                     const TaskRef& task,
                     RunEvent event,
+                    base::MonoTime now,
                     SchedulerOutput& out) {
   Run& run = worker.runs.at(task);
   const RunPhase next = NextPhase(run.phase, event);
   if (next == RunPhase::kOver) {
-    Release(worker, task, out);
+    Release(worker, task, event, now, out);
   } else {
     run.phase = next;
   }
@@ -513,9 +542,10 @@
 void Fleet::AdvanceAll(Worker& worker,
                        std::span<const TaskRef> tasks,
                        RunEvent event,
+                       base::MonoTime now,
                        SchedulerOutput& out) {
   for (const TaskRef& task : tasks) {
-    Advance(worker, task, event, out);
+    Advance(worker, task, event, now, out);
   }
 }
 
--- a/packages/jobs/src/fleet_boots.cc
+++ b/packages/jobs/src/fleet_boots.cc
@@ -141,6 +141,7 @@
     SetRefused(send, false);
     send.stop_sent_at = {};
   }
+  worker.restart_seen_at = now;
   AddFormerBoot(worker, worker.entry.boot.boot_unix_ms);
   std::erase(worker.former_boots, boot_unix_ms);
   if (worker.announced && worker.announced->boot.boot_unix_ms == boot_unix_ms) {
--- a/packages/jobs/src/fleet_holds.cc
+++ b/packages/jobs/src/fleet_holds.cc
@@ -72,7 +72,7 @@
   for (auto& [id, worker] : m_workers) {
     if (!worker.responsive && !worker.runs.empty() &&
         now > worker.lease_expires_at) {
-      AdvanceAll(worker, TasksOn(worker), RunEvent::kLapsed, out);
+      AdvanceAll(worker, TasksOn(worker), RunEvent::kLapsed, now, out);
     }
     StopStalled(worker, now);
     SendStops(worker, now, out);
--- a/packages/jobs/src/run_phase.cc
+++ b/packages/jobs/src/run_phase.cc
@@ -94,6 +94,36 @@
 
 }  // namespace
 
+std::string_view RunEventName(RunEvent event) {
+  switch (event) {
+    case RunEvent::kStartSent:
+      return "start_sent";
+    case RunEvent::kStartNotSent:
+      return "start_not_sent";
+    case RunEvent::kStartAccepted:
+      return "start_accepted";
+    case RunEvent::kStartRefused:
+      return "start_refused";
+    case RunEvent::kStartInDoubt:
+      return "start_in_doubt";
+    case RunEvent::kListed:
+      return "listed";
+    case RunEvent::kMissing:
+      return "missing";
+    case RunEvent::kEnded:
+      return "ended";
+    case RunEvent::kStopAnswered:
+      return "stop_answered";
+    case RunEvent::kRestarted:
+      return "restarted";
+    case RunEvent::kRestartedSendOpen:
+      return "restarted_send_open";
+    case RunEvent::kLapsed:
+      return "lapsed";
+  }
+  return "";
+}
+
 RunPhase NextPhase(RunPhase phase, RunEvent event) {
   switch (phase) {
     case RunPhase::kBinding:
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -113,7 +113,7 @@
                              : nullptr;
   if (worker == nullptr) {
     ++(reason != nullptr ? *reason : m_unsent.no_worker);
-    m_fleet.ReleaseUnsent(bind.task, out);
+    m_fleet.ReleaseUnsent(bind.task, now, out);
     return;
   }
   const auto step = static_cast<size_t>(bind.task.step);
