--- /dev/null
+++ b/packages/jobs/tests/late_call_cell.h
@@ -0,0 +1,294 @@
+// A leader, simulated workers, and a network that may carry a call out seconds
+// later, at whichever boot of its worker is up then.
+
+#ifndef JOBS_TESTS_LATE_CALL_CELL_H_
+#define JOBS_TESTS_LATE_CALL_CELL_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jobs/scheduler.h"
+#include "worker_simulation.h"
+
+namespace azurespur::jobs {
+
+enum class CallKind { kStart, kStop, kHold };
+
+struct LateCallCell {
+  static constexpr base::Millis kTick{20};
+  static constexpr base::Millis kAnswerTimeout{350};
+  static constexpr base::Millis kDirectoryInterval{500};
+  static constexpr uint64_t kFencesPerTerm = uint64_t{1} << 20;
+  static constexpr int64_t kCapacity = 100;
+
+  LateCallCell() {
+    QueuePolicy queue;
+    queue.name = "batch";
+    queue.service = "s";
+    queue.priority = 1;
+    queue.max_attempts = 100;
+    queue.stretch = 2;
+    queue.target_ms = 100000;
+    policy.queues["batch"] = queue;
+    options.fence = kFencesPerTerm;
+    ReplaceLeader();
+  }
+
+  void AddWorker(const std::string& id, base::Millis uptime) {
+    WorkerEntry entry;
+    entry.boot = {id, 1};
+    entry.service = "s";
+    entry.address = "addr";
+    entry.rack = "r";
+    entry.capacity = {kCapacity, 1000000, 0};
+    workers.emplace(id, SimulatedWorker(entry, now, uptime, *rows));
+    directory[id] = entry;
+  }
+
+  // One task that works for `work` and demands half of a worker.
+  void Submit(JobId id, base::Millis work) {
+    JobSpec spec;
+    spec.id = id;
+    spec.queue = "batch";
+    spec.submitted_unix_ms = UnixMs();
+    spec.payload = std::to_string(work.count());
+    StepSpec step;
+    step.count = 1;
+    step.demand = {kCapacity / 2, 1, 0};
+    step.estimate_ms = work.count();
+    spec.steps = {step};
+    table.Submit(Submission{spec, policy.queues["batch"]}, now);
+  }
+
+  // The next call of this kind to the worker is not answered, and carried out
+  // after `delay`.
+  void MakeLate(const std::string& worker, CallKind kind, base::Millis delay) {
+    late[{worker, kind}] = delay;
+  }
+
+  void Restart(const std::string& worker) {
+    workers.at(worker).Crash(now);
+    workers.at(worker).Boot(now);
+  }
+
+  // The next leader knows what is stored, and nothing else.
+  void ReplaceLeader() {
+    options.fence += kFencesPerTerm;
+    ++term;
+    out = {};
+    scheduler = std::make_unique<Scheduler>(options, table);
+    scheduler->Adopt(now);
+    next_directory = now;
+  }
+
+  void Step() {
+    now += kTick;
+    while (!events.empty() && events.begin()->first <= now) {
+      const auto event = events.extract(events.begin());
+      event.mapped()();
+    }
+    for (auto& [id, worker] : workers) {
+      worker.Advance(now);
+    }
+    scheduler->SetPolicy(policy);
+    ReadDirectory();
+    scheduler->Tick(now, UnixMs(), now, out);
+    while (ExecuteOutput()) {
+    }
+  }
+
+  void Run(base::Millis time) {
+    const base::MonoTime end = now + time;
+    while (now < end) {
+      Step();
+    }
+  }
+
+  int64_t UnixMs() const { return base::MillisBetween(base::MonoTime{}, now); }
+
+  // Rows of the task, in the order in which they began.
+  std::vector<RunRow> RowsOf(JobId job) const {
+    std::vector<RunRow> found;
+    for (const RunRow& row : *rows) {
+      if (row.task.job == job) {
+        found.push_back(row);
+      }
+    }
+    return found;
+  }
+
+  // Starts that met another run of their task, or came after an end as done
+  // that is taken note of. Those that a worker carried out late are left out
+  // unless `late_ones`.
+  size_t CountSecondRuns(bool late_ones = false) const {
+    size_t count = 0;
+    for (size_t i = 0; i < rows->size(); ++i) {
+      const RunRow& row = (*rows)[i];
+      if (row.started_late != late_ones) {
+        continue;
+      }
+      for (size_t k = 0; k < i; ++k) {
+        const RunRow& before = (*rows)[k];
+        const bool overlap = !before.ended || row.began < *before.ended;
+        if (before.task == row.task &&
+            (overlap || (before.done && before.noted))) {
+          ++count;
+          break;
+        }
+      }
+    }
+    return count;
+  }
+
+  size_t CountStartsOverCapacity() const {
+    size_t count = 0;
+    for (const auto& [id, worker] : workers) {
+      count += worker.starts_over_capacity();
+    }
+    return count;
+  }
+
+  SchedulerOptions options;
+  JobTable table;
+  CellPolicy policy;
+  std::unique_ptr<Scheduler> scheduler;
+  int64_t term = 0;
+  SchedulerOutput out;
+  base::MonoTime now{base::Millis{1000000}};
+  // Behind a pointer, so that workers keep it when the cell is moved.
+  std::shared_ptr<std::vector<RunRow>> rows =
+      std::make_shared<std::vector<RunRow>>();
+  std::map<std::string, SimulatedWorker> workers;
+  std::set<std::string> cut;  // Workers that nothing but late calls reaches.
+  std::map<std::string, WorkerEntry> directory;
+  base::MonoTime next_directory{};
+  std::map<std::pair<std::string, CallKind>, base::Millis> late;
+  // If set, decides for each call whether it is carried out late.
+  std::function<std::optional<base::Millis>()> draw_delay;
+  std::multimap<base::MonoTime, std::function<void()>> events;
+
+ private:
+  void ReadDirectory() {
+    if (now < next_directory) {
+      return;
+    }
+    next_directory = now + kDirectoryInterval;
+    std::vector<WorkerEntry> entries;
+    for (const auto& [id, worker] : workers) {
+      if (worker.up() && cut.count(id) == 0) {
+        directory[id] = worker.entry();
+      }
+      entries.push_back(directory[id]);
+    }
+    scheduler->SetWorkers(entries, now);
+  }
+
+  std::optional<base::Millis> TakeDelay(const std::string& worker,
+                                        CallKind kind) {
+    const auto found = late.find({worker, kind});
+    if (found != late.end()) {
+      const base::Millis delay = found->second;
+      late.erase(found);
+      return delay;
+    }
+    return draw_delay ? draw_delay() : std::nullopt;
+  }
+
+  // Carries the call out at once and passes its answer on, or later and
+  // without an answer. `execute` tells if it was late and returns what
+  // `answered` takes.
+  template <class Execute, class Answered, class Failed>
+  void Call(const std::string& id,
+            CallKind kind,
+            Execute execute,
+            Answered answered,
+            Failed failed) {
+    SimulatedWorker& worker = workers.at(id);
+    const std::optional<base::Millis> delay = TakeDelay(id, kind);
+    if (!delay && worker.up() && cut.count(id) == 0) {
+      answered(execute(worker, /*late=*/false));
+      return;
+    }
+    if (delay) {
+      events.emplace(now + *delay, [&worker, execute] {
+        if (worker.up()) {
+          execute(worker, /*late=*/true);
+        }
+      });
+    }
+    events.emplace(now + kAnswerTimeout, [this, failed, in_term = term] {
+      if (in_term == term) {
+        failed();
+      }
+    });
+  }
+
+  void Store(const std::vector<PendingRecord>& records) {
+    for (const PendingRecord& pending : records) {
+      table.Apply(pending.record, now);
+    }
+    for (const PendingRecord& pending : records) {
+      scheduler->OnStored(pending, now, now, out);
+    }
+  }
+
+  bool ExecuteOutput() {
+    const SchedulerOutput wanted = std::exchange(out, {});
+    Store(wanted.records);
+    for (const StartOrder& order : wanted.starts) {
+      Call(
+          order.worker.id, CallKind::kStart,
+          [this, order](SimulatedWorker& worker, bool is_late) {
+            return worker.Start(order, is_late, now);
+          },
+          [this, order](OrderOutcome outcome) {
+            scheduler->OnStarted(order, outcome, now, out);
+          },
+          [this, order] {
+            scheduler->OnStarted(order, OrderOutcome::kUnknown, now, out);
+          });
+    }
+    for (const StopOrder& order : wanted.stops) {
+      Call(
+          order.worker.id, CallKind::kStop,
+          [this, order](SimulatedWorker& worker, bool) {
+            return worker.Stop(order, now);
+          },
+          [this, order](OrderOutcome outcome) {
+            scheduler->OnStopped(order, outcome, now, out);
+          },
+          [this, order] {
+            scheduler->OnStopped(order, OrderOutcome::kUnknown, now, out);
+          });
+    }
+    for (const HoldOrder& order : wanted.holds) {
+      Call(
+          order.worker.id, CallKind::kHold,
+          [this, order](SimulatedWorker& worker, bool) {
+            return worker.Hold(order, now);
+          },
+          [this, order](const std::pair<OrderOutcome, WorkerReport>& answer) {
+            if (answer.first == OrderOutcome::kAccepted) {
+              scheduler->OnReport(order, answer.second, now, out);
+            } else {
+              scheduler->OnHoldFailed(order, answer.first, now, out);
+            }
+          },
+          [this, order] {
+            scheduler->OnHoldFailed(order, OrderOutcome::kUnknown, now, out);
+          });
+    }
+    return !out.records.empty() || !out.starts.empty() || !out.stops.empty();
+  }
+};
+
+}  // namespace azurespur::jobs
+
+#endif  // JOBS_TESTS_LATE_CALL_CELL_H_
