Give each boot of a worker a fencing token of its own

Cause: nothing in a call names the boot that it is meant for. A call without an answer may be carried out seconds later, by a boot that knows no token, stop, end or lease of before. There a lease that stands on the former clock counts as the longest one, from its arrival, while the leader counted it from when it saw the boot; an acknowledgement makes the boot forget ends that nobody has read; a start begins a run again. The leader remembered open sends of starts alone, and a successor not even these.

Change: the one thing that a boot compares by itself is the fencing token. A leader's tokens begin with its epoch and end below the next term's. A worker gets the next one when it reports another boot, or the directory names one, if anything that another boot would misread went out under the present one. A worker in doubt is sent hold orders without lease and acknowledgement only. The answer to the first one under the new token ends the effect of all earlier calls, so that the longest lease counts from then, and starts without answer that its lists lack are over on this boot. This replaces the stops that went to each new boot for each open send.

What may run on a boot that no leader has reached is given up only once no call can arrive and its lease is over: runs with an open send, and all that a successor has adopted and not yet heard of. A worker that lists a run which the leader doesn't know gets no tasks until it is gone.

Epochs keep their form: the nonce has 19 bits instead of 20, so that at least 2^19 tokens are left in each term.

--- a/packages/cell/src/election.cc
+++ b/packages/cell/src/election.cc
@@ -7,7 +7,9 @@
 namespace {
 
 // Leaves 33 bits of the 53 that JSON numbers represent exactly to the term.
-constexpr unsigned kNonceBits = 20;
+constexpr unsigned kTermShift = 20;
+// The upper half of a term's numbers stays free for fencing tokens.
+constexpr unsigned kNonceBits = kTermShift - 1;
 constexpr double kDelayMillisPerWorkMicro = 0.8;
 constexpr base::Millis kMaxElectionDelay{500};
 
@@ -20,8 +22,12 @@
 }
 
 uint64_t NextEpoch(uint64_t epoch, uint64_t nonce) {
-  const uint64_t term = (epoch >> kNonceBits) + 1;
-  return (term << kNonceBits) | (nonce & ((uint64_t{1} << kNonceBits) - 1));
+  const uint64_t term = (epoch >> kTermShift) + 1;
+  return (term << kTermShift) | (nonce & ((uint64_t{1} << kNonceBits) - 1));
+}
+
+uint64_t LastFence(uint64_t epoch) {
+  return epoch | ((uint64_t{1} << kTermShift) - 1);
 }
 
 bool ShouldStartElection(const ElectionView& view,
--- a/packages/cell/src/election.h
+++ b/packages/cell/src/election.h
@@ -46,6 +46,10 @@
 // retry of another's.
 uint64_t NextEpoch(uint64_t epoch, uint64_t nonce);
 
+// Returns the highest fencing token of a leader with this epoch: below the
+// epochs of all later terms.
+uint64_t LastFence(uint64_t epoch);
+
 }  // namespace azurespur::cell
 
 #endif  // CELL_SRC_ELECTION_H_
--- a/packages/cell/src/leader_term.cc
+++ b/packages/cell/src/leader_term.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "base/event_log.h"
+#include "election.h"
 
 namespace azurespur::cell {
 
@@ -17,6 +18,7 @@
 jobs::SchedulerOptions TermOptions(const NodeOptions& node, uint64_t epoch) {
   jobs::SchedulerOptions options = node.scheduler;
   options.fence = epoch;
+  options.last_fence = LastFence(epoch);
   options.link_mbps = node.resources.link_mbps;
   return options;
 }
--- a/packages/cell/src/node_leader.cc
+++ b/packages/cell/src/node_leader.cc
@@ -359,6 +359,8 @@
     StepDown("append was fenced");
   } else if (output.fenced) {
     StepDown("a worker has seen a later leader");
+  } else if (output.fences_used_up) {
+    StepDown("the fencing tokens of the term are used up");
   } else if (term->yielded()) {
     StepDown("yielded");
   }
--- a/packages/cell/tests/election_test.cc
+++ b/packages/cell/tests/election_test.cc
@@ -90,6 +90,16 @@
   CHECK(ElectionDelay(1e9) <= Millis{500});
 }
 
+// Guards against a leader whose fencing tokens reach those of its successor, or
+// that can't raise them for the restarts of its workers.
+TEST_CASE("the fencing tokens of a term end below the next epoch") {
+  for (const uint64_t nonce : {uint64_t{0}, uint64_t{1}, UINT64_MAX}) {
+    const uint64_t epoch = NextEpoch(0, nonce);
+    CHECK(LastFence(epoch) - epoch >= uint64_t{1} << 19);
+    CHECK(LastFence(epoch) < NextEpoch(epoch, 0));
+  }
+}
+
 TEST_CASE("epochs increase, differ between VMs and are exact in JSON") {
   const uint64_t first = NextEpoch(0, 0xfffffffffULL);
   const uint64_t other = NextEpoch(0, 1);
--- a/packages/cell/tests/leader_term_test.cc
+++ b/packages/cell/tests/leader_term_test.cc
@@ -69,6 +69,7 @@
     report.boot_unix_ms = 1;
     scheduler.SetPolicy(policy);
     scheduler.SetWorkers({&worker, 1}, clock.now);
+    hold.fence = scheduler.fleet().workers().at("w").fence;
     scheduler.OnReport(hold, report, clock.now, term->output());
     scheduler.Tick(clock.now, 0, clock.now, term->output());
   }
--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -46,6 +46,7 @@
   std::optional<StopReason> stop_reason;
   bool stop_counted = false;
   base::MonoTime start_sent_at{};
+  uint64_t start_fence = 0;  // Of all sends of the start.
   // Until then, a send of the start that got no answer may still be executed.
   base::MonoTime start_open_until{};
   base::MonoTime stop_sent_at{};
@@ -62,15 +63,15 @@
 };
 
 // A send of a start that got no answer, of a run that is over. It may still
-// reach the worker, and a later boot of it would begin the run again.
+// reach the worker, and a later boot of it would begin the run again if it has
+// not yet seen a higher fencing token.
 struct OpenSend {
   TaskRef task;
   int32_t run = 0;
   placement::Resources demand;
   AccountIndex account = kNoAccount;
-  base::MonoTime until{};         // The latest time of its arrival.
-  bool refused = true;            // The current boot refuses the run.
-  base::MonoTime stop_sent_at{};  // To the current boot.
+  base::MonoTime until{};  // The latest time of its arrival.
+  bool over = true;        // The current boot neither has nor begins the run.
 };
 
 // A run that ended as done, and its time from start to end.
@@ -104,7 +105,19 @@
   // When the worker reported its newest boot, if it has restarted in this term.
   base::MonoTime restart_seen_at{};
   bool listed = true;
-  // The last hold order was answered, under this leader's fencing token.
+  // Fencing token of all calls. Rises with each boot, so that calls meant for
+  // an earlier boot have no effect on one that has answered under it.
+  uint64_t fence = 0;
+  // Under `fence`, a call was sent that another boot would misread: a start, a
+  // lease or an acknowledgement of ends.
+  bool fence_used = false;
+  // The current boot has answered under `fence`.
+  bool confirmed = false;
+  // When a start or a lease was last sent, or found unanswered.
+  base::MonoTime last_grant_at{};
+  // The newest report lists a run that the leader doesn't know.
+  bool has_unknown_run = false;
+  // The last hold order was answered, under `fence`.
   bool responsive = false;
   placement::Resources used;
   std::map<TaskRef, Run> runs;
@@ -143,7 +156,8 @@
 
 class Fleet {
  public:
-  explicit Fleet(const SchedulerOptions& options) : m_options(options) {}
+  explicit Fleet(const SchedulerOptions& options)
+      : m_options(options), m_newest_fence(options.fence) {}
 
   // Applies the directory's current entries; `now` is when it was read.
   void SetEntries(std::span<const WorkerEntry> entries, base::MonoTime now);
@@ -193,28 +207,21 @@
   // Marks the task's run to be stopped. The reason of the first request counts.
   void RequestStop(const TaskRef& task, StopReason reason);
 
-  // `send_count` is how often this run's start was sent. Once it was repeated,
-  // a refusal says nothing about the earlier sends.
-  void OnStarted(const TaskRef& task,
-                 int32_t run,
-                 int32_t send_count,
+  // The outcome of the newest send. Once a start was repeated, a refusal says
+  // nothing about the earlier sends.
+  void OnStarted(const StartOrder& order,
                  OrderOutcome outcome,
                  base::MonoTime now,
                  SchedulerOutput& out);
-  // `boot` is the one that the stop was sent to.
-  void OnStopped(const TaskRef& task,
-                 int32_t run,
-                 const WorkerBoot& boot,
+  void OnStopped(const StopOrder& order,
                  OrderOutcome outcome,
                  base::MonoTime now,
                  SchedulerOutput& out);
-  // `asked_at` is when the hold order was sent.
-  void OnReport(const WorkerBoot& boot,
+  void OnReport(const HoldOrder& order,
                 const WorkerReport& report,
-                base::MonoTime asked_at,
                 base::MonoTime now,
                 SchedulerOutput& out);
-  void OnHoldFailed(const WorkerBoot& boot,
+  void OnHoldFailed(const HoldOrder& order,
                     OrderOutcome outcome,
                     base::MonoTime now,
                     SchedulerOutput& out);
@@ -236,16 +243,17 @@
   const std::map<std::string, Worker, std::less<>>& workers() const {
     return m_workers;
   }
-  // Returns true if the run's start was sent but not answered, no stop was
-  // requested, and the worker has neither left nor begun to drain.
-  bool MayRepeatStart(const TaskRef& task, int32_t run) const;
+  // Returns true if the start was sent but not answered, no stop was requested,
+  // and the worker has neither left, nor begun to drain, nor a higher fencing
+  // token.
+  bool MayRepeatStart(const StartOrder& order) const;
   // Null if the task has no run.
   const Run* FindRun(const TaskRef& task) const;
   AccountIndex IndexOfAccount(std::string_view account) {
     return m_usage.IndexOf(account);
   }
-  // Counts each run from its binding until it is certainly over, and each send
-  // of a start that a worker's current boot would still carry out.
+  // Counts each run from its binding until it is certainly over, and each open
+  // send that the worker's current boot may carry out or has carried out.
   const AccountUsage& usage() const { return m_usage; }
   // Bindings that are being stored and starts without an answer.
   int64_t CountOutstanding() const;
@@ -261,8 +269,28 @@
 
  private:
   Worker* FindWorker(std::string_view id);
+  // Adds the worker if it is new.
+  Worker& GetWorker(const std::string& id);
+  // From now on calls carry a higher fencing token, if need be, and nothing is
+  // granted before one of them was answered.
+  void RaiseFence(Worker& worker, base::MonoTime now);
+  // The last one of the term stays, and ends it.
+  uint64_t FenceAfter(uint64_t fence);
+  // The worker's boot has answered under its fencing token.
+  void ConfirmBoot(Worker& worker, base::MonoTime now);
+  // True if a later leader has fenced the order. Calls that this leader has
+  // itself fenced, by a later one, don't count.
+  static bool IsFencedByOther(const Worker& worker,
+                              uint64_t fence,
+                              OrderOutcome outcome);
+  // After this time the run is certainly over if its worker stays silent.
+  base::MonoTime LapsedAfter(const Worker& worker, const Run& run) const;
+  // After this time nothing runs on a boot that the leader has not reached.
+  base::MonoTime UnseenBootLapsedAfter(const Worker& worker) const;
   Worker* WorkerOf(const TaskRef& task);
   Run* FindRun(Worker& worker, const TaskRef& task, int32_t run);
+  // Releases the runs of a silent worker that are certainly over.
+  void ReleaseLapsed(Worker& worker, base::MonoTime now, SchedulerOutput& out);
   void SendHoldIfDue(Worker& worker,
                      base::MonoTime now,
                      bool may_renew,
@@ -270,8 +298,12 @@
   void SendStops(Worker& worker, base::MonoTime now, SchedulerOutput& out);
   // How long to wait before a worker that did not answer is asked again.
   base::Millis SilentRetryInterval(const Worker& worker) const;
-  // Makes a new boot refuse the runs of open sends.
-  void StopOpenSends(Worker& worker, base::MonoTime now, SchedulerOutput& out);
+  // Removes the open sends that can't arrive any more.
+  void ForgetOpenSends(Worker& worker, base::MonoTime now);
+  // The worker's current boot has told what it runs, under its fencing token.
+  void UpdateOpenSends(Worker& worker, const WorkerReport& report);
+  // An open send of the run has begun it on the current boot.
+  static bool IsOpenSend(const Worker& worker, const RunningTask& running);
   // Not while this VM is behind: the answer may have been in time.
   void RecordUnanswered(std::string_view worker_id, base::MonoTime now);
   // Returns true if several workers recently left orders unanswered.
@@ -312,7 +344,7 @@
                  SchedulerOutput& out);
   void HandleRunning(Worker& worker,
                      const WorkerReport& report,
-                     base::MonoTime asked_at,
+                     const HoldOrder& order,
                      base::MonoTime now,
                      SchedulerOutput& out);
   // Times a run that was reported as done, unless its start, its end or what it
@@ -323,10 +355,15 @@
                      base::MonoTime now);
   void UpdateFailureCount(Worker& worker, EndCause cause, base::MonoTime now);
   void RemoveRun(Worker& worker, const TaskRef& task);
+  // Stops a run that the leader doesn't know.
+  void StopUnknownRun(Worker& worker,
+                      const RunningTask& running,
+                      base::MonoTime now,
+                      SchedulerOutput& out);
   // Applies the directory's entry of a worker that is known already.
-  static void UpdateEntry(Worker& worker,
-                          const WorkerEntry& entry,
-                          base::MonoTime now);
+  void UpdateEntry(Worker& worker,
+                   const WorkerEntry& entry,
+                   base::MonoTime now);
   // Compares the boot that a report names with the known one.
   void ObserveBoot(Worker& worker,
                    int64_t boot_unix_ms,
@@ -334,12 +371,12 @@
                    base::MonoTime now);
   // The worker reported a new boot. Ends no run: the report does.
   void HandleRestart(Worker& worker, int64_t boot_unix_ms, base::MonoTime now);
-  // Counts the open send as usage unless the worker's boot refuses it.
-  void SetRefused(OpenSend& send, bool refused);
-  // A stop of a run that is over was answered by the current boot.
-  void OnOpenSendStopped(Worker& worker, const TaskRef& task, int32_t run);
+  // Counts the open send as usage unless it is over on the worker's boot.
+  void SetOver(OpenSend& send, bool over);
 
   const SchedulerOptions m_options;
+  uint64_t m_newest_fence;  // Of new workers.
+  bool m_fences_used_up = false;
   OwnDelay m_own_delay;
   StopCounts m_stop_counts;
   ReleasedRuns m_released_runs;
--- a/packages/jobs/include/jobs/scheduler_options.h
+++ b/packages/jobs/include/jobs/scheduler_options.h
@@ -12,7 +12,10 @@
 
 struct SchedulerOptions {
   double link_mbps = 0;  // Of this VM's link in Mbit/s; 0 if unknown.
-  uint64_t fence = 0;    // Fencing token: the epoch of this leader.
+  // Fencing tokens of this term: the first one, which is the leader's epoch,
+  // and the last one below all of later leaders.
+  uint64_t fence = 0;
+  uint64_t last_fence = UINT64_MAX;
   // Lease of all runs on a worker. With a shorter lease the tasks of an
   // unreachable worker can be rescheduled earlier; with a longer one they
   // survive a longer network partition of their failure domain.
--- a/packages/jobs/include/jobs/scheduler_output.h
+++ b/packages/jobs/include/jobs/scheduler_output.h
@@ -26,7 +26,8 @@
   std::vector<StopOrder> stops;
   std::vector<HoldOrder> holds;
   std::vector<AdviceQuery> queries;
-  bool fenced = false;  // A worker has seen a later leader.
+  bool fenced = false;          // A worker has seen a later leader.
+  bool fences_used_up = false;  // The term has no higher fencing token.
 };
 
 void AddRecord(SchedulerOutput& out,
--- a/packages/jobs/include/jobs/stop_reason.h
+++ b/packages/jobs/include/jobs/stop_reason.h
@@ -16,7 +16,7 @@
   kPreempted,       // The capacity is needed for a gang.
   kStalled,         // The run made no progress.
   kStartUnknown,    // The outcome of its start is unknown.
-  kRestarted,       // An open send of its start may reach a new boot.
+  kRestarted,       // An open send of its start has reached a new boot.
   kUnknownRun,      // The worker lists a run that the leader doesn't know.
 };
 
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -14,15 +14,11 @@
 namespace {
 
 constexpr base::Millis kFullWorkerBackoff{500};
-// An unanswered order may take effect at the worker up to this much later, and
-// the worker may then count the order's lease from the arrival.
-constexpr base::Millis kMaxOrderDelay{12500};
 
 // Returns how long after an unanswered start its run may still begin: until the
 // start is too old to arrive and its lease has certainly expired.
 base::Millis MaxStartDelay(const SchedulerOptions& options) {
-  const base::Millis lease = ToLocalTime(options.lease.count()) + kLeaseMargin;
-  return std::max(lease, kMaxOrderDelay);
+  return std::max(LeaseBound(options.lease), kMaxOrderDelay);
 }
 
 int64_t ClockNow(const Worker& worker, base::MonoTime now) {
@@ -86,13 +82,18 @@
   }
 }
 
-// True if a report that was asked for at `asked_at` would list the run.
-bool IsInReportsOf(const Run& run, base::MonoTime asked_at) {
-  if (run.phase == RunPhase::kAdopted) {
-    return true;
+// True if the answer to the hold order would list the run. A worker that has
+// seen the order's fencing token carries out no start with a lower one.
+bool IsInReportsOf(const Run& run, const HoldOrder& order) {
+  switch (run.phase) {
+    case RunPhase::kAdopted:
+      return true;
+    case RunPhase::kStartUnknown:
+      return run.start_fence < order.fence ||
+             run.start_deadline < order.sent_at;
+    default:
+      return run.confirmed_at < order.sent_at;
   }
-  return run.phase == RunPhase::kStartUnknown ? run.start_deadline < asked_at
-                                              : run.confirmed_at < asked_at;
 }
 
 void AvoidAfterRefusal(Worker& worker,
@@ -116,7 +117,8 @@
 
 bool AcceptsTasks(const Worker& worker, base::MonoTime now) {
   return worker.listed && !worker.undescribed && !worker.announced &&
-         worker.responsive && worker.late_holds == 0 && worker.clock_known &&
+         worker.responsive && !worker.has_unknown_run &&
+         worker.late_holds == 0 && worker.clock_known &&
          !worker.entry.draining && worker.avoid_until <= now;
 }
 
@@ -129,6 +131,15 @@
   return found == m_workers.end() ? nullptr : &found->second;
 }
 
+Worker& Fleet::GetWorker(const std::string& id) {
+  const auto [found, added] = m_workers.try_emplace(id);
+  if (added) {
+    // A worker that was forgotten and comes back may know any earlier one.
+    found->second.fence = m_newest_fence;
+  }
+  return found->second;
+}
+
 Worker* Fleet::WorkerOf(const TaskRef& task) {
   const auto found = m_index.find(task);
   return found == m_index.end() ? nullptr : FindWorker(found->second);
@@ -148,15 +159,16 @@
   return &m_workers.find(found->second)->second.runs.at(task);
 }
 
-bool Fleet::MayRepeatStart(const TaskRef& task, int32_t run_number) const {
-  const auto found = m_index.find(task);
+bool Fleet::MayRepeatStart(const StartOrder& order) const {
+  const auto found = m_index.find(order.task);
   if (found == m_index.end()) {
     return false;
   }
   const Worker& worker = m_workers.find(found->second)->second;
-  const Run& run = worker.runs.at(task);
-  return run.run == run_number && run.phase == RunPhase::kStarting &&
-         !run.stop_requested && worker.listed && !worker.entry.draining;
+  const Run& run = worker.runs.at(order.task);
+  return run.run == order.run && run.phase == RunPhase::kStarting &&
+         !run.stop_requested && worker.listed && !worker.entry.draining &&
+         worker.fence == order.fence;
 }
 
 int64_t Fleet::CountOutstanding() const {
@@ -178,7 +190,7 @@
                   bool gang,
                   base::MonoTime now,
                   AccountIndex account) {
-  Worker& worker = m_workers[boot.id];
+  Worker& worker = GetWorker(boot.id);
   if (worker.entry.boot.id.empty()) {
     worker.entry.boot = boot;
     worker.listed = false;
@@ -190,8 +202,11 @@
   run.account = account;
   run.gang = gang;
   run.progress_at = now;
-  worker.lease_expires_at = now + m_options.max_renew_after_append +
-                            ToLocalTime(m_options.lease.count()) + kLeaseMargin;
+  // Until then the former leader may have renewed the lease, on a boot that
+  // had just begun for the longest time.
+  worker.last_grant_at = now + m_options.max_renew_after_append;
+  worker.lease_expires_at =
+      worker.last_grant_at + LeaseBound(m_options.max_lease);
   worker.used = placement::Add(worker.used, demand);
   m_usage.Add(account, demand);
   worker.runs.emplace(task, std::move(run));
@@ -219,11 +234,15 @@
   Run* run = worker != nullptr ? FindRun(*worker, task, run_number) : nullptr;
   if (run == nullptr || run->phase != RunPhase::kBinding ||
       run->stop_requested || !worker->listed || worker->undescribed ||
-      !worker->responsive || worker->entry.draining) {
+      !worker->responsive || worker->has_unknown_run ||
+      worker->entry.draining) {
     return nullptr;
   }
   run->phase = NextPhase(run->phase, RunEvent::kStartSent);
   run->start_sent_at = now;
+  run->start_fence = worker->fence;
+  worker->fence_used = true;
+  worker->last_grant_at = now;
   return worker;
 }
 
@@ -237,6 +256,8 @@
 
 int64_t Fleet::ExtendLease(const Worker& worker, base::MonoTime now) {
   Worker& own = *FindWorker(worker.entry.boot.id);
+  own.fence_used = true;
+  own.last_grant_at = now;
   const int64_t until = ClockNow(own, now) + m_options.lease.count();
   own.max_lease_until_ms = std::max(own.max_lease_until_ms, until);
   UpdateLeaseExpiry(own);
@@ -246,6 +267,7 @@
 void Fleet::OnStartRepeated(const TaskRef& task, base::MonoTime now) {
   if (Worker* worker = WorkerOf(task)) {
     worker->runs.at(task).start_open_until = now + kMaxOrderDelay;
+    worker->last_grant_at = now;
   }
 }
 
@@ -257,21 +279,24 @@
   }
 }
 
-void Fleet::OnStarted(const TaskRef& task,
-                      int32_t run_number,
-                      int32_t send_count,
+void Fleet::OnStarted(const StartOrder& order,
                       OrderOutcome outcome,
                       base::MonoTime now,
                       SchedulerOutput& out) {
-  out.fenced = out.fenced || outcome == OrderOutcome::kFenced;
-  Worker* worker = WorkerOf(task);
-  Run* run = worker != nullptr ? FindRun(*worker, task, run_number) : nullptr;
+  const int32_t send_count = order.send_count;
+  Worker* worker = FindWorker(order.worker.id);
+  if (worker == nullptr) {
+    return;
+  }
+  out.fenced = out.fenced || IsFencedByOther(*worker, order.fence, outcome);
+  Run* run = FindRun(*worker, order.task, order.run);
   if (run == nullptr || run->phase != RunPhase::kStarting) {
     return;
   }
   if (outcome == OrderOutcome::kUnknown) {
     RecordUnanswered(worker->entry.boot.id, now);
     run->start_open_until = now + kMaxOrderDelay;
+    worker->last_grant_at = now;
   }
   run->start_deadline = now + MaxStartDelay(m_options);
   const RunEvent event = EventOf(outcome, send_count);
@@ -284,44 +309,55 @@
   } else if (event == RunEvent::kStartRefused) {
     AvoidAfterRefusal(*worker, outcome, now);
   }
-  Advance(*worker, task, event, now, out);
+  Advance(*worker, order.task, event, now, out);
 }
 
-void Fleet::OnStopped(const TaskRef& task,
-                      int32_t run_number,
-                      const WorkerBoot& boot,
+bool Fleet::IsFencedByOther(const Worker& worker,
+                            uint64_t fence,
+                            OrderOutcome outcome) {
+  return outcome == OrderOutcome::kFenced && fence >= worker.fence;
+}
+
+void Fleet::OnStopped(const StopOrder& order,
                       OrderOutcome outcome,
                       base::MonoTime now,
                       SchedulerOutput& out) {
-  out.fenced = out.fenced || outcome == OrderOutcome::kFenced;
-  Worker* worker = FindWorker(boot.id);
+  Worker* worker = FindWorker(order.worker.id);
+  if (worker == nullptr) {
+    return;
+  }
+  out.fenced = out.fenced || IsFencedByOther(*worker, order.fence, outcome);
   // A stop that a former boot answered doesn't prevent the start on this one.
-  if (outcome != OrderOutcome::kAccepted || worker == nullptr ||
-      worker->entry.boot != boot) {
+  if (outcome != OrderOutcome::kAccepted ||
+      worker->entry.boot != order.worker) {
     return;
   }
-  OnOpenSendStopped(*worker, task, run_number);
-  Run* run = FindRun(*worker, task, run_number);
+  Run* run = FindRun(*worker, order.task, order.run);
   if (run != nullptr && run->phase == RunPhase::kStartUnknown) {
     run->confirmed_at = now;
     worker->next_hold = now;
-    Advance(*worker, task, RunEvent::kStopAnswered, now, out);
+    Advance(*worker, order.task, RunEvent::kStopAnswered, now, out);
   }
 }
 
-void Fleet::OnReport(const WorkerBoot& boot,
+void Fleet::OnReport(const HoldOrder& order,
                      const WorkerReport& report,
-                     base::MonoTime asked_at,
                      base::MonoTime now,
                      SchedulerOutput& out) {
-  Worker* worker = FindWorker(boot.id);
-  if (worker == nullptr || worker->entry.boot != boot) {
+  const base::MonoTime asked_at = order.sent_at;
+  Worker* worker = FindWorker(order.worker.id);
+  if (worker == nullptr || worker->entry.boot != order.worker) {
     return;
   }
-  worker->holds_in_flight = std::max(0, worker->holds_in_flight - 1);
+  if (order.fence == worker->fence) {
+    worker->holds_in_flight = std::max(0, worker->holds_in_flight - 1);
+  }
   ObserveBoot(*worker, report.boot_unix_ms, asked_at, now);
-  worker->responsive = true;
-  worker->late_holds = 0;
+  if (order.fence == worker->fence) {
+    worker->responsive = true;
+    worker->late_holds = 0;
+    ConfirmBoot(*worker, now);
+  }
   if (!worker->clock_known || report.clock_ms >= worker->clock_ms) {
     worker->clock_known = true;
     worker->clock_ms = report.clock_ms;
@@ -335,10 +371,12 @@
   }
   if (asked_at >= worker->newest_hold_sent_at) {
     worker->newest_hold_sent_at = asked_at;
-    HandleRunning(*worker, report, asked_at, now, out);
+    HandleRunning(*worker, report, order, now, out);
+    UpdateOpenSends(*worker, report);
   }
   const bool stored = worker->ends_stored >= worker->ends_read;
-  worker->next_hold = stored ? now : now + m_options.end_retry_interval;
+  const bool ask_now = stored || !worker->responsive;
+  worker->next_hold = ask_now ? now : now + m_options.end_retry_interval;
 }
 
 void Fleet::HandleEnd(Worker& worker,
@@ -395,19 +433,15 @@
 
 void Fleet::HandleRunning(Worker& worker,
                           const WorkerReport& report,
-                          base::MonoTime asked_at,
+                          const HoldOrder& order,
                           base::MonoTime now,
                           SchedulerOutput& out) {
   std::set<TaskRef> seen;
+  worker.has_unknown_run = false;
   for (const RunningTask& running : report.running) {
     Run* run = FindRun(worker, running.task, running.run);
     if (run == nullptr) {
-      m_released_runs.OnReported(running.task, running.run, worker.entry.boot,
-                                 std::nullopt, now);
-      out.stops.push_back({worker.entry.boot, worker.entry.address,
-                           running.task, running.run, m_options.fence,
-                           OrderTimeout(now), StopReason::kUnknownRun});
-      m_stop_counts.Add(StopReason::kUnknownRun);
+      StopUnknownRun(worker, running, now, out);
       continue;
     }
     seen.insert(running.task);
@@ -433,13 +467,29 @@
   }
   std::vector<TaskRef> missing;
   for (const auto& [task, run] : worker.runs) {
-    if (seen.count(task) == 0 && IsInReportsOf(run, asked_at)) {
+    if (seen.count(task) == 0 && IsInReportsOf(run, order)) {
       missing.push_back(task);
     }
   }
   AdvanceAll(worker, missing, RunEvent::kMissing, now, out);
 }
 
+// It uses capacity, which is not reserved for it, until it is gone.
+void Fleet::StopUnknownRun(Worker& worker,
+                           const RunningTask& running,
+                           base::MonoTime now,
+                           SchedulerOutput& out) {
+  m_released_runs.OnReported(running.task, running.run, worker.entry.boot,
+                             std::nullopt, now);
+  worker.has_unknown_run = true;
+  const StopReason reason = IsOpenSend(worker, running)
+                                ? StopReason::kRestarted
+                                : StopReason::kUnknownRun;
+  out.stops.push_back({worker.entry.boot, worker.entry.address, running.task,
+                       running.run, worker.fence, OrderTimeout(now), reason});
+  m_stop_counts.Add(reason);
+}
+
 void Fleet::RecordRunTime(const Worker& worker,
                           const TaskRef& task,
                           const Run& run,
--- a/packages/jobs/src/fleet_boots.cc
+++ b/packages/jobs/src/fleet_boots.cc
@@ -37,8 +37,12 @@
 }
 
 // A start that was meant for an earlier boot may reach the new one, whose clock
-// is another, so it never becomes too late there. A stop prevents it.
+// is another, so it never becomes too late there. A higher fencing token, once
+// the new boot has seen it, or a stop prevents it.
 void ObserveRestart(Run& run, base::MonoTime now) {
+  if (run.phase == RunPhase::kStarting) {
+    run.start_open_until = now + kMaxOrderDelay;
+  }
   const bool open = now < run.start_open_until;
   run.phase = NextPhase(
       run.phase, open ? RunEvent::kRestartedSendOpen : RunEvent::kRestarted);
@@ -68,7 +72,7 @@
   std::set<std::string_view> present;
   for (const WorkerEntry& entry : entries) {
     present.insert(entry.boot.id);
-    Worker& worker = m_workers[entry.boot.id];
+    Worker& worker = GetWorker(entry.boot.id);
     if (worker.entry.boot.id.empty()) {
       worker.entry = entry;
       worker.next_hold = now;
@@ -81,8 +85,13 @@
     if (present.count(it->first) == 0) {
       it->second.listed = false;
     }
-    const bool needed = it->second.listed || !it->second.runs.empty() ||
-                        !it->second.open_sends.empty();
+    const Worker& worker = it->second;
+    const bool needed =
+        worker.listed || !worker.runs.empty() || !worker.open_sends.empty();
+    if (!needed && worker.fence_used) {
+      // It may come back as another boot.
+      m_newest_fence = std::max(m_newest_fence, FenceAfter(worker.fence));
+    }
     it = needed ? std::next(it) : m_workers.erase(it);
   }
 }
@@ -106,9 +115,7 @@
   worker.announced = entry;
   if (first) {
     worker.announced_at = now;
-    worker.responsive = false;
-    worker.holds_in_flight = 0;
-    worker.next_hold = now;
+    RaiseFence(worker, now);
     LogBoot(worker, "AZ9121",
             "directory names another boot of the worker; asking the worker",
             entry.boot.boot_unix_ms);
@@ -138,8 +145,7 @@
     ObserveRestart(run, now);
   }
   for (OpenSend& send : worker.open_sends) {
-    SetRefused(send, false);
-    send.stop_sent_at = {};
+    SetOver(send, false);
   }
   worker.restart_seen_at = now;
   AddFormerBoot(worker, worker.entry.boot.boot_unix_ms);
@@ -151,59 +157,98 @@
     worker.entry.boot.boot_unix_ms = boot_unix_ms;
     worker.undescribed = true;
   }
-  // A lease that was sent on the former clock may have reached the new boot,
-  // which grants its longest.
-  worker.lease_expires_at =
-      std::max(worker.lease_expires_at,
-               now + ToLocalTime(m_options.max_lease.count()) + kLeaseMargin);
+  RaiseFence(worker, now);
+  worker.confirmed = false;
   worker.clock_known = false;
   worker.max_lease_until_ms = 0;
-  worker.holds_in_flight = 0;
   worker.ends_read = 0;
   worker.ends_stored = 0;
   worker.newest_hold_sent_at = {};
 }
 
-void Fleet::StopOpenSends(Worker& worker,
-                          base::MonoTime now,
-                          SchedulerOutput& out) {
-  for (OpenSend& send : worker.open_sends) {
-    SetRefused(send, send.refused || send.until < now);
+// A token under which nothing was granted is high enough: what is still under
+// way with it does no harm on any boot.
+void Fleet::RaiseFence(Worker& worker, base::MonoTime now) {
+  worker.responsive = false;
+  worker.holds_in_flight = 0;
+  worker.next_hold = now;
+  if (!std::exchange(worker.fence_used, false)) {
+    return;
   }
-  std::erase_if(worker.open_sends,
-                [now](const OpenSend& send) { return send.until < now; });
-  for (OpenSend& send : worker.open_sends) {
-    if (send.refused ||
-        now < send.stop_sent_at + m_options.stop_retry_interval) {
-      continue;
-    }
-    if (send.stop_sent_at == base::MonoTime{}) {
-      m_stop_counts.Add(StopReason::kRestarted);
+  worker.fence = FenceAfter(worker.fence);
+  m_newest_fence = std::max(m_newest_fence, worker.fence);
+}
+
+uint64_t Fleet::FenceAfter(uint64_t fence) {
+  m_fences_used_up = m_fences_used_up || fence >= m_options.last_fence;
+  return std::min(fence + 1, m_options.last_fence);
+}
+
+// Any call for a former boot that was carried out has been so by now. It may
+// have granted the longest lease, as it stands on another clock.
+void Fleet::ConfirmBoot(Worker& worker, base::MonoTime now) {
+  if (!std::exchange(worker.confirmed, true)) {
+    worker.lease_expires_at = std::max(worker.lease_expires_at,
+                                       now + LeaseBound(m_options.max_lease));
+  }
+}
+
+base::MonoTime Fleet::UnseenBootLapsedAfter(const Worker& worker) const {
+  return worker.last_grant_at + kMaxOrderDelay +
+         LeaseBound(m_options.max_lease);
+}
+
+// Only a call that is carried out late can begin a run on a boot that the
+// leader has not reached, or prolong it there.
+base::MonoTime Fleet::LapsedAfter(const Worker& worker, const Run& run) const {
+  const bool may_be_unseen = !worker.confirmed ||
+                             run.phase == RunPhase::kStarting ||
+                             worker.newest_hold_sent_at < run.start_open_until;
+  return may_be_unseen
+             ? std::max(worker.lease_expires_at, UnseenBootLapsedAfter(worker))
+             : worker.lease_expires_at;
+}
+
+void Fleet::ForgetOpenSends(Worker& worker, base::MonoTime now) {
+  if (now > UnseenBootLapsedAfter(worker)) {
+    for (OpenSend& send : worker.open_sends) {
+      SetOver(send, true);
     }
-    send.stop_sent_at = now;
-    out.stops.push_back({worker.entry.boot, worker.entry.address, send.task,
-                         send.run, m_options.fence, OrderTimeout(now),
-                         StopReason::kRestarted});
   }
+  std::erase_if(worker.open_sends, [now](const OpenSend& send) {
+    return send.over && send.until < now;
+  });
 }
 
-void Fleet::OnOpenSendStopped(Worker& worker,
-                              const TaskRef& task,
-                              int32_t run) {
+void Fleet::UpdateOpenSends(Worker& worker, const WorkerReport& report) {
+  if (!worker.confirmed) {
+    return;
+  }
   for (OpenSend& send : worker.open_sends) {
-    if (send.task == task && send.run == run) {
-      SetRefused(send, true);
-    }
+    const bool runs = std::any_of(report.running.begin(), report.running.end(),
+                                  [&send](const RunningTask& running) {
+                                    return running.task == send.task &&
+                                           running.run == send.run;
+                                  });
+    SetOver(send, !runs);
   }
 }
 
-void Fleet::SetRefused(OpenSend& send, bool refused) {
-  if (send.refused && !refused) {
+bool Fleet::IsOpenSend(const Worker& worker, const RunningTask& running) {
+  return std::any_of(worker.open_sends.begin(), worker.open_sends.end(),
+                     [&running](const OpenSend& send) {
+                       return send.task == running.task &&
+                              send.run == running.run;
+                     });
+}
+
+void Fleet::SetOver(OpenSend& send, bool over) {
+  if (send.over && !over) {
     m_usage.Add(send.account, send.demand);
-  } else if (!send.refused && refused) {
+  } else if (!send.over && over) {
     m_usage.Remove(send.account, send.demand);
   }
-  send.refused = refused;
+  send.over = over;
 }
 
 }  // namespace azurespur::jobs
--- a/packages/jobs/src/fleet_holds.cc
+++ b/packages/jobs/src/fleet_holds.cc
@@ -29,23 +29,23 @@
       [phase](const auto& entry) { return entry.second.phase == phase; });
 }
 
-std::vector<TaskRef> TasksOn(const Worker& worker) {
-  std::vector<TaskRef> tasks;
-  for (const auto& [task, run] : worker.runs) {
-    tasks.push_back(task);
-  }
-  return tasks;
-}
-
 }  // namespace
 
-void Fleet::OnHoldFailed(const WorkerBoot& boot,
+void Fleet::OnHoldFailed(const HoldOrder& order,
                          OrderOutcome outcome,
                          base::MonoTime now,
                          SchedulerOutput& out) {
-  out.fenced = out.fenced || outcome == OrderOutcome::kFenced;
+  const WorkerBoot& boot = order.worker;
   Worker* worker = FindWorker(boot.id);
-  if (worker == nullptr || worker->entry.boot != boot) {
+  if (worker == nullptr) {
+    return;
+  }
+  out.fenced = out.fenced || IsFencedByOther(*worker, order.fence, outcome);
+  if (order.lease_until_ms && outcome == OrderOutcome::kUnknown) {
+    worker->last_grant_at = now;
+  }
+  // An order under a former token tells nothing of the worker as it is now.
+  if (worker->entry.boot != boot || order.fence != worker->fence) {
     return;
   }
   worker->holds_in_flight = std::max(0, worker->holds_in_flight - 1);
@@ -70,15 +70,28 @@
 
 void Fleet::Tick(base::MonoTime now, bool may_renew, SchedulerOutput& out) {
   for (auto& [id, worker] : m_workers) {
-    if (!worker.responsive && !worker.runs.empty() &&
-        now > worker.lease_expires_at) {
-      AdvanceAll(worker, TasksOn(worker), RunEvent::kLapsed, now, out);
-    }
+    ReleaseLapsed(worker, now, out);
     StopStalled(worker, now);
     SendStops(worker, now, out);
-    StopOpenSends(worker, now, out);
+    ForgetOpenSends(worker, now);
     SendHoldIfDue(worker, now, may_renew, out);
   }
+  out.fences_used_up = out.fences_used_up || m_fences_used_up;
+}
+
+void Fleet::ReleaseLapsed(Worker& worker,
+                          base::MonoTime now,
+                          SchedulerOutput& out) {
+  if (worker.responsive || now <= worker.lease_expires_at) {
+    return;
+  }
+  std::vector<TaskRef> lapsed;
+  for (const auto& [task, run] : worker.runs) {
+    if (now > LapsedAfter(worker, run)) {
+      lapsed.push_back(task);
+    }
+  }
+  AdvanceAll(worker, lapsed, RunEvent::kLapsed, now, out);
 }
 
 void Fleet::SendHoldIfDue(Worker& worker,
@@ -96,15 +109,17 @@
   HoldOrder order;
   order.worker = worker.entry.boot;
   order.address = address;
-  order.fence = m_options.fence;
-  order.acked_end_number = worker.ends_stored;
+  order.fence = worker.fence;
   order.sent_at = now;
   order.timeout = OrderTimeout(now);
   order.max_link_wait = m_options.max_order_timeout - order.timeout;
   order.max_transfer = m_options.max_report_transfer;
-  // A worker in doubt gets no longer lease, and has to answer at once.
+  // A worker in doubt has to answer at once. It may be a new boot, so it gets
+  // no longer lease, and no end counts as acknowledged there.
   if (worker.responsive && worker.late_holds == 0 && worker.clock_known &&
       !worker.announced) {
+    order.acked_end_number = worker.ends_stored;
+    worker.fence_used = worker.fence_used || worker.ends_stored > 0;
     if (may_renew) {
       order.lease_until_ms = ExtendLease(worker, now);
     }
@@ -177,7 +192,7 @@
       m_stop_counts.Add(*run.stop_reason);
     }
     out.stops.push_back({worker.entry.boot, worker.entry.address, task, run.run,
-                         m_options.fence, OrderTimeout(now), *run.stop_reason});
+                         worker.fence, OrderTimeout(now), *run.stop_reason});
   }
 }
 
--- a/packages/jobs/src/lease_time.h
+++ b/packages/jobs/src/lease_time.h
@@ -12,6 +12,9 @@
 // Slowest rate of a worker's clock relative to the leader's.
 inline constexpr double kMinClockRate = 0.98;
 inline constexpr base::Millis kLeaseMargin{150};
+// An unanswered call may take effect at the worker up to this much later, and
+// the worker may then count the call's lease from the arrival.
+inline constexpr base::Millis kMaxOrderDelay{12500};
 
 // Returns the longest time on the leader's clock in which the worker's clock
 // may advance by `worker_ms`.
@@ -20,6 +23,12 @@
       static_cast<int64_t>(static_cast<double>(worker_ms) / kMinClockRate)};
 }
 
+// Returns the longest time on the leader's clock after which a lease of
+// `lease` on the worker's clock is certainly over.
+inline base::Millis LeaseBound(base::Millis lease) {
+  return ToLocalTime(lease.count()) + kLeaseMargin;
+}
+
 }  // namespace azurespur::jobs
 
 #endif  // JOBS_SRC_LEASE_TIME_H_
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -126,7 +126,7 @@
   order.run = bind.run;
   order.payload = job->spec.payload;
   order.lease_until_ms = m_fleet.ExtendLease(*worker, now);
-  order.fence = m_options.fence;
+  order.fence = worker->fence;
   order.sent_at = now;
   order.timeout = m_fleet.StartTimeout(now);
   order.checkpoint =
@@ -152,7 +152,7 @@
   }
   if (outcome == OrderOutcome::kUnknown &&
       order.send_count < m_options.max_start_sends &&
-      m_fleet.MayRepeatStart(order.task, order.run)) {
+      m_fleet.MayRepeatStart(order)) {
     StartOrder again = order;
     ++again.send_count;
     again.sent_at = now;
@@ -161,7 +161,7 @@
     out.starts.push_back(std::move(again));
     return;
   }
-  m_fleet.OnStarted(order.task, order.run, order.send_count, outcome, now, out);
+  m_fleet.OnStarted(order, outcome, now, out);
   if (outcome == OrderOutcome::kAccepted) {
     RecordJobStarted(order.task.job, out);
   }
@@ -179,14 +179,14 @@
                           OrderOutcome outcome,
                           base::MonoTime now,
                           SchedulerOutput& out) {
-  m_fleet.OnStopped(order.task, order.run, order.worker, outcome, now, out);
+  m_fleet.OnStopped(order, outcome, now, out);
 }
 
 void Scheduler::OnReport(const HoldOrder& order,
                          const WorkerReport& report,
                          base::MonoTime now,
                          SchedulerOutput& out) {
-  m_fleet.OnReport(order.worker, report, order.sent_at, now, out);
+  m_fleet.OnReport(order, report, now, out);
   ObserveFinishedRuns(now);
   const auto worker = m_fleet.workers().find(order.worker.id);
   if (worker != m_fleet.workers().end() &&
@@ -203,7 +203,7 @@
                              base::MonoTime now,
                              SchedulerOutput& out) {
   m_fleet.ObserveDelay(order.sent_at + order.wait + order.timeout, now);
-  m_fleet.OnHoldFailed(order.worker, outcome, now, out);
+  m_fleet.OnHoldFailed(order, outcome, now, out);
 }
 
 void Scheduler::OnForwardedEnd(const EndRecord& end,
