--- a/packages/jobs/include/jobs/released_runs.h
+++ b/packages/jobs/include/jobs/released_runs.h
@@ -48,7 +48,8 @@
   struct Key {
     TaskRef task;
     int32_t run = 0;
-    auto operator<=>(const Key&) const = default;
+    // NOLINTNEXTLINE(modernize-use-nullptr): the check misreads `<=>`.
+    friend auto operator<=>(const Key&, const Key&) = default;
   };
   struct Release {
     std::string worker;
--- a/packages/jobs/tests/late_call_test.cc
+++ b/packages/jobs/tests/late_call_test.cc
@@ -70,7 +70,9 @@
                    [this, id] { cut.erase(id); });
   }
 
-  int64_t Draw(uint32_t below) { return random() % below; }
+  int64_t Draw(uint32_t below) {
+    return static_cast<int64_t>(random() % below);
+  }
   bool Chance(uint32_t per_mille) { return Draw(1000) < per_mille; }
 
   std::mt19937 random;
