--- a/packages/jobs/tests/late_call_test.cc
+++ b/packages/jobs/tests/late_call_test.cc
@@ -184,6 +184,57 @@
   CHECK(f.CountStartsOverCapacity() == 0);
 }
 
+// Guards against two runs of a task: a boot that the leader has not seen accepts
+// a start at once, with the longest lease, and is cut off before its report.
+TEST_CASE("a start that an unseen boot accepted counts with the longest lease") {
+  RestartCell f;
+  // Never carried out, so that the leader waits for its answer meanwhile.
+  f.MakeLate("w0", CallKind::kHold, Millis{10000000});
+  f.Run(Millis{40});
+  f.Restart("w0");
+  f.Submit(1, kLongWork);
+  f.Run(Millis{200});
+  REQUIRE(f.RowsOf(1).size() == 1);
+  REQUIRE_FALSE(f.RowsOf(1)[0].started_late);
+  f.CutFirstWorker();
+  f.Run(Millis{14000});
+  CHECK(f.CountSecondRuns() == 0);
+}
+
+// Guards against two runs of a task: the same, and the hold order that was
+// under way is carried out there late.
+TEST_CASE("a late renewal at an unseen boot that accepted a start is counted") {
+  RestartCell f;
+  f.MakeLate("w0", CallKind::kHold, Millis{9000});
+  f.Run(Millis{40});
+  f.Restart("w0");
+  f.Submit(1, kLongWork);
+  f.Run(Millis{200});
+  REQUIRE(f.RowsOf(1).size() == 1);
+  REQUIRE_FALSE(f.RowsOf(1)[0].started_late);
+  f.CutFirstWorker();
+  f.Run(Millis{25000});
+  CHECK(f.CountSecondRuns() == 0);
+}
+
+// Guards against a task that is done and runs again: a hold order for the
+// former boot makes an unseen boot forget the end of a run that it accepted.
+TEST_CASE("an unseen boot that accepted a start forgets no end") {
+  RestartCell f;
+  for (JobId job = 1; job <= 4; ++job) {
+    f.Submit(job, Millis{200});
+  }
+  f.Run(Millis{1000});
+  REQUIRE(f.table.StateOf(4) == JobState::kCompleted);
+  f.MakeLate("w0", CallKind::kHold, Millis{320});
+  f.Run(Millis{40});
+  f.Restart("w0");
+  f.Submit(5, Millis{100});
+  f.Run(Millis{1500});
+  CHECK(f.RowsOf(5).size() == 1);
+  CHECK(f.CountSecondRuns() == 0);
+}
+
 // Guards against the same faults on other ways. Starts that are carried out
 // late are not counted: nothing prevents one at a boot that no leader has
 // reached yet.
