--- a/packages/jobs/tests/late_call_cell.h
+++ b/packages/jobs/tests/late_call_cell.h
@@ -313,8 +313,7 @@
     }
     for (const HoldOrder& order : wanted.holds) {
       if (long_polls && order.wait > base::Millis{0} &&
-          workers.at(order.worker.id).up() &&
-          cut.count(order.worker.id) == 0 &&
+          workers.at(order.worker.id).up() && cut.count(order.worker.id) == 0 &&
           !(draw_delay && draw_delay())) {
         LongPoll(order);
         continue;
--- a/packages/jobs/tests/late_call_test.cc
+++ b/packages/jobs/tests/late_call_test.cc
@@ -191,9 +191,11 @@
   CHECK(f.CountStartsOverCapacity() == 0);
 }
 
-// Guards against two runs of a task: a boot that the leader has not seen accepts
-// a start at once, with the longest lease, and is cut off before its report.
-TEST_CASE("a start that an unseen boot accepted counts with the longest lease") {
+// Guards against two runs of a task: a boot that the leader has not seen
+// accepts a start at once, with the longest lease, and is cut off before its
+// report.
+TEST_CASE(
+    "a start that an unseen boot accepted counts with the longest lease") {
   RestartCell f;
   // Never carried out, so that the leader waits for its answer meanwhile.
   f.MakeLate("w0", CallKind::kHold, Millis{10000000});
@@ -242,6 +244,24 @@
   CHECK(f.CountSecondRuns() == 0);
 }
 
+// Guards against two runs of a task: its start of an earlier run got no answer,
+// and begins that run on a second new boot, which the leader has not seen.
+TEST_CASE("a task with an open send outlasts the lease of a silent worker") {
+  RestartCell f;
+  f.MakeLate("w0", CallKind::kStart, Millis{9000});
+  f.Submit(1, kLongWork);
+  f.Run(Millis{500});
+  REQUIRE(f.RowsOf(1).size() == 1);
+  f.Restart("w0");
+  f.Run(Millis{1000});
+  REQUIRE(f.RowsOf(1).size() == 2);
+  f.CutFirstWorker();
+  f.Restart("w0");
+  f.Run(Millis{25000});
+  CHECK(f.RowsOf(1).size() >= 3);
+  CHECK(f.CountSecondRuns() == 0);
+}
+
 // Guards against the same faults on other ways. Starts that are carried out
 // late are not counted: nothing prevents one at a boot that no leader has
 // reached yet.
