Acknowledge the ends of a worker once, not with each hold order

A task that was done ran again: a boot that the leader had not seen accepted a start at once, the task was done, and the hold order under way, meant for the former boot, made the new one forget that end. Both lists lacked the run, so it was released as missing.

Cause: each hold order repeated the highest acknowledged number, also where the worker had forgotten those ends long ago. An acknowledgement is now sent until the boot has answered one that carried it. Most hold orders carry none then, and do no harm on another boot. What is left is an order with a fresh acknowledgement at the moment of a restart.

--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -147,6 +147,8 @@
   bool more_ends = false;   // The newest report didn't list all ends.
   int64_t ends_read = 0;    // Highest end number passed to the output.
   int64_t ends_stored = 0;  // Highest end number whose record is stored.
+  // Highest end number whose acknowledgement the boot has answered.
+  int64_t ends_forgotten = 0;
 };
 
 // Returns true if the worker can take new tasks now.
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -363,6 +363,10 @@
     worker->clock_ms = report.clock_ms;
     worker->clock_at = now;
   }
+  if (worker->entry.boot == order.worker) {
+    worker->ends_forgotten =
+        std::max(worker->ends_forgotten, order.acked_end_number);
+  }
   for (const EndedTask& end : report.ended) {
     if (end.number > worker->ends_read) {
       HandleEnd(*worker, end, now, out);
--- a/packages/jobs/src/fleet_boots.cc
+++ b/packages/jobs/src/fleet_boots.cc
@@ -163,6 +163,7 @@
   worker.max_lease_until_ms = 0;
   worker.ends_read = 0;
   worker.ends_stored = 0;
+  worker.ends_forgotten = 0;
   worker.newest_hold_sent_at = {};
 }
 
--- a/packages/jobs/src/fleet_holds.cc
+++ b/packages/jobs/src/fleet_holds.cc
@@ -118,8 +118,11 @@
   // no longer lease, and no end counts as acknowledged there.
   if (worker.responsive && worker.late_holds == 0 && worker.clock_known &&
       !worker.announced) {
-    order.acked_end_number = worker.ends_stored;
-    worker.fence_used = worker.fence_used || worker.ends_stored > 0;
+    // Repeated, it would make a new boot forget ends that it has not told.
+    if (worker.ends_stored > worker.ends_forgotten) {
+      order.acked_end_number = worker.ends_stored;
+      worker.fence_used = true;
+    }
     if (may_renew) {
       order.lease_until_ms = ExtendLease(worker, now);
     }
