An open send of a task delays the lapse of its later runs there

Two runs of a task: run 1's send got no answer, the restarted worker was reached, run 1 was over and run 2 started there; the worker restarted again and was cut off, the send began run 1 on that boot, run 2 was released by its own lease and run 3 met run 1.

The open sends of the task count for its later runs on the worker too, and are kept until what one of them may have begun on an unseen boot has lapsed. The shorter interval of hold orders ends as before, when no send can arrive.

Open: the same where run 2 is placed on another worker.

--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -286,7 +286,9 @@
                               uint64_t fence,
                               OrderOutcome outcome);
   // After this time the run is certainly over if its worker stays silent.
-  base::MonoTime LapsedAfter(const Worker& worker, const Run& run) const;
+  base::MonoTime LapsedAfter(const Worker& worker,
+                             const TaskRef& task,
+                             const Run& run) const;
   // After this time nothing runs on a boot that the leader has not reached.
   base::MonoTime UnseenBootLapsedAfter(const Worker& worker) const;
   Worker* WorkerOf(const TaskRef& task);
@@ -299,7 +301,8 @@
                      SchedulerOutput& out);
   void SendStops(Worker& worker, base::MonoTime now, SchedulerOutput& out);
   // How long to wait before a worker that did not answer is asked again.
-  base::Millis SilentRetryInterval(const Worker& worker) const;
+  base::Millis SilentRetryInterval(const Worker& worker,
+                                   base::MonoTime now) const;
   // Removes the open sends that can't arrive any more.
   void ForgetOpenSends(Worker& worker, base::MonoTime now);
   // The worker's current boot has told what it runs, under its fencing token.
--- a/packages/jobs/src/fleet_boots.cc
+++ b/packages/jobs/src/fleet_boots.cc
@@ -201,8 +201,15 @@
 
 // Only a call that is carried out late can begin a run on a boot that the
 // leader has not reached, or prolong it there.
-base::MonoTime Fleet::LapsedAfter(const Worker& worker, const Run& run) const {
-  const bool may_be_unseen = !worker.confirmed ||
+base::MonoTime Fleet::LapsedAfter(const Worker& worker,
+                                  const TaskRef& task,
+                                  const Run& run) const {
+  const bool has_open_send = std::any_of(
+      worker.open_sends.begin(), worker.open_sends.end(),
+      [&worker, &task](const OpenSend& send) {
+        return send.task == task && worker.newest_hold_sent_at < send.until;
+      });
+  const bool may_be_unseen = !worker.confirmed || has_open_send ||
                              run.phase == RunPhase::kStarting ||
                              worker.newest_hold_sent_at < run.start_open_until;
   return may_be_unseen
@@ -216,8 +223,11 @@
       SetOver(send, true);
     }
   }
-  std::erase_if(worker.open_sends, [now](const OpenSend& send) {
-    return send.over && send.until < now;
+  // What it may have begun on an unseen boot counts until it has lapsed.
+  const base::Millis lease = LeaseBound(m_options.max_lease);
+  std::erase_if(worker.open_sends, [&worker, lease, now](const OpenSend& send) {
+    const bool seen = worker.newest_hold_sent_at >= send.until;
+    return send.over && send.until < now && (seen || send.until + lease < now);
   });
 }
 
--- a/packages/jobs/src/fleet_holds.cc
+++ b/packages/jobs/src/fleet_holds.cc
@@ -49,7 +49,7 @@
     return;
   }
   worker->holds_in_flight = std::max(0, worker->holds_in_flight - 1);
-  worker->next_hold = now + SilentRetryInterval(*worker);
+  worker->next_hold = now + SilentRetryInterval(*worker, now);
   worker->last_hold_failed_at = now;
   if (outcome == OrderOutcome::kUnknown) {
     RecordUnanswered(boot.id, now);
@@ -87,7 +87,7 @@
   }
   std::vector<TaskRef> lapsed;
   for (const auto& [task, run] : worker.runs) {
-    if (now > LapsedAfter(worker, run)) {
+    if (now > LapsedAfter(worker, task, run)) {
       lapsed.push_back(task);
     }
   }
@@ -133,13 +133,17 @@
     }
   }
   ++worker.holds_in_flight;
-  worker.next_hold = now + SilentRetryInterval(worker);
+  worker.next_hold = now + SilentRetryInterval(worker, now);
   out.holds.push_back(std::move(order));
 }
 
-base::Millis Fleet::SilentRetryInterval(const Worker& worker) const {
-  return worker.open_sends.empty() ? m_options.silent_retry_interval
-                                   : m_options.open_send_retry_interval;
+base::Millis Fleet::SilentRetryInterval(const Worker& worker,
+                                        base::MonoTime now) const {
+  const bool may_arrive =
+      std::any_of(worker.open_sends.begin(), worker.open_sends.end(),
+                  [now](const OpenSend& send) { return now <= send.until; });
+  return may_arrive ? m_options.open_send_retry_interval
+                    : m_options.silent_retry_interval;
 }
 
 base::Millis Fleet::OrderTimeout(base::MonoTime now) const {
