Tell by its clock that another boot has answered a start

Two runs of a task, without any late call: a worker restarts, its new boot accepts a start under the present token at once, with the longest lease, and is cut off before the hold order under way (up to 2 s and its time-out) tells of the restart. The run was released by the lease of the former boot's clock, after 8.8 s; with the hold order carried out late on the new boot, its lease goes on for longer still. Both orders are on time then, as in the users' record.

The answer to a start names no boot, but its clock. One that is behind what the known boot's clock showed when the start was sent, at the slowest rate of 2%, is another boot's: the worker is asked at once under the next token, and until it has answered the run counts as one on a boot that was not reached. Two boots of the same age to within 150 ms can't be told apart so.

A worker with a run that the leader doesn't know is asked each 200 ms, so that a lost stop leaves it idle for no longer. Silence right after a leader's first contact has a test of its own.

--- a/bench/jobs/crest_cell.cc
+++ b/bench/jobs/crest_cell.cc
@@ -174,7 +174,8 @@
       });
     }
     m_duties.Measure(Duty::kStarted, [&] {
-      m_scheduler.OnStarted(order, OrderOutcome::kAccepted, m_now, m_out);
+      m_scheduler.OnStarted(order, {OrderOutcome::kAccepted, std::nullopt},
+                            m_now, m_out);
     });
   });
 }
--- a/packages/cell/include/cell/node_dependencies.h
+++ b/packages/cell/include/cell/node_dependencies.h
@@ -29,7 +29,7 @@
   virtual ~WorkerOrderClient() = default;
 
   virtual void Start(const jobs::StartOrder& order,
-                     std::function<void(jobs::OrderOutcome)> done) = 0;
+                     std::function<void(jobs::StartAnswer)> done) = 0;
   virtual void Stop(const jobs::StopOrder& order,
                     std::function<void(jobs::OrderOutcome)> done) = 0;
   virtual void Hold(const jobs::HoldOrder& order,
--- a/packages/cell/src/node_leader.cc
+++ b/packages/cell/src/node_leader.cc
@@ -378,18 +378,19 @@
 void Node::SendStart(const jobs::StartOrder& order) {
   m_starts.Add(1);
   m_dependencies.workers.Start(order, [this, order, epoch = m_term->epoch()](
-                                          jobs::OrderOutcome outcome) {
+                                          const jobs::StartAnswer& answer) {
     // An accepted start is not logged here: the task's bind record shows it.
-    if (outcome != jobs::OrderOutcome::kAccepted) {
-      base::LogEvent(base::Severity::kWarning, "AZ9111", "task start failed",
-                     {{"task", jobs::ToString(order.task)},
-                      {"run", std::to_string(order.run)},
-                      {"worker", order.worker.id},
-                      {"fence", std::to_string(order.fence)},
-                      {"outcome", std::string(OrderOutcomeName(outcome))}});
+    if (answer.outcome != jobs::OrderOutcome::kAccepted) {
+      base::LogEvent(
+          base::Severity::kWarning, "AZ9111", "task start failed",
+          {{"task", jobs::ToString(order.task)},
+           {"run", std::to_string(order.run)},
+           {"worker", order.worker.id},
+           {"fence", std::to_string(order.fence)},
+           {"outcome", std::string(OrderOutcomeName(answer.outcome))}});
     }
-    PostInTerm(epoch, [this, order, outcome](LeaderTerm& term) {
-      term.scheduler().OnStarted(order, outcome, m_clock.Now(), term.output());
+    PostInTerm(epoch, [this, order, answer](LeaderTerm& term) {
+      term.scheduler().OnStarted(order, answer, m_clock.Now(), term.output());
     });
   });
 }
--- a/packages/cell/tests/leader_simulation.h
+++ b/packages/cell/tests/leader_simulation.h
@@ -358,7 +358,9 @@
           Post([this, order, outcome, in_time] {
             Spend(m_costs.per_answer);
             m_term->scheduler().OnStarted(
-                order, in_time ? *outcome : jobs::OrderOutcome::kUnknown,
+                order,
+                {in_time ? *outcome : jobs::OrderOutcome::kUnknown,
+                 std::nullopt},
                 m_clock.now, m_term->output());
           });
         });
--- a/packages/cell/tests/node_fixture.h
+++ b/packages/cell/tests/node_fixture.h
@@ -45,7 +45,7 @@
 class IdleWorkers : public WorkerOrderClient {
  public:
   void Start(const jobs::StartOrder& /*order*/,
-             std::function<void(jobs::OrderOutcome)> /*done*/) override {}
+             std::function<void(jobs::StartAnswer)> /*done*/) override {}
   void Stop(const jobs::StopOrder& /*order*/,
             std::function<void(jobs::OrderOutcome)> /*done*/) override {}
   void Hold(const jobs::HoldOrder& order,
--- a/packages/cell/tests/node_unstored_ends_test.cc
+++ b/packages/cell/tests/node_unstored_ends_test.cc
@@ -30,13 +30,13 @@
   explicit WorkerPath(OneWorker& worker) : m_worker(worker) {}
 
   void Start(const jobs::StartOrder& order,
-             std::function<void(jobs::OrderOutcome)> done) override {
+             std::function<void(jobs::StartAnswer)> done) override {
     if (IsCut()) {
-      done(jobs::OrderOutcome::kUnknown);
+      done({});
       return;
     }
     m_worker.report.running.push_back({order.task, order.run, "", 0});
-    done(jobs::OrderOutcome::kAccepted);
+    done({jobs::OrderOutcome::kAccepted, std::nullopt});
   }
   void Stop(const jobs::StopOrder& /*order*/,
             std::function<void(jobs::OrderOutcome)> done) override {
--- a/packages/cell/tests/policy_cell_fixture.h
+++ b/packages/cell/tests/policy_cell_fixture.h
@@ -134,9 +134,9 @@
   explicit AcceptingWorkers(const base::Clock& clock) : m_clock(clock) {}
 
   void Start(const jobs::StartOrder& /*order*/,
-             std::function<void(jobs::OrderOutcome)> done) override {
+             std::function<void(jobs::StartAnswer)> done) override {
     ++starts;
-    done(jobs::OrderOutcome::kAccepted);
+    done({jobs::OrderOutcome::kAccepted, std::nullopt});
   }
   void Stop(const jobs::StopOrder& /*order*/,
             std::function<void(jobs::OrderOutcome)> /*done*/) override {}
--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -212,7 +212,7 @@
   // The outcome of the newest send. Once a start was repeated, a refusal says
   // nothing about the earlier sends.
   void OnStarted(const StartOrder& order,
-                 OrderOutcome outcome,
+                 const StartAnswer& answer,
                  base::MonoTime now,
                  SchedulerOutput& out);
   void OnStopped(const StopOrder& order,
@@ -278,6 +278,12 @@
   void RaiseFence(Worker& worker, base::MonoTime now);
   // The last one of the term stays, and ends it.
   uint64_t FenceAfter(uint64_t fence);
+  // Finds out by the clock of an answered start whether another boot than the
+  // known one has answered it.
+  void ObserveClock(Worker& worker,
+                    const StartOrder& order,
+                    const StartAnswer& answer,
+                    base::MonoTime now);
   // The worker's boot has answered under its fencing token.
   void ConfirmBoot(Worker& worker, base::MonoTime now);
   // True if a later leader has fenced the order. Calls that this leader has
--- a/packages/jobs/include/jobs/orders.h
+++ b/packages/jobs/include/jobs/orders.h
@@ -90,6 +90,12 @@
 
 std::string_view OrderOutcomeName(OrderOutcome outcome);
 
+// A worker's answer to a start.
+struct StartAnswer {
+  OrderOutcome outcome = OrderOutcome::kUnknown;
+  std::optional<int64_t> clock_ms;  // The worker's clock, if it told that.
+};
+
 }  // namespace azurespur::jobs
 
 #endif  // JOBS_ORDERS_H_
--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -109,7 +109,7 @@
                 SchedulerOutput& out);
 
   void OnStarted(const StartOrder& order,
-                 OrderOutcome outcome,
+                 const StartAnswer& answer,
                  base::MonoTime now,
                  SchedulerOutput& out);
   void OnStopped(const StopOrder& order,
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -242,7 +242,7 @@
   run->start_sent_at = now;
   run->start_fence = worker->fence;
   worker->fence_used = true;
-  worker->last_grant_at = now;
+  worker->last_grant_at = std::max(worker->last_grant_at, now);
   return worker;
 }
 
@@ -257,7 +257,7 @@
 int64_t Fleet::ExtendLease(const Worker& worker, base::MonoTime now) {
   Worker& own = *FindWorker(worker.entry.boot.id);
   own.fence_used = true;
-  own.last_grant_at = now;
+  own.last_grant_at = std::max(own.last_grant_at, now);
   const int64_t until = ClockNow(own, now) + m_options.lease.count();
   own.max_lease_until_ms = std::max(own.max_lease_until_ms, until);
   UpdateLeaseExpiry(own);
@@ -267,7 +267,7 @@
 void Fleet::OnStartRepeated(const TaskRef& task, base::MonoTime now) {
   if (Worker* worker = WorkerOf(task)) {
     worker->runs.at(task).start_open_until = now + kMaxOrderDelay;
-    worker->last_grant_at = now;
+    worker->last_grant_at = std::max(worker->last_grant_at, now);
   }
 }
 
@@ -280,15 +280,17 @@
 }
 
 void Fleet::OnStarted(const StartOrder& order,
-                      OrderOutcome outcome,
+                      const StartAnswer& answer,
                       base::MonoTime now,
                       SchedulerOutput& out) {
+  const OrderOutcome outcome = answer.outcome;
   const int32_t send_count = order.send_count;
   Worker* worker = FindWorker(order.worker.id);
   if (worker == nullptr) {
     return;
   }
   out.fenced = out.fenced || IsFencedByOther(*worker, order.fence, outcome);
+  ObserveClock(*worker, order, answer, now);
   Run* run = FindRun(*worker, order.task, order.run);
   if (run == nullptr || run->phase != RunPhase::kStarting) {
     return;
@@ -296,7 +298,7 @@
   if (outcome == OrderOutcome::kUnknown) {
     RecordUnanswered(worker->entry.boot.id, now);
     run->start_open_until = now + kMaxOrderDelay;
-    worker->last_grant_at = now;
+    worker->last_grant_at = std::max(worker->last_grant_at, now);
   }
   run->start_deadline = now + MaxStartDelay(m_options);
   const RunEvent event = EventOf(outcome, send_count);
--- a/packages/jobs/src/fleet_boots.cc
+++ b/packages/jobs/src/fleet_boots.cc
@@ -185,6 +185,29 @@
   return std::min(fence + 1, m_options.last_fence);
 }
 
+// The answer to a start names no boot, but a clock that is behind that of the
+// known boot at the send is another boot's.
+void Fleet::ObserveClock(Worker& worker,
+                         const StartOrder& order,
+                         const StartAnswer& answer,
+                         base::MonoTime now) {
+  if (!answer.clock_ms || !worker.clock_known ||
+      worker.entry.boot != order.worker) {
+    return;
+  }
+  const auto elapsed =
+      static_cast<double>(base::MillisBetween(worker.clock_at, order.sent_at));
+  const double slowest = elapsed < 0 ? 1 / kMinClockRate : kMinClockRate;
+  const int64_t at_send =
+      worker.clock_ms + static_cast<int64_t>(elapsed * slowest);
+  if (*answer.clock_ms >= at_send - kLeaseMargin.count()) {
+    return;
+  }
+  worker.clock_known = false;
+  worker.confirmed = false;
+  RaiseFence(worker, now);
+}
+
 // Any call for a former boot that was carried out has been so by now. It may
 // have granted the longest lease, as it stands on another clock.
 void Fleet::ConfirmBoot(Worker& worker, base::MonoTime now) {
--- a/packages/jobs/src/fleet_holds.cc
+++ b/packages/jobs/src/fleet_holds.cc
@@ -131,6 +131,9 @@
       order.wait =
           worker.runs.empty() ? m_options.idle_hold_wait : BusyHoldWait(now);
     }
+    if (worker.has_unknown_run) {
+      order.wait = std::min(order.wait, m_options.degraded_hold_wait);
+    }
   }
   ++worker.holds_in_flight;
   worker.next_hold = now + SilentRetryInterval(worker, now);
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -138,9 +138,10 @@
 }
 
 void Scheduler::OnStarted(const StartOrder& order,
-                          OrderOutcome outcome,
+                          const StartAnswer& answer,
                           base::MonoTime now,
                           SchedulerOutput& out) {
+  const OrderOutcome outcome = answer.outcome;
   if (outcome == OrderOutcome::kBadTicket) {
     m_advice.InvalidateTicket(order.task.StepOf(), order.worker.id);
   }
@@ -161,7 +162,7 @@
     out.starts.push_back(std::move(again));
     return;
   }
-  m_fleet.OnStarted(order, outcome, now, out);
+  m_fleet.OnStarted(order, answer, now, out);
   if (outcome == OrderOutcome::kAccepted) {
     RecordJobStarted(order.task.job, out);
   }
--- a/packages/jobs/tests/account_cap_test.cc
+++ b/packages/jobs/tests/account_cap_test.cc
@@ -214,7 +214,7 @@
   start.worker = entry.boot;
   start.task = task;
   start.run = 1;
-  fleet.OnStarted(start, OrderOutcome::kUnknown, now, out);
+  fleet.OnStarted(start, {}, now, out);
   EndedTask end;
   end.number = 1;
   end.task = task;
--- a/packages/jobs/tests/failing_worker_test.cc
+++ b/packages/jobs/tests/failing_worker_test.cc
@@ -132,6 +132,23 @@
   CHECK(f.started[1].run == 2);
 }
 
+// Guards against two runs of a task: until the first contact, a call of a
+// former leader may have granted the longest lease.
+TEST_CASE("tasks restart elsewhere after the longest lease in a new term") {
+  SchedulerFixture f;
+  f.AddQueue("batch", 1);
+  f.AddWorkers(2, 10);
+  f.Submit(1, "batch", 1, 10);
+  f.Run(Millis{100});
+  const std::string first = f.WorkerOf({1, 0, 0});
+  REQUIRE_FALSE(first.empty());
+  f.silent[first] = true;
+  f.Run(f.options.max_lease);
+  CHECK(f.started.size() == 1);
+  f.Run(Millis{800});
+  CHECK(f.started.size() == 2);
+}
+
 // A partition of 6.5 s, shorter than the lease, makes a failure domain with a
 // third of the workers unreachable while gangs run there.
 TEST_CASE("runs survive a network partition that is shorter than the lease") {
--- a/packages/jobs/tests/late_call_cell.h
+++ b/packages/jobs/tests/late_call_cell.h
@@ -289,14 +289,13 @@
       Call(
           order.worker.id, CallKind::kStart,
           [this, order](SimulatedWorker& worker, bool is_late) {
-            return worker.Start(order, is_late, now);
+            return StartAnswer{worker.Start(order, is_late, now),
+                               worker.ClockMs(now)};
           },
-          [this, order](OrderOutcome outcome) {
-            scheduler->OnStarted(order, outcome, now, out);
+          [this, order](const StartAnswer& answer) {
+            scheduler->OnStarted(order, answer, now, out);
           },
-          [this, order] {
-            scheduler->OnStarted(order, OrderOutcome::kUnknown, now, out);
-          });
+          [this, order] { scheduler->OnStarted(order, {}, now, out); });
     }
     for (const StopOrder& order : wanted.stops) {
       Call(
--- a/packages/jobs/tests/late_call_test.cc
+++ b/packages/jobs/tests/late_call_test.cc
@@ -2,7 +2,6 @@
 
 #include <doctest/doctest.h>
 
-#include <cstdlib>
 #include <random>
 #include <string>
 
@@ -80,11 +79,6 @@
   std::mt19937 random;
 };
 
-uint32_t Seeds() {
-  const char* text = std::getenv("SEEDS");
-  return text != nullptr ? static_cast<uint32_t>(std::stoul(text)) : kSeeds;
-}
-
 }  // namespace
 
 // Guards against two runs of a task: a renewal for the former boot arrives
@@ -291,7 +285,7 @@
   size_t over_capacity = 0;
   size_t runs = 0;
   int64_t terms = 0;
-  for (uint32_t seed = 1; seed <= Seeds(); ++seed) {
+  for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
     RandomCell f(seed);
     f.long_polls = true;
     f.draw_lost = [&f] { return f.Chance(10); };
--- a/packages/jobs/tests/repeated_start_test.cc
+++ b/packages/jobs/tests/repeated_start_test.cc
@@ -31,7 +31,7 @@
   bool LoseAnswer() {
     const StartOrder lost = starts.back();
     now += lost.timeout;
-    scheduler.OnStarted(lost, OrderOutcome::kUnknown, now, out);
+    scheduler.OnStarted(lost, {}, now, out);
     const std::vector<StartOrder> again = std::exchange(out, {}).starts;
     starts.insert(starts.end(), again.begin(), again.end());
     return !again.empty();
--- a/packages/jobs/tests/run_interleaving_test.cc
+++ b/packages/jobs/tests/run_interleaving_test.cc
@@ -206,8 +206,9 @@
     return false;
   }
   m_fleet.OnStarted(m_start,
-                    send == SendState::kAccepted ? OrderOutcome::kAccepted
-                                                 : OrderOutcome::kStaleRun,
+                    {send == SendState::kAccepted ? OrderOutcome::kAccepted
+                                                  : OrderOutcome::kStaleRun,
+                     std::nullopt},
                     m_now, m_out);
   send = SendState::kAnswered;
   return true;
@@ -227,7 +228,7 @@
     return true;
   }
   m_gave_up = true;
-  m_fleet.OnStarted(m_start, OrderOutcome::kUnknown, m_now, m_out);
+  m_fleet.OnStarted(m_start, {}, m_now, m_out);
   return true;
 }
 
--- a/packages/jobs/tests/scheduler_fixture.h
+++ b/packages/jobs/tests/scheduler_fixture.h
@@ -245,7 +245,7 @@
     if (outcome == OrderOutcome::kAccepted) {
       running[order.worker.id][order.task] = {order.run, 0};
     }
-    scheduler.OnStarted(order, outcome, now, out);
+    scheduler.OnStarted(order, {outcome, std::nullopt}, now, out);
   }
 
   void Stop(const StopOrder& order) {
--- a/packages/jobs/tests/worker_simulation.h
+++ b/packages/jobs/tests/worker_simulation.h
@@ -47,6 +47,9 @@
   const WorkerEntry& entry() const { return m_entry; }
   bool up() const { return m_up; }
   size_t starts_over_capacity() const { return m_starts_over_capacity; }
+  int64_t ClockMs(base::MonoTime now) const {
+    return base::MillisBetween(m_booted, now);
+  }
 
   void Crash(base::MonoTime now) {
     for (const auto& [task, index] : m_running) {
@@ -170,10 +173,6 @@
     size_t row = 0;
   };
 
-  int64_t ClockMs(base::MonoTime now) const {
-    return base::MillisBetween(m_booted, now);
-  }
-
   bool Admit(uint64_t fence) {
     if (fence < m_fence) {
       return false;
