--- a/testing/processes/late_orders.py
+++ b/testing/processes/late_orders.py
@@ -36,6 +36,9 @@
 class Client(threading.Thread):
     """Submits jobs to any VM and remembers those that were accepted."""
 
+    COUNTS, WORK_MS, STEPS = [1, 2, 4], [200, 500, 900], [1, 2]
+    PAUSE_S = (0.05, 0.25)
+
     def __init__(self, cell, seed, number):
         super().__init__(daemon=True)
         self.cell, self.seed, self.number = cell, seed, number
@@ -49,11 +52,11 @@
                 return
             job = f"{self.seed % 65536:04x}{self.number:04x}{i:08x}"
             status, _ = self.cell.submit(
-                rng.choice(self.cell.vms), job, count=rng.choice([1, 2, 4]),
-                work_ms=rng.choice([200, 500, 900]), steps=rng.choice([1, 2]))
+                rng.choice(self.cell.vms), job, count=rng.choice(self.COUNTS),
+                work_ms=rng.choice(self.WORK_MS), steps=rng.choice(self.STEPS))
             if status == 200:
                 self.accepted.append(job)
-            time.sleep(rng.uniform(0.05, 0.25))
+            time.sleep(rng.uniform(*self.PAUSE_S))
 
 
 def delay_some_starts(cell, rng):
@@ -142,4 +145,5 @@
     return max(play(int(arg)) for arg in sys.argv[1:])
 
 
-sys.exit(main())
+if __name__ == "__main__":
+    sys.exit(main())
--- a/testing/processes/refused.py
+++ b/testing/processes/refused.py
@@ -382,11 +382,14 @@
         self.version = 0
         self.vms = []
         self.publish([HOST])
-        self.workers = [Worker(self.record, self.store, f"w{i}", BACKEND, "a",
-                               history=self.history) for i in range(WORKERS)]
+        self.workers = self.make_workers()
         for i in range(1, VMS + 1):
             self.vms.append(ProgramVm(self, i))
 
+    def make_workers(self):
+        return [Worker(self.record, self.store, f"w{i}", BACKEND, "a",
+                       history=self.history) for i in range(WORKERS)]
+
     def add_relay(self, vm):
         if self._has_relays:
             address = vm.peer_address()
