Tests of late calls and of returned workers in the product's own path, red

The fakes carried one call in a hundred out late, by 4 s at most. A takeover lasts 6 s and a worker is owned again 4 s after a restart, so no late call ever reached a worker under its next owner or in a boot that was owned again. Removed workers never came back.

Calls now land up to a set time late, across owners and boots; the ownership model carries marker calls out up to five leases late; workers leave the list and return; a VM can be cut off from the VM list.

--- a/packages/control/tests/fake_cell.cc
+++ b/packages/control/tests/fake_cell.cc
@@ -73,7 +73,8 @@
 template <typename T>
 bool FakeVm::Call(std::string_view address,
                   Answered<T> done,
-                  std::function<base::Outcome<T>(FakeWorker&)> verb) {
+                  std::function<base::Outcome<T>(FakeWorker&)> verb,
+                  int64_t late_ms) {
   const std::string worker_id(address);
   const uint64_t caller = incarnation;
   const auto answer = [this, caller, done](base::Outcome<T> result) {
@@ -86,12 +87,14 @@
   if (kept_answers != nullptr) {
     kept_answers->push_back([done, no_answer] { done(no_answer); });
   }
-  const bool late = m_cell.Chance(m_cell.options.late_calls);
+  const bool late = m_cell.Chance(m_cell.options.late_calls) || late_ms > 0;
   const bool lost = m_cell.Chance(m_cell.options.lost_answers);
   const bool cut =
       cut_from_workers || m_cell.removed_workers.contains(worker_id);
   const int64_t there_ms =
-      late ? kCallTimeoutMillis + m_cell.Pick(0, 3000) : m_cell.Pick(0, 3);
+      late_ms > 0 ? late_ms
+      : late      ? kCallTimeoutMillis + m_cell.Pick(0, m_cell.options.late_ms)
+                  : m_cell.Pick(0, 3);
   const int64_t back_ms = m_cell.Pick(0, 3);
   if (!cut) {
     m_cell.time.After(
@@ -118,7 +121,8 @@
                    Answered<base::Unit> done) {
   return Call<base::Unit>(
       address, std::move(done),
-      [start](FakeWorker& worker) { return worker.Start(start); });
+      [start](FakeWorker& worker) { return worker.Start(start); },
+      start.id == late_start ? late_start_ms : 0);
 }
 
 bool FakeVm::Renew(std::string_view address,
@@ -292,7 +296,7 @@
 }
 
 std::shared_ptr<const services::VmListPage> FakeVm::Current() const {
-  if (m_list && m_list->version == m_cell.list_version) {
+  if (m_list && (cut_from_list || m_list->version == m_cell.list_version)) {
     return m_list;
   }
   auto page = std::make_shared<services::VmListPage>();
@@ -370,6 +374,19 @@
   return runs ? found->second : nullptr;
 }
 
+void FakeCell::RemoveWorker(const std::string& id) {
+  workers_by_id.at(id)->Restart();
+  removed_workers.insert(id);
+  listed_removals.insert(id);
+  ++list_version;
+}
+
+void FakeCell::ReturnWorker(const std::string& id) {
+  removed_workers.erase(id);
+  listed_removals.erase(id);
+  ++list_version;
+}
+
 FakeVm* FakeCell::FirstAlive() {
   for (const auto& vm : vms) {
     if (vm->alive && vm->paused_until_ms <= time.NowMillis()) {
--- a/packages/control/tests/fake_cell.h
+++ b/packages/control/tests/fake_cell.h
@@ -35,6 +35,7 @@
   int64_t report_lag_ms = 100;
   double lost_answers = 0;  // Share of calls whose answer is lost.
   double late_calls = 0;    // Share of calls that land after their timeout.
+  int64_t late_ms = 3000;   // How long after it at most.
   double repeated_appends = 0;
   TaskServiceOptions service;
 };
@@ -119,6 +120,10 @@
   int64_t paused_until_ms = 0;
   bool cut_from_workers = false;
   bool cut_from_log = false;
+  bool cut_from_list = false;
+  // A start of this worker task takes so long to land, with no answer.
+  std::string late_start;
+  int64_t late_start_ms = 0;
   // Collects for each call of a worker a function that answers it with an
   // error, whatever became of the call and of the caller. Null: none are kept.
   std::vector<std::function<void()>>* kept_answers = nullptr;
@@ -139,7 +144,8 @@
   template <typename T>
   bool Call(std::string_view address,
             Answered<T> done,
-            std::function<base::Outcome<T>(FakeWorker&)> verb);
+            std::function<base::Outcome<T>(FakeWorker&)> verb,
+            int64_t late_ms = 0);
   void FlushAppends();
   void ReadLog();
 
@@ -171,6 +177,10 @@
   }
 
   FakeWorker* FindWorker(const std::string& id);
+  // Ends the worker and takes it off the list.
+  void RemoveWorker(const std::string& id);
+  // Lists it again, in a new boot.
+  void ReturnWorker(const std::string& id);
   FakeVm* FirstAlive();
   // The VM that owns the most workers; null if none owns any.
   FakeVm* Owner();
--- a/packages/control/tests/fault_campaign_test.cc
+++ b/packages/control/tests/fault_campaign_test.cc
@@ -6,10 +6,11 @@
 
 namespace azurespur::control {
 
-TEST_CASE("no fault breaks a promise about tasks") {
-  constexpr uint64_t kRuns = 200;
-  for (uint64_t seed = 1; seed <= kRuns; ++seed) {
-    const FaultRun run = PlayFaults(seed);
+namespace {
+
+void PlayRuns(uint64_t runs, const FaultMix& mix) {
+  for (uint64_t seed = 1; seed <= runs; ++seed) {
+    const FaultRun run = PlayFaults(seed, mix);
     CAPTURE(seed);
     for (const std::string& violation : run.verdict.violations) {
       CAPTURE(violation);
@@ -19,4 +20,30 @@
   }
 }
 
+}  // namespace
+
+TEST_CASE("no fault breaks a promise about tasks") {
+  PlayRuns(200, {});
+}
+
+// Guards against calls that act on a later boot or under a later owner of the
+// worker: they land up to 15 s after they were sent, which outlasts a takeover,
+// and workers restart often.
+TEST_CASE("no call that lands late breaks a promise about tasks") {
+  FaultMix mix;
+  mix.late_calls = 0.05;
+  mix.late_ms = 14000;
+  mix.more_restarts = 0.05;
+  PlayRuns(100, mix);
+}
+
+// Guards against taking a life of a worker for another one.
+TEST_CASE("no worker that is listed again breaks a promise about tasks") {
+  FaultMix mix;
+  mix.late_calls = 0.03;
+  mix.late_ms = 14000;
+  mix.workers_return = true;
+  PlayRuns(100, mix);
+}
+
 }  // namespace azurespur::control
--- a/packages/control/tests/fault_plan.cc
+++ b/packages/control/tests/fault_plan.cc
@@ -28,7 +28,24 @@
   return spec;
 }
 
-void Inject(FakeCell& cell, FaultRun& run) {
+// The worker ends, is taken off the list later, and comes back after that.
+void RemoveForAWhile(FakeCell& cell, FakeWorker& worker, FaultRun& run) {
+  ++run.workers_removed;
+  worker.Restart();
+  cell.removed_workers.insert(worker.id());
+  const int64_t listed_ms = cell.Pick(0, 5000);
+  cell.time.After(listed_ms, [&cell] {
+    cell.listed_removals = cell.removed_workers;
+    ++cell.list_version;
+  });
+  cell.time.After(listed_ms + cell.Pick(500, 9000),
+                  [&cell, &run, id = worker.id()] {
+                    ++run.workers_returned;
+                    cell.ReturnWorker(id);
+                  });
+}
+
+void Inject(FakeCell& cell, const FaultMix& mix, FaultRun& run) {
   FakeVm& vm = *cell.vms[cell.Pick(0, cell.options.entry_vms - 1)];
   FakeWorker& worker = *cell.workers[cell.Pick(0, cell.options.workers - 1)];
   switch (cell.Pick(0, 6)) {
@@ -66,6 +83,12 @@
       worker.Restart();
       return;
     default:
+      if (mix.workers_return) {
+        if (cell.removed_workers.empty()) {
+          RemoveForAWhile(cell, worker, run);
+        }
+        return;
+      }
       if (cell.removed_workers.empty() && cell.Chance(0.3)) {
         ++run.workers_removed;
         worker.Restart();
@@ -81,11 +104,12 @@
 
 }  // namespace
 
-FaultRun PlayFaults(uint64_t seed) {
+FaultRun PlayFaults(uint64_t seed, const FaultMix& mix) {
   FakeCellOptions options;
   options.seed = seed;
   options.lost_answers = 0.03;
-  options.late_calls = 0.01;
+  options.late_calls = mix.late_calls;
+  options.late_ms = mix.late_ms;
   options.repeated_appends = 0.1;
   FakeCell cell(options);
   FaultRun run;
@@ -98,11 +122,16 @@
       }
     }
     if (time_ms >= kFaultsFromMillis && cell.Chance(0.08)) {
-      Inject(cell, run);
+      Inject(cell, mix, run);
       if (cell.Chance(0.4)) {
-        Inject(cell, run);
+        Inject(cell, mix, run);
       }
     }
+    if (time_ms >= kFaultsFromMillis && mix.more_restarts > 0 &&
+        cell.Chance(mix.more_restarts)) {
+      ++run.worker_restarts;
+      cell.workers[cell.Pick(0, cell.options.workers - 1)]->Restart();
+    }
   }
   cell.Run(kHealMillis);
   run.accepted = cell.accepted.size();
--- a/packages/control/tests/fault_plan.h
+++ b/packages/control/tests/fault_plan.h
@@ -9,6 +9,14 @@
 
 namespace azurespur::control {
 
+// What a sequence has beside or instead of the usual faults.
+struct FaultMix {
+  double late_calls = 0.01;  // Share of calls to workers.
+  int64_t late_ms = 3000;    // How long after their timeout they land, at most.
+  bool workers_return = false;  // Removed workers are listed again.
+  double more_restarts = 0;     // Share of steps with one more worker restart.
+};
+
 struct FaultRun {
   FakeVerdict verdict;
   int kills = 0;
@@ -17,13 +25,14 @@
   int outages = 0;
   int worker_restarts = 0;
   int workers_removed = 0;
+  int workers_returned = 0;
   size_t accepted = 0;
 };
 
 // Plays the faults of `seed`: kills, pauses longer than a lease, cuts of VMs
 // from workers or log, log outages, worker restarts and losses, lost and late
 // answers, repeated appends; often two at once. Ends with time to heal.
-FaultRun PlayFaults(uint64_t seed);
+FaultRun PlayFaults(uint64_t seed, const FaultMix& mix = {});
 
 }  // namespace azurespur::control
 
--- a/packages/control/tests/ownership_test.cc
+++ b/packages/control/tests/ownership_test.cc
@@ -15,12 +15,14 @@
 
 namespace {
 
-// What the model leaves out of the rules, to show that each is needed.
+// What the model leaves out of the rules, to show that each is needed, or adds
+// to the faults.
 struct LeftOut {
   bool settle = false;        // The extra lease.
   bool withdrawal = false;    // Another's marker is not shown to a candidate.
   bool send_time = false;     // Leases count from the answer.
   bool renewal_gone = false;  // "Unknown" answers and reports are ignored.
+  bool late_calls = false;    // Some calls land after a marker was dropped.
 };
 
 struct ModelOutcome {
@@ -82,6 +84,13 @@
     return std::uniform_real_distribution<double>(0, 1)(m_random) < share;
   }
 
+  // Some calls land long after their sender has dropped the marker, under other
+  // owners and in later boots.
+  int64_t CallMillis() {
+    const bool late = m_left_out.late_calls && Chance(0.1);
+    return late ? Pick(10, 150) : Pick(0, 2);
+  }
+
   // Delivers to a candidate, after its pause if it is paused.
   void Deliver(size_t index, int64_t delay_ms, std::function<void()> event) {
     m_time.After(delay_ms, [this, index, event] {
@@ -149,7 +158,7 @@
 
   void Act(size_t index, const OwnershipStep& step) {
     if (step.stop) {
-      m_time.After(Pick(0, 2),
+      m_time.After(CallMillis(),
                    [this, marker = *step.stop] { m_markers.erase(marker); });
     }
     if (step.start) {
@@ -162,7 +171,7 @@
 
   void Send(size_t index, const std::string& marker, bool start) {
     const base::MonoTime sent = m_time.Now();
-    m_time.After(Pick(0, 2), [this, index, marker, start, sent] {
+    m_time.After(CallMillis(), [this, index, marker, start, sent] {
       const bool granted = start || m_markers.contains(marker);
       if (granted) {
         m_markers[marker] = m_time.NowMillis() + m_options.lease.count();
@@ -227,6 +236,16 @@
   CHECK(tally.owned > 2900);
 }
 
+// Guards against a marker's start, renewal or stop that a later boot or a later
+// owner's worker carries out.
+TEST_CASE("marker calls that land late never make two owners") {
+  LeftOut left_out;
+  left_out.late_calls = true;
+  const Tally tally = PlayRuns(left_out);
+  CHECK(tally.two_owners == 0);
+  CHECK(tally.owned > 2900);
+}
+
 TEST_CASE("without the extra lease there are two owners") {
   LeftOut left_out;
   left_out.settle = true;
--- a/packages/control/tests/task_service_test.cc
+++ b/packages/control/tests/task_service_test.cc
@@ -11,6 +11,7 @@
 
 #include "control/task_run.h"
 #include "fake_cell.h"
+#include "fake_checks.h"
 
 namespace azurespur::control {
 
@@ -45,6 +46,22 @@
   return cell.FirstAlive()->service->Fate(id).fate;
 }
 
+// Only one of the tasks fits on a worker.
+void SubmitOneForEachWorker(FakeCell& cell, int64_t run_ms) {
+  for (size_t i = 0; i < cell.workers.size(); ++i) {
+    cell.Submit(*cell.vms[0], BatchSpec("t" + std::to_string(i), 3600, run_ms));
+  }
+}
+
+void CheckEachRanOnce(const FakeCell& cell) {
+  for (const auto& [id, spec] : cell.accepted) {
+    CAPTURE(id);
+    CHECK(CountRuns(cell, id) == 1);
+  }
+  CHECK(cell.accepted.size() == cell.workers.size());
+  CHECK(CheckCell(cell).violations.empty());
+}
+
 // Virtual milliseconds until this VM owns all workers.
 int64_t TimeToOwnAll(FakeCell& cell, FakeVm& vm) {
   const int64_t from_ms = cell.time.NowMillis();
@@ -225,6 +242,137 @@
         std::string::npos);
 }
 
+// Guards against giving a task up, and running it twice, because its worker was
+// off the VM list in a former life.
+TEST_CASE("tasks bound to a worker that is listed again run once") {
+  FakeCell cell({});
+  cell.Run(kSettledMillis);
+  cell.RemoveWorker("w0");
+  cell.Run(3000);
+  cell.ReturnWorker("w0");
+  cell.Run(kSettledMillis);
+  REQUIRE(cell.OwnedWorkers() == 4);
+  SubmitOneForEachWorker(cell, 3000);
+  cell.Run(20000);
+  CheckEachRanOnce(cell);
+}
+
+// Guards against the same by a VM whose VM list is older than the worker's
+// return.
+TEST_CASE("a VM with an old list gives up no task of a returned worker") {
+  FakeCell cell({});
+  cell.Run(kSettledMillis);
+  cell.RemoveWorker("w0");
+  cell.Run(3000);
+  cell.vms[1]->cut_from_list = true;
+  cell.ReturnWorker("w0");
+  cell.Run(kSettledMillis);
+  REQUIRE(cell.vms[0]->service->OwnedWorkers() == 4);
+  SubmitOneForEachWorker(cell, 50000);
+  cell.Run(70000);
+  CheckEachRanOnce(cell);
+}
+
+// Guards against giving a task up because its worker is newer than the VM list
+// of a VM that has lost the list service.
+TEST_CASE("a VM with an old list gives up no task of a new worker") {
+  FakeCell cell({});
+  cell.RemoveWorker("w0");
+  cell.Run(kSettledMillis);
+  cell.vms[1]->cut_from_list = true;
+  cell.ReturnWorker("w0");
+  cell.Run(kSettledMillis);
+  REQUIRE(cell.vms[0]->service->OwnedWorkers() == 4);
+  SubmitOneForEachWorker(cell, 50000);
+  cell.Run(70000);
+  CheckEachRanOnce(cell);
+}
+
+// Guards against filling the room of a start that a former owner of the worker
+// sent and that lands late.
+TEST_CASE("a late start of a former owner finds its room on the worker") {
+  FakeCellOptions options;
+  options.workers = 1;
+  options.entry_vms = 2;
+  FakeCell cell(options);
+  cell.Run(kSettledMillis);
+  TaskSpec spec = BatchSpec("t1", 1000, 20000);
+  spec.memory_mb = 2000;
+  cell.vms[0]->late_start = "t1~1~0";
+  cell.vms[0]->late_start_ms = 12000;
+  cell.Submit(*cell.vms[0], spec);
+  cell.Run(500);
+  REQUIRE(FateOf(cell, "t1") == "bound");
+  cell.vms[0]->Kill();
+  cell.Run(60000);
+  CHECK(FateOf(cell, "t1") == "finished");
+  CHECK(CheckCell(cell).violations.empty());
+}
+
+// Guards against filling the room of a start that was meant for the worker's
+// former boot and is carried out by the next one.
+TEST_CASE("a late start for a former boot finds its room on the worker") {
+  FakeCellOptions options;
+  options.workers = 1;
+  options.entry_vms = 1;
+  FakeCell cell(options);
+  cell.Run(kSettledMillis);
+  TaskSpec spec = BatchSpec("t1", 1000, 20000);
+  spec.memory_mb = 2000;
+  cell.vms[0]->late_start = "t1~1~0";
+  cell.vms[0]->late_start_ms = 12000;
+  cell.Submit(*cell.vms[0], spec);
+  cell.Run(500);
+  REQUIRE(FateOf(cell, "t1") == "bound");
+  cell.workers[0]->Restart();
+  cell.Run(60000);
+  CHECK(FateOf(cell, "t1") == "finished");
+  CHECK(CheckCell(cell).violations.empty());
+}
+
+// Guards against the same for a start whose attempt was given up before the
+// worker restarted.
+TEST_CASE("room held for a late start stays held after a restart") {
+  FakeCellOptions options;
+  options.workers = 1;
+  options.entry_vms = 1;
+  FakeCell cell(options);
+  cell.Run(kSettledMillis);
+  TaskSpec spec = BatchSpec("t1", 1000, 20000);
+  spec.memory_mb = 2000;
+  cell.vms[0]->late_start = "t1~1~0";
+  cell.vms[0]->late_start_ms = 13000;
+  cell.Submit(*cell.vms[0], spec);
+  cell.Run(1800);
+  REQUIRE(FateOf(cell, "t1") == "accepted");
+  cell.workers[0]->Restart();
+  cell.Run(60000);
+  CHECK(FateOf(cell, "t1") == "finished");
+  CHECK(CheckCell(cell).violations.empty());
+}
+
+// Guards against renewing for ever a start that landed late, does no work and
+// proves that its task has not run.
+TEST_CASE("a late start at the next boot shows that the task has not run") {
+  FakeCell cell({});
+  cell.Run(kSettledMillis);
+  TaskSpec spec = BatchSpec("t1", 1000, 500);
+  spec.non_idempotent = true;
+  cell.vms[0]->late_start = "t1~1~0";
+  cell.vms[0]->late_start_ms = 12000;
+  cell.Submit(*cell.vms[0], spec);
+  cell.Run(500);
+  REQUIRE(FateOf(cell, "t1") == "bound");
+  for (const auto& worker : cell.workers) {
+    worker->Restart();
+  }
+  cell.Run(9000);
+  CHECK(FateOf(cell, "t1") == "may-have-run");
+  cell.Run(40000);
+  CHECK(FateOf(cell, "t1") == "finished");
+  CHECK(CountRuns(cell, "t1") == 1);
+}
+
 // Guards against heap damage at the end of the process: the HTTP client ends
 // the calls in flight after the service that made them is destroyed.
 TEST_CASE("answers of workers after the end of the service don't touch it") {
