Room for late starts is held over restarts and changes of owner

What callers saw: a worker given more memory than it has. A start that lands late holds memory on the worker until its next report, beside the tasks that were put there meanwhile.

Cause: the room for a start without an answer was held with the ownership of the worker. A restart ends the ownership, and a start meant for the former boot is carried out by the next one; the owner that sent it may be gone, and its successor knew nothing of it.

Now the room is held by worker, whatever becomes of its boot or owner. A successor holds it for a bound task that the worker doesn't show, as its start may be under way, and every VM holds it for bindings of others that are given up before the task was recorded as started: the stream tells. All of it ends after late_start_hold (15 s), the time for which an owner held it before.

Cost: up to 15 s without the room of such a task at a takeover. A process that read its state from another VM doesn't know what was given up before that.

--- a/packages/control/include/control/run_controller.h
+++ b/packages/control/include/control/run_controller.h
@@ -26,6 +26,7 @@
 class LogChannel;
 class RunListener;
 class TaskLedger;
+struct UnstartedBinding;
 
 struct RunControllerOptions {
   base::Millis append_deadline{10000};
@@ -80,6 +81,9 @@
   // The stream told a change of the task.
   void OnTaskChanged(const TaskState& task);
 
+  // The stream told that a binding was given up.
+  void OnGivenUp(UnstartedBinding binding);
+
   // Retries what is due.
   void Tick();
 
@@ -97,14 +101,15 @@
   using Runs = std::unordered_map<std::string, TaskRun>;
 
   struct LateStart {
+    std::string run_id;
     base::MonoTime until;
     placement::Resources size;
+    int64_t given_up_ms = -1;  // By a former owner; the log service's clock.
   };
 
   struct OwnedWorker {
     services::WorkerReport report;
     std::set<std::string> tasks;  // With a member here.
-    std::vector<LateStart> late_starts;
   };
 
   void CreateRun(const TaskState& task);
@@ -118,6 +123,8 @@
   void YieldSplitTasks();
   bool HasRoomFor(const std::string& worker) const;
   void HoldLateStart(const TaskRun& run, const MemberRun& member);
+  bool MayLand(const LateStart& late) const;
+  void ForgetLateStarts();
   void StopLeftovers(const std::string& worker);
   void ApplyReport(const std::string& worker);
   void Advance(TaskRun& run);
@@ -126,6 +133,7 @@
   void OnIntentAnswer(const std::string& run_id,
                       const base::Outcome<base::Unit>& result);
   bool IsUntouched(const TaskState& task, size_t member) const;
+  bool MayStillStart(const TaskState& task) const;
   void StartMembers(TaskRun& run);
   void StartMember(TaskRun& run, MemberRun& member, const TaskState& task);
   void ReleaseMembers(TaskRun& run);
@@ -157,6 +165,8 @@
   RunListener& m_listener;
   Runs m_runs;
   std::map<std::string, OwnedWorker> m_owned;
+  // By worker, owned or not: a start may land at the next boot or after a loss.
+  std::map<std::string, std::vector<LateStart>> m_late_starts;
   std::set<std::string> m_busy;  // Runs that Tick() looks at.
   // Bound tasks with some workers owned here and some elsewhere, and since
   // when.
--- a/packages/control/include/control/task_ledger.h
+++ b/packages/control/include/control/task_ledger.h
@@ -35,6 +35,16 @@
   int64_t record_validity_ms = 60'000;
 };
 
+// A binding that was given up before the task was recorded as started. A start
+// of it may still be under way to the worker.
+struct UnstartedBinding {
+  std::string worker;
+  std::string marker;  // Of the owner that bound it.
+  std::string run_id;  // On the worker.
+  placement::Resources size;
+  int64_t given_up_ms = 0;  // The log service's clock.
+};
+
 struct TaskCounts {
   size_t tasks = 0;
   size_t unbound = 0;
@@ -74,6 +84,9 @@
   // Ids that changed since the last call.
   std::vector<std::string> TakeChanges();
 
+  // Bindings that were given up unstarted since the last call.
+  std::vector<UnstartedBinding> TakeUnstarted();
+
   // Called after each change, on the reader's thread; set before use.
   void SetListener(std::function<void()> listener);
 
@@ -109,6 +122,7 @@
   void Attach(const TaskState& task);
   void Touch(TaskState& task);
   void NoteEnd(TaskState& task);
+  void NoteUnstarted(const TaskState& task);
   void Expire(int64_t now_ms);
 
   const TaskLedgerOptions m_options;
@@ -122,6 +136,7 @@
   // Records of tasks that are unknown here, for a refresh to come.
   std::map<std::string, std::vector<Orphan>> m_orphans;
   std::deque<std::pair<int64_t, std::string>> m_ends;  // By log time.
+  std::vector<UnstartedBinding> m_unstarted;
   std::unordered_set<std::string> m_changes;
   std::function<void()> m_listener;
   int64_t m_orphans_checked_ms = 0;
--- a/packages/control/src/run_calls.cc
+++ b/packages/control/src/run_calls.cc
@@ -287,11 +287,36 @@
 }
 
 void RunController::HoldLateStart(const TaskRun& run, const MemberRun& member) {
-  const auto owned = m_owned.find(member.worker);
-  if (owned != m_owned.end()) {
-    owned->second.late_starts.push_back(
-        {m_deps.clock.Now() + m_options.late_start_hold, run.size});
+  m_late_starts[member.worker].push_back(
+      {member.run_id, m_deps.clock.Now() + m_options.late_start_hold,
+       run.size});
+}
+
+// Its owner holds the room, and may be gone before the start lands.
+void RunController::OnGivenUp(UnstartedBinding binding) {
+  if (binding.marker != m_deps.fleet.MarkerOf(binding.worker)) {
+    m_late_starts[binding.worker].push_back(
+        {std::move(binding.run_id),
+         m_deps.clock.Now() + m_options.late_start_hold, binding.size,
+         binding.given_up_ms});
+  }
+}
+
+// A process that reads old records reads newer ones soon after.
+bool RunController::MayLand(const LateStart& late) const {
+  const int64_t log_ms = m_deps.ledger.LogTime();
+  return m_deps.clock.Now() < late.until &&
+         (late.given_up_ms < 0 ||
+          log_ms < late.given_up_ms + m_options.late_start_hold.count());
+}
+
+void RunController::ForgetLateStarts() {
+  for (auto& [worker, starts] : m_late_starts) {
+    std::erase_if(starts,
+                  [this](const LateStart& late) { return !MayLand(late); });
   }
+  std::erase_if(m_late_starts,
+                [](const auto& item) { return item.second.empty(); });
 }
 
 // The last guard before a start. Bindings of an earlier owner were made without
--- a/packages/control/src/run_controller.cc
+++ b/packages/control/src/run_controller.cc
@@ -201,6 +201,7 @@
 
 void RunController::Tick() {
   SweepRemovedWorkers();
+  ForgetLateStarts();
   YieldSplitTasks();
   const std::vector<std::string> busy(m_busy.begin(), m_busy.end());
   for (const std::string& id : busy) {
@@ -264,10 +265,13 @@
           {entry.cpu_millis, entry.memory_mb, entry.accelerators});
     }
   }
-  for (const LateStart& late : found->second.late_starts) {
-    if (m_deps.clock.Now() < late.until) {
-      usage.bound = placement::Add(usage.bound, late.size);
-      usage.unreported = placement::Add(usage.unreported, late.size);
+  const auto late_starts = m_late_starts.find(worker);
+  if (late_starts != m_late_starts.end()) {
+    for (const LateStart& late : late_starts->second) {
+      if (MayLand(late) && !held.contains(late.run_id)) {
+        usage.bound = placement::Add(usage.bound, late.size);
+        usage.unreported = placement::Add(usage.unreported, late.size);
+      }
     }
   }
   for (const TaskRun* run : RunsOn(worker)) {
--- a/packages/control/src/run_inheritance.cc
+++ b/packages/control/src/run_inheritance.cc
@@ -125,9 +125,6 @@
     return;
   }
   found->second.report = report;
-  std::erase_if(found->second.late_starts, [this](const LateStart& late) {
-    return late.until <= m_deps.clock.Now();
-  });
   ApplyReport(worker);
   StopLeftovers(worker);
   m_listener.OnWorkerChanged(worker);
@@ -270,9 +267,19 @@
   member.held_since = m_deps.clock.Now();
   if (entry != nullptr) {
     m_adoptions.Add(1);
+  } else if (member.phase == MemberPhase::kForgotten && MayStillStart(task)) {
+    HoldLateStart(run, member);
   }
 }
 
+// True if a start that an earlier owner sent may still be under way.
+bool RunController::MayStillStart(const TaskState& task) const {
+  const int64_t held_ms = m_deps.ledger.LogTime() - task.ended_ms;
+  return task.phase == TaskPhase::kBound ||
+         (task.phase == TaskPhase::kMayHaveRun &&
+          held_ms < m_options.late_start_hold.count());
+}
+
 // True if no earlier owner can have started the member: each would have left
 // an intent, and it would still be there.
 bool RunController::IsUntouched(const TaskState& task, size_t i) const {
--- a/packages/control/src/task_ledger.cc
+++ b/packages/control/src/task_ledger.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "control/task_run.h"
 #include "wire/codec.h"
 
 namespace azurespur::control {
@@ -162,6 +163,9 @@
       end.phase < TaskPhase::kMayHaveRun || task.phase == end.phase) {
     return;
   }
+  if (end.phase != TaskPhase::kMayHaveRun) {
+    NoteUnstarted(task);
+  }
   Detach(task);
   task.phase = end.phase;
   task.reason = end.reason;
@@ -175,6 +179,7 @@
   if (task.version != give_back.version || HasEnded(task)) {
     return;
   }
+  NoteUnstarted(task);
   Detach(task);
   if (!give_back.checkpoint.empty()) {
     task.checkpoint = give_back.checkpoint;
@@ -321,6 +326,21 @@
   m_ends.emplace_back(task.ended_ms, task.spec.id);
 }
 
+// A task that may have run has stayed bound, and may not have been started.
+void TaskLedger::NoteUnstarted(const TaskState& task) {
+  if (task.phase != TaskPhase::kBound && task.phase != TaskPhase::kMayHaveRun) {
+    return;
+  }
+  for (size_t i = 0; i < task.places.size(); ++i) {
+    const TaskPlace& place = task.places[i];
+    m_unstarted.push_back({place.worker,
+                           place.marker,
+                           MemberRunId(task.spec.id, task.attempt, i),
+                           {task.cpu_millis, task.memory_mb, task.accelerators},
+                           m_applied.time_ms});
+  }
+}
+
 void TaskLedger::Expire(int64_t now_ms) {
   const int64_t limit = now_ms - m_options.fate_retention_ms;
   while (!m_ends.empty() && m_ends.front().first < limit) {
@@ -382,6 +402,7 @@
   m_used.clear();
   m_orphans.clear();
   m_ends.clear();
+  m_unstarted.clear();
   m_applied = {saved.offset, saved.index, saved.time_ms};
   m_any_applied = saved.any_applied;
   for (TaskState& task : saved.tasks) {
@@ -477,6 +498,11 @@
   return changes;
 }
 
+std::vector<UnstartedBinding> TaskLedger::TakeUnstarted() {
+  std::lock_guard lock(m_mutex);
+  return std::exchange(m_unstarted, {});
+}
+
 void TaskLedger::SetListener(std::function<void()> listener) {
   std::lock_guard lock(m_mutex);
   m_listener = std::move(listener);
--- a/packages/control/src/task_service.cc
+++ b/packages/control/src/task_service.cc
@@ -107,6 +107,9 @@
   while (auto mail = m_mailbox->Pop()) {
     (*mail)();
   }
+  for (UnstartedBinding& binding : m_deps.ledger.TakeUnstarted()) {
+    m_runs.OnGivenUp(std::move(binding));
+  }
   for (const std::string& id : m_deps.ledger.TakeChanges()) {
     if (const auto task = m_deps.ledger.Find(id)) {
       m_runs.OnTaskChanged(*task);
