A start that lands after its member was settled is stopped, not renewed

What callers saw: a non-idempotent task that stays may-have-run for ever, and a worker whose memory is held by a task that does no work.

Cause: a worker restarts while a start is under way. The task can't be proven unstarted, so it is recorded as may-have-run and its run is kept. The start then lands in the next boot: a throttled task with a run, so it was not taken for a leftover, and the owner renewed its lease with all others. Only its end, never released, would have shown that the task has not run.

Now a throttled task whose member was settled without it is stopped like any leftover. The next report shows it as stopped and never released, and the task is given back and runs. This rests on each call being carried out at most once, as the rule for lapsed tasks did.

--- a/packages/control/src/run_inheritance.cc
+++ b/packages/control/src/run_inheritance.cc
@@ -158,9 +158,10 @@
   }
 }
 
-// A throttled task that belongs to no run here was started by an earlier owner
-// whose start landed late, or is the rest of an attempt that was given up. It
-// does no work and must never.
+// A throttled task that belongs to no run here, or to a member that was settled
+// without it, was started by an earlier owner whose start landed late, or is
+// the rest of an attempt that was given up. It does no work and must never.
+// Once it is stopped, reports show that the member did not run.
 void RunController::StopLeftovers(const std::string& worker) {
   const services::Vm* vm = m_deps.fleet.FindVm(worker);
   const auto found = m_owned.find(worker);
@@ -170,8 +171,11 @@
   for (const services::WorkerTask& entry : found->second.report.tasks) {
     const bool throttled = entry.state == services::WorkerTaskState::kThrottled;
     const bool running = entry.state == services::WorkerTaskState::kRunning;
+    const MemberRun* member = FindMember(entry.id).second;
+    const bool expected =
+        member != nullptr && (!throttled || !IsSettled(*member));
     if ((!throttled && !running) || IsOwnershipMarker(entry.id) ||
-        IsIntent(entry.id) || FindMember(entry.id).second != nullptr) {
+        IsIntent(entry.id) || expected) {
       continue;
     }
     const RunIdParts parts = ParseRunId(entry.id);
