--- a/packages/control/tests/task_service_test.cc
+++ b/packages/control/tests/task_service_test.cc
@@ -54,7 +54,8 @@
 }
 
 void CheckEachRanOnce(const FakeCell& cell) {
-  for (const auto& [id, spec] : cell.accepted) {
+  for (const auto& accepted : cell.accepted) {
+    const std::string& id = accepted.first;
     CAPTURE(id);
     CHECK(CountRuns(cell, id) == 1);
   }
