Test of a late may-have-run record of a task that was given back, red

Two VMs may judge the same lost member. One proves that the task has not run and gives it back; the record of the other, which can't tell, comes after it in the log, names the same attempt and takes effect on the accepted task. The task is then may-have-run without a place: no VM has a run for it, so nothing ever proves it unstarted.

--- a/packages/control/tests/task_ledger_test.cc
+++ b/packages/control/tests/task_ledger_test.cc
@@ -88,6 +88,21 @@
   CHECK(ledger.Find("t")->phase == TaskPhase::kBound);
 }
 
+// Guards against holding a task without a place for ever: two VMs judge a lost
+// member, one proves that it has not run and the other can't tell.
+TEST_CASE("a late may-have-run does not hold a task that was given back") {
+  Stream stream;
+  stream.Append(EntryKind::kTaskAccept, Accept("t", 0), 10);
+  stream.Append(EntryKind::kTaskBind, Bind(1, "w1"), 20);
+  stream.Append(EntryKind::kTaskGiveBack, TaskGiveBack{"t", 2, true, {}, {}},
+                30);
+  stream.Append(EntryKind::kTaskEnd,
+                TaskEnd{"t", 1, TaskPhase::kMayHaveRun, {}, {}}, 40);
+  TaskLedger ledger;
+  stream.ReadInto(ledger);
+  CHECK(ledger.Find("t")->phase == TaskPhase::kAccepted);
+}
+
 TEST_CASE("a wave of cancellations ends unbound tasks and marks bound ones") {
   Stream stream;
   stream.Append(EntryKind::kTaskAccept, Accept("t", 0), 10);
