--- a/packages/control/include/control/run_controller.h
+++ b/packages/control/include/control/run_controller.h
@@ -26,6 +26,7 @@
 class LogChannel;
 class RunListener;
 class TaskLedger;
+struct UnstartedBinding;
 
 struct RunControllerOptions {
   base::Millis append_deadline{10000};
@@ -37,8 +38,8 @@
   base::Millis settle{6000};
   // How long room is kept for a start without an answer: it may still land.
   base::Millis late_start_hold{15000};
-  // How long a worker with bound tasks must be off the VM list before it is
-  // taken as gone by a process that never saw it there.
+  // How long a worker must be off the VM list before a process takes the tasks
+  // bound to it as over if it never saw the boot that they were bound in.
   base::Millis removal_grace{30000};
   // How long a run waits for a worker that another VM owns.
   base::Millis split_run_wait{12000};
@@ -73,11 +74,16 @@
   void OnNotRunning(const std::string& worker,
                     std::span<const std::string> ids,
                     base::MonoTime sent) override;
-  void OnWorkerRemoved(const std::string& worker) override;
+  void OnWorkerRemoved(const std::string& worker,
+                       const std::string& boot,
+                       bool owned) override;
 
   // The stream told a change of the task.
   void OnTaskChanged(const TaskState& task);
 
+  // The stream told that a binding was given up.
+  void OnGivenUp(UnstartedBinding binding);
+
   // Retries what is due.
   void Tick();
 
@@ -95,14 +101,15 @@
   using Runs = std::unordered_map<std::string, TaskRun>;
 
   struct LateStart {
+    std::string run_id;
     base::MonoTime until;
     placement::Resources size;
+    int64_t given_up_ms = -1;  // By a former owner; the log service's clock.
   };
 
   struct OwnedWorker {
     services::WorkerReport report;
     std::set<std::string> tasks;  // With a member here.
-    std::vector<LateStart> late_starts;
   };
 
   void CreateRun(const TaskState& task);
@@ -111,9 +118,13 @@
   void StopIfThrottled(TaskRun& run, MemberRun& member);
   void DropRun(const std::string& id);
   void SweepRemovedWorkers();
+  void NoteAbsence(const TaskPlace& place);
+  bool IsGone(const TaskState& task, size_t member) const;
   void YieldSplitTasks();
   bool HasRoomFor(const std::string& worker) const;
   void HoldLateStart(const TaskRun& run, const MemberRun& member);
+  bool MayLand(const LateStart& late) const;
+  void ForgetLateStarts();
   void StopLeftovers(const std::string& worker);
   void ApplyReport(const std::string& worker);
   void Advance(TaskRun& run);
@@ -122,6 +133,7 @@
   void OnIntentAnswer(const std::string& run_id,
                       const base::Outcome<base::Unit>& result);
   bool IsUntouched(const TaskState& task, size_t member) const;
+  bool MayStillStart(const TaskState& task) const;
   void StartMembers(TaskRun& run);
   void StartMember(TaskRun& run, MemberRun& member, const TaskState& task);
   void ReleaseMembers(TaskRun& run);
@@ -153,12 +165,15 @@
   RunListener& m_listener;
   Runs m_runs;
   std::map<std::string, OwnedWorker> m_owned;
+  // By worker, owned or not: a start may land at the next boot or after a loss.
+  std::map<std::string, std::vector<LateStart>> m_late_starts;
   std::set<std::string> m_busy;  // Runs that Tick() looks at.
   // Bound tasks with some workers owned here and some elsewhere, and since
   // when.
   std::map<std::string, base::MonoTime> m_split;
-  std::set<std::string> m_gone;  // Workers off the VM list.
-  std::map<std::string, base::MonoTime> m_absent_since;
+  // Boots of workers off the VM list. A boot is over if the list, read at this
+  // time or later, still lacks the worker.
+  std::map<std::string, std::map<std::string, base::MonoTime>> m_gone;
   base::MonoTime m_swept_at;
   base::Counter& m_starts;
   base::Counter& m_adoptions;
--- a/packages/control/src/run_controller.cc
+++ b/packages/control/src/run_controller.cc
@@ -27,8 +27,8 @@
   const auto found = m_runs.find(id);
   if (found != m_runs.end()) {
     TaskRun& run = found->second;
-    const bool over = run.attempt != task.attempt || HasEnded(task) ||
-                      task.phase == TaskPhase::kAccepted;
+    const bool over =
+        run.attempt != task.attempt || HasEnded(task) || task.places.empty();
     if (!over) {
       run.started_recorded |= task.phase != TaskPhase::kBound;
       run.held = task.phase == TaskPhase::kMayHaveRun;
@@ -50,7 +50,7 @@
   bool any_owned = false;
   for (size_t i = 0; i < task.places.size(); ++i) {
     const std::string& worker = task.places[i].worker;
-    if (m_gone.contains(worker) && task.domain == m_deps.identity.domain) {
+    if (IsGone(task, i)) {
       continue;
     }
     // `task` was read before: if the lease still holds now, no other VM can
@@ -80,6 +80,7 @@
         owned != m_owned.end() && task.phase == TaskPhase::kBound &&
         task.places[i].marker == m_deps.fleet.MarkerOf(task.places[i].worker);
     if (!own_binding) {
+      run.members[i].gone = IsGone(task, i);
       Inherit(run, task, i);
     }
   }
@@ -200,6 +201,7 @@
 
 void RunController::Tick() {
   SweepRemovedWorkers();
+  ForgetLateStarts();
   YieldSplitTasks();
   const std::vector<std::string> busy(m_busy.begin(), m_busy.end());
   for (const std::string& id : busy) {
@@ -263,10 +265,13 @@
           {entry.cpu_millis, entry.memory_mb, entry.accelerators});
     }
   }
-  for (const LateStart& late : found->second.late_starts) {
-    if (m_deps.clock.Now() < late.until) {
-      usage.bound = placement::Add(usage.bound, late.size);
-      usage.unreported = placement::Add(usage.unreported, late.size);
+  const auto late_starts = m_late_starts.find(worker);
+  if (late_starts != m_late_starts.end()) {
+    for (const LateStart& late : late_starts->second) {
+      if (MayLand(late) && !held.contains(late.run_id)) {
+        usage.bound = placement::Add(usage.bound, late.size);
+        usage.unreported = placement::Add(usage.unreported, late.size);
+      }
     }
   }
   for (const TaskRun* run : RunsOn(worker)) {
