--- a/review/lib-2/platform2.py
+++ b/review/lib-2/platform2.py
@@ -35,17 +35,19 @@
 
 
 def free_port():
+    """A port below those that the system gives to outgoing channels, so that it is
+    still free when a process starts again."""
     while True:
-        with socket.socket() as tcp:
-            tcp.bind(("127.0.0.1", 0))
-            port = tcp.getsockname()[1]
+        port = random.SystemRandom().randrange(12000, 32000)
         if port in _used_ports:
             continue
-        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
-            try:
+        try:
+            with socket.socket() as tcp, \
+                    socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as udp:
+                tcp.bind(("127.0.0.1", port))
                 udp.bind(("127.0.0.1", port))
-            except OSError:
-                continue
+        except OSError:
+            continue
         _used_ports.add(port)
         return port
 
