--- a/review/lib-2/platform2.py
+++ b/review/lib-2/platform2.py
@@ -339,7 +339,7 @@
             if len(items) == 500 or (items and size + len(value) > 1 << 20):
                 break
             size += len(value)
-            items.append({"key": key.decode(), "offset": offset,
+            items.append({"key": key.decode("utf-8", "replace"), "offset": offset,
                           "value": base64.b64encode(value).decode()})
         return 200, {"items": items, "hasMore": len(items) < len(keys),
                      "end": part.end}
