--- a/review/lib-2/platform2.py
+++ b/review/lib-2/platform2.py
@@ -24,6 +24,8 @@
 SILENCE = "silence"  # A handler's answer: none, and the channel stays open.
 RESET = "reset"
 START = time.monotonic()
+# A script that is told to stop ends what it started, as after an interrupt.
+signal.signal(signal.SIGTERM, lambda *_: os.kill(os.getpid(), signal.SIGINT))
 
 
 def now():
@@ -159,24 +161,29 @@
             writer.close()
 
 
+async def exchange(address, head, body, opened):
+    host, port = address.rsplit(":", 1)
+    reader, writer = await asyncio.open_connection(host, int(port))
+    opened.append(writer)
+    writer.write(head + body)
+    line, _, reply = await read_message(reader)
+    return int(line.split(" ")[1]), reply
+
+
 async def call(address, method, target, body=b"", headers=None, timeout_s=4.0):
     """Returns (status, body); status None if there was no whole answer."""
-    host, port = address.rsplit(":", 1)
     fields = {"Host": HOST, "Content-Type": "application/json",
               "Content-Length": str(len(body)), "Connection": "close"}
     fields.update(headers or {})
-    head = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
-    writer = None
+    lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items())
+    head = f"{method} {target} HTTP/1.1\r\n{lines}\r\n".encode()
+    opened = []
     try:
-        async with asyncio.timeout(timeout_s):
-            reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(f"{method} {target} HTTP/1.1\r\n{head}\r\n".encode() + body)
-            line, _, reply = await read_message(reader)
-            return int(line.split(" ")[1]), reply
-    except (OSError, asyncio.IncompleteReadError, TimeoutError, ValueError):
+        return await asyncio.wait_for(exchange(address, head, body, opened), timeout_s)
+    except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, ValueError):
         return None, b""
     finally:
-        if writer is not None:
+        for writer in opened:
             writer.close()
 
 
@@ -314,7 +321,7 @@
         while start >= part.end and time.monotonic() < until:
             try:
                 await asyncio.wait_for(part.changed.wait(), until - time.monotonic())
-            except TimeoutError:
+            except asyncio.TimeoutError:
                 break
         self.expire(part)
         if start < part.first:
@@ -532,7 +539,7 @@
         if not self.ended and wait > 0:
             try:
                 await asyncio.wait_for(self.end_seen.wait(), wait)
-            except TimeoutError:
+            except asyncio.TimeoutError:
                 pass
         if not self.up or self.born != born:
             return RESET
