--- a/review/7/case.py
+++ b/review/7/case.py
@@ -11,7 +11,7 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 EXECUTORS = 6
-TRAFFIC_S, EVERY_S, WORK_MS = 24.0, 0.12, (500, 500, 500, 3000)
+TRAFFIC_S, EVERY_S, WORK_MS = 24.0, 0.07, (500, 500, 500, 3000)
 LATE_AT_S, LATE_FOR_S, LATE_SHARE, LATE_S = 8.0, 5.5, 0.5, (2.0, 12.0)
 CUT_AT_S, CUT_FOR_S, DOWN_S = 13.0, 5.5, 0.3
 SETTLE_S = 20.0
