--- a/review/7/case.py
+++ b/review/7/case.py
@@ -66,26 +66,32 @@
         self.cell.record.say(f"executor {executor.name} is reached again")
 
 
+def is_noted(executor, task, number, born, ended):
+    """An end is taken note of when lastSeen reaches it, unless the executor's lease
+    lapsed between the two."""
+    noted = executor.noted.get((task, number, born))
+    return noted is not None and not any(
+        ended <= lapse <= noted for lapse in executor.lapses)
+
+
 def broken_rules(cell):
     """TWICE: two runs of a task at once, or a start after an end as done that is
-    taken note of, unless the lease lapsed between the two (none does here: an end is
-    counted only if lastSeen reached it within 2 s)."""
+    taken note of, then or later."""
     broken = []
     runs = {}
     for row in cell.history():
         runs.setdefault(row[0], []).append(row)
     for task, rows in runs.items():
-        for i, (_, number, began, ended, how, executor) in enumerate(rows):
-            noted = executor.noted.get((task, number))
-            for _, later, began_later, _, _, where in rows[i + 1:]:
+        for i, (_, number, began, ended, how, executor, born) in enumerate(rows):
+            for _, later, began_later, _, _, where, _ in rows[i + 1:]:
+                start = f"TWICE {task}: run {later} on {where.name} begins at " \
+                        f"{began_later:.3f}"
                 if ended is None or began_later < ended:
-                    broken.append(f"TWICE {task}: run {later} on {where.name} begins at "
-                                  f"{began_later:.3f}, beside run {number} on "
-                                  f"{executor.name} of {began:.3f}")
-                elif how == "done" and noted and noted - ended < 2.0:
-                    broken.append(f"TWICE {task}: run {later} on {where.name} begins at "
-                                  f"{began_later:.3f}, run {number} on {executor.name} "
-                                  f"had ended done at {ended:.3f}, noted at {noted:.3f}")
+                    broken.append(f"{start}, beside run {number} on {executor.name} of "
+                                  f"{began:.3f}")
+                elif how == "done" and is_noted(executor, task, number, born, ended):
+                    broken.append(f"{start}, run {number} on {executor.name} had ended "
+                                  f"done at {ended:.3f}, which is taken note of")
     return broken
 
 
--- a/review/lib-2/platform2.py
+++ b/review/lib-2/platform2.py
@@ -382,7 +382,8 @@
         self.up = False
         self.state = "ready"
         self.history = []  # [task, run, began, ended, how, born]
-        self.noted = {}  # (task, run) -> when lastSeen reached its end
+        self.noted = {}  # (task, run, born) -> when lastSeen reached its end
+        self.lapses = []  # Times at which its lease was over.
         self.fences = []
         self.on_order = None  # May return an answer in place of the usual one.
         self.silent_store = False  # Reaches the store?
@@ -439,7 +440,8 @@
     async def _watch_lease(self):
         while True:
             await asyncio.sleep(0.02)
-            if self.running and self.clock() > self.lease_ms:
+            if self.clock() > self.lease_ms:
+                self.lapses.append(now())
                 for run in list(self.running.values()):
                     self._end(run, "lapsed")
 
@@ -532,7 +534,7 @@
         seen = order.get("lastSeen", 0)
         for end in self.ended:
             if end[0] <= seen:
-                self.noted.setdefault((end[1], end[2]), now())
+                self.noted.setdefault((end[1], end[2], born), now())
         self.ended = [end for end in self.ended if end[0] > seen]
         self._keep(order)
         wait = min(2000, order.get("waitMs", 0)) / 1000
@@ -718,12 +720,13 @@
 
     def history(self):
         """All runs, the present ones with no end: task, run, began, ended, how,
-        executor."""
+        executor, born."""
         runs = []
         for executor in self.executors:
-            runs += [[*row[:5], executor] for row in executor.history]
+            runs += [[*row[:5], executor, row[5]] for row in executor.history]
             if executor.up:
-                runs += [[run.task, run.number, run.began, None, "running", executor]
+                runs += [[run.task, run.number, run.began, None, "running", executor,
+                          executor.born]
                          for run in executor.running.values()]
         return sorted(runs, key=lambda row: row[2])
 
