A successor waits for the starts that its predecessor heard nothing of

The new leader acknowledged, released and ran elsewhere at once.

Cause: open starts lived in the leader's memory.

Change: OpenStartRecord in the work stream names a start without answer, once a task. HeartbeatRecord tells which bindings of the term, by their number in the log, are settled: answered, never sent, or named by an OpenStartRecord in an earlier batch. The table keeps both; a LeaderRecord opens the starts of the unsettled bindings. The successor counts 12.5 s from its term's begin, holds ends back, and sends a start that its worker lacks again there. A silent worker's run with an open start lapses after the 12.5 s and the longest lease. The number is told only when it has changed: told always it put the heartbeats of node_link_test over a tenth of the link.

--- a/packages/cell/src/leader_term.cc
+++ b/packages/cell/src/leader_term.cc
@@ -68,8 +68,12 @@
   m_batch.sequence = m_next_sequence++;
   if (m_recorded_intake_end != intake_end || m_queue.empty()) {
     m_recorded_intake_end = intake_end;
-    m_batch.records.push_back(
-        jobs::EncodeWork(jobs::HeartbeatRecord{m_epoch, intake_end}));
+    jobs::HeartbeatRecord heartbeat{m_epoch, intake_end};
+    if (m_told_settled_binds != m_settled_binds) {
+      m_told_settled_binds = m_settled_binds;
+      heartbeat.settled_binds = m_settled_binds;
+    }
+    m_batch.records.push_back(jobs::EncodeWork(heartbeat));
   }
   size_t bytes = 0;
   while (!m_queue.empty() && m_batch.pending.size() < kMaxBatchRecords &&
@@ -79,6 +83,9 @@
     m_batch.pending.push_back(std::move(m_queue.front()));
     m_queue.pop_front();
   }
+  if (m_queue.empty()) {
+    m_settled_binds = m_scheduler.settled_binds();
+  }
   if (m_yielding && m_queue.empty()) {
     m_batch.records.push_back(jobs::EncodeWork(jobs::YieldRecord{m_epoch}));
   }
--- a/packages/cell/src/leader_term.h
+++ b/packages/cell/src/leader_term.h
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -91,6 +92,10 @@
   int m_failures = 0;  // Consecutive failed appends.
   uint64_t m_next_sequence;
   int64_t m_recorded_intake_end = -1;
+  // Bindings whose outcome, or whose open start, an earlier batch tells.
+  uint64_t m_settled_binds = 0;
+  // What the last heartbeat record said of it.
+  std::optional<uint64_t> m_told_settled_binds;
   base::MonoTime m_last_append;
   base::MonoTime m_last_success;
   bool m_yielding = false;
--- a/packages/cell/tests/leader_term_test.cc
+++ b/packages/cell/tests/leader_term_test.cc
@@ -45,6 +45,20 @@
     }
   }
 
+  // Place of the first stored record of the kind in the stream; -1: none.
+  template <class Predicate>
+  int IndexOf(Predicate is_wanted) {
+    const auto& stored = log.topics[std::string(kWorkTopic)].records;
+    for (size_t i = 0; i < stored.size(); ++i) {
+      const auto record = jobs::DecodeWork(stored[i]);
+      REQUIRE(base::Ok(record));
+      if (is_wanted(base::Value(record))) {
+        return static_cast<int>(i);
+      }
+    }
+    return -1;
+  }
+
   // Makes the scheduler bind the task of a new job.
   void BindTask() {
     jobs::CellPolicy policy;
@@ -164,6 +178,32 @@
   CHECK(f.Stored() == std::vector<jobs::JobId>{1, 2, 0});
 }
 
+// Guards against a successor that takes a start for answered whose leader heard
+// nothing, and runs its task elsewhere (review/7).
+TEST_CASE("an open start is stored before its binding counts as settled") {
+  TermFixture f;
+  f.BindTask();
+  f.Run(Millis{200});
+  REQUIRE(f.term->output().starts.size() == 1);
+  const jobs::StartOrder start = f.term->output().starts[0];
+  f.Run(Millis{2000});
+  CHECK(f.IndexOf([](const jobs::WorkRecord& record) {
+    const auto* mark = std::get_if<jobs::HeartbeatRecord>(&record);
+    return mark != nullptr && mark->settled_binds.value_or(0) > 0;
+  }) < 0);
+  f.term->scheduler().OnStarted(start, {}, f.clock.now, f.term->output());
+  f.Run(Millis{2000});
+  const int open = f.IndexOf([](const jobs::WorkRecord& record) {
+    return std::holds_alternative<jobs::OpenStartRecord>(record);
+  });
+  const int settled = f.IndexOf([](const jobs::WorkRecord& record) {
+    const auto* mark = std::get_if<jobs::HeartbeatRecord>(&record);
+    return mark != nullptr && mark->settled_binds.value_or(0) == 1;
+  });
+  CHECK(open > 0);
+  CHECK(settled > open);
+}
+
 // Guards against starts, and with them leases, of a leader that was suspended
 // after it appended the binding: its successor counts the leases from then.
 TEST_CASE("a binding is started only if its append was sent of late") {
--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -87,6 +87,7 @@
 struct OpenStart {
   std::string worker;      // Id.
   base::MonoTime until{};  // The latest time of its arrival.
+  base::MonoTime recorded_at{};
 };
 
 // An end that is stored but not acknowledged, as its task has an open start.
@@ -195,6 +196,12 @@
              base::MonoTime now,
              AccountIndex account = kNoAccount);
 
+  // A send of the task's start to the worker got no answer from its sender, an
+  // earlier leader. To be called after Adopt().
+  void AdoptOpenStart(const TaskRef& task,
+                      std::string_view worker_id,
+                      base::MonoTime now);
+
   // Reserves capacity for a run whose binding is being stored.
   void Bind(const TaskRef& task,
             const Run& run,
--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -33,6 +33,18 @@
   std::string checkpoint;  // Empty: none.
 };
 
+// A start that may be carried out late.
+struct TableOpenStart {
+  std::string worker;      // Id.
+  base::MonoTime since{};  // When this VM read of it.
+};
+
+// A binding of the current term whose start may be under way.
+struct UnsettledBind {
+  TaskRef task;
+  std::string worker;  // Id.
+};
+
 struct StepProgress {
   std::vector<TaskProgress> tasks;
   int32_t done = 0;
@@ -108,8 +120,14 @@
   // Counts the accepted jobs of `queue` of which no task has started.
   int64_t CountPending(std::string_view queue) const;
 
-  // Removes the states of jobs that have been final for longer than `keep`, and
-  // cancellations and declarations of unknown jobs of that age.
+  // Starts that got no answer, or whose answer a former leader has not told of.
+  const std::map<TaskRef, TableOpenStart>& open_starts() const {
+    return m_open_starts;
+  }
+
+  // Removes the states of jobs that have been final for longer than `keep`,
+  // cancellations and declarations of unknown jobs of that age, and starts that
+  // can't be open any more.
   void RemoveExpired(base::MonoTime now, base::Millis keep);
 
   // Jobs that are not final, or still have bound tasks.
@@ -147,6 +165,7 @@
   void ApplyOne(const EndRecord& record, base::MonoTime now);
   void ApplyOne(const JobFailedRecord& record, base::MonoTime now);
   void ApplyOne(const JobStartedRecord& record, base::MonoTime now);
+  void ApplyOne(const OpenStartRecord& record, base::MonoTime now);
   void SetState(Job& job, JobState state, base::MonoTime now);
   // Reduces a final job to its state once no task of it is bound.
   void CompactIfFinished(JobId id);
@@ -163,6 +182,12 @@
   std::map<JobId, int64_t> m_cancel_offsets;
   std::map<std::string, int64_t, std::less<>> m_pending;  // By queue.
   SubmissionRates m_rates;
+  std::map<TaskRef, TableOpenStart> m_open_starts;
+  // Of the current term, by their numbers, which begin at 0.
+  std::map<uint64_t, UnsettledBind> m_unsettled;
+  uint64_t m_term_binds = 0;
+  // The leader tells which bindings are settled; earlier releases don't.
+  bool m_settles = false;
   LeaderRecord m_leader;
   bool m_yielded = false;
 };
--- a/packages/jobs/include/jobs/records.h
+++ b/packages/jobs/include/jobs/records.h
@@ -9,6 +9,7 @@
 
 #include <cereal/types/variant.hpp>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -117,6 +118,10 @@
 struct HeartbeatRecord {
   uint64_t epoch = 0;
   int64_t intake_end = 0;
+  // So many bindings of the term, from its first one on, have a start that was
+  // answered or never sent, or an OpenStartRecord before this record. Stored
+  // after the record's own bytes, where earlier releases ignore it.
+  std::optional<uint64_t> settled_binds{};
 
   template <class Archive>
   void serialize(Archive& archive) {
@@ -176,13 +181,27 @@
   }
 };
 
+// A start of the task got no answer from the worker, which may carry it out
+// late. A successor waits for the last moment at which that can be.
+struct OpenStartRecord {
+  TaskRef task;
+  std::string worker;  // Id.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(task, worker);
+  }
+};
+
+// Releases skip the kinds at the end that they don't know.
 using WorkRecord = std::variant<LeaderRecord,
                                 YieldRecord,
                                 HeartbeatRecord,
                                 BindRecord,
                                 EndRecord,
                                 JobFailedRecord,
-                                JobStartedRecord>;
+                                JobStartedRecord,
+                                OpenStartRecord>;
 
 std::string EncodeIntake(const IntakeRecord& record);
 std::string EncodeWork(const WorkRecord& record);
--- a/packages/jobs/include/jobs/scheduler.h
+++ b/packages/jobs/include/jobs/scheduler.h
@@ -142,6 +142,10 @@
             base::MonoTime last_append,
             SchedulerOutput& out);
 
+  // So many of the term's bindings, from its first one on, have a start that is
+  // answered or never sent, or an OpenStartRecord in the output so far.
+  uint64_t settled_binds() const;
+
   const Fleet& fleet() const { return m_fleet; }
   const UnsentBindings& unsent() const { return m_unsent; }
   const PlanCounts& plan_counts() const { return m_counts; }
@@ -325,6 +329,8 @@
                        const Job& job,
                        const Worker& worker,
                        base::MonoTime now);
+  // The outcome of the binding's first send is known, or an open start.
+  void SettleBind(const StartOrder& order);
   // Returns true if the task, which is bound there, may begin on the worker.
   bool FitsOn(const TaskRef& task, const Worker& worker) const;
   // Sends starts of unknown outcome again.
@@ -360,6 +366,10 @@
   // No worker has more free than this of any resource; as of the plan's begin.
   placement::Resources m_largest_free;
   UnsentBindings m_unsent;
+  // Bindings of the term are numbered from 0 on, in the order of the log.
+  uint64_t m_stored_binds = 0;
+  std::map<std::pair<TaskRef, int32_t>, uint64_t> m_unsettled_binds;
+  std::set<uint64_t> m_unsettled_numbers;
   StartPacer m_pacer;
   RunTimes m_run_times;
   WorkerSpeeds m_speeds;
--- a/packages/jobs/src/fleet_boots.cc
+++ b/packages/jobs/src/fleet_boots.cc
@@ -236,11 +236,16 @@
 base::MonoTime Fleet::LapsedAfter(const Worker& worker,
                                   const TaskRef& task,
                                   const Run& run) const {
-  // Counted by Adopt(). Not counted is a start of the former leader that got no
-  // answer, at a boot that nobody has reached: to wait for it would leave all
-  // that ran on lost workers idle for 12.5 s more at each change of leader.
+  // Counted by Adopt(). A start of the former leader that got no answer, at a
+  // boot that nobody has reached, counts where the log tells of one: to wait
+  // for all would leave what ran on lost workers idle for 12.5 s more at each
+  // change of leader.
   if (run.phase == RunPhase::kAdopted) {
-    return worker.lease_expires_at;
+    const bool open = run.start_open_until > base::MonoTime{};
+    const base::MonoTime late =
+        run.start_open_until + LeaseBound(m_options.max_lease);
+    return open ? std::max(worker.lease_expires_at, late)
+                : worker.lease_expires_at;
   }
   const bool has_open_send = std::any_of(
       worker.open_sends.begin(), worker.open_sends.end(),
--- a/packages/jobs/src/fleet_starts.cc
+++ b/packages/jobs/src/fleet_starts.cc
@@ -20,6 +20,8 @@
 // Limits the rate of hold orders to workers with held ends, all together.
 constexpr base::Millis kMinTimePerHeldEndHold{4};
 constexpr base::Millis kMinHeldEndInterval{30};
+// How often the log is told of the same open start. Shorter than it is kept.
+constexpr base::Millis kRecordInterval{10000};
 
 // A start that is sent now tells of the boot that the leader knows.
 bool IsKnownWell(const Worker& worker) {
@@ -34,7 +36,7 @@
                           const TaskRef& task,
                           Run& run,
                           base::MonoTime now,
-                          SchedulerOutput& /*out*/) {
+                          SchedulerOutput& out) {
   run.start_open_until = now + kMaxOrderDelay;
   if (run.has_ticket) {
     return;
@@ -42,6 +44,11 @@
   OpenStart& start = m_open_starts[task];
   start.worker = worker.entry.boot.id;
   start.until = run.start_open_until;
+  if (start.recorded_at == base::MonoTime{} ||
+      now >= start.recorded_at + kRecordInterval) {
+    start.recorded_at = now;
+    AddRecord(out, OpenStartRecord{task, start.worker});
+  }
 }
 
 void Fleet::CloseStart(const TaskRef& task, Run& run) {
@@ -49,6 +56,17 @@
   m_open_starts.erase(task);
 }
 
+void Fleet::AdoptOpenStart(const TaskRef& task,
+                           std::string_view worker_id,
+                           base::MonoTime now) {
+  const base::MonoTime until = now + kMaxOrderDelay;
+  m_open_starts[task] = {std::string(worker_id), until, now};
+  Worker* worker = WorkerOf(task);
+  if (worker != nullptr && worker->entry.boot.id == worker_id) {
+    worker->runs.at(task).start_open_until = until;
+  }
+}
+
 bool Fleet::IsOver(const OpenStart& start, base::MonoTime now) const {
   if (now <= start.until) {
     return false;
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -7,6 +7,13 @@
 
 namespace {
 
+// After its record, a start is open for up to 10 s more until the next record,
+// 12.5 s until it has arrived, and the lease of what it began.
+constexpr base::Millis kKeepOpenStarts{35000};
+// A term of an earlier release settles none. More than any leader has under
+// way.
+constexpr size_t kMaxUnsettled = 20000;
+
 TaskProgress* FindTask(Job& job, const TaskRef& task) {
   if (task.step < 0 || static_cast<size_t>(task.step) >= job.steps.size()) {
     return nullptr;
@@ -172,9 +179,22 @@
   std::visit([this, now](const auto& one) { ApplyOne(one, now); }, record);
 }
 
-void JobTable::ApplyOne(const LeaderRecord& record, base::MonoTime /*now*/) {
+// Nobody waits for the answers to the former leader's starts any more.
+void JobTable::ApplyOne(const LeaderRecord& record, base::MonoTime now) {
   m_leader = record;
   m_yielded = false;
+  for (const auto& [number, bind] : m_unsettled) {
+    if (m_settles) {
+      m_open_starts[bind.task] = {bind.worker, now};
+    }
+  }
+  m_unsettled.clear();
+  m_term_binds = 0;
+  m_settles = false;
+}
+
+void JobTable::ApplyOne(const OpenStartRecord& record, base::MonoTime now) {
+  m_open_starts[record.task] = {record.worker, now};
 }
 
 void JobTable::ApplyOne(const YieldRecord& record, base::MonoTime /*now*/) {
@@ -192,9 +212,18 @@
       CompactIfFinished(id);
     }
   }
+  if (record.settled_binds) {
+    m_settles = true;
+    m_unsettled.erase(m_unsettled.begin(),
+                      m_unsettled.lower_bound(*record.settled_binds));
+  }
 }
 
 void JobTable::ApplyOne(const BindRecord& record, base::MonoTime /*now*/) {
+  m_unsettled[m_term_binds++] = {record.task, record.worker.id};
+  if (m_unsettled.size() > kMaxUnsettled) {
+    m_unsettled.erase(m_unsettled.begin());
+  }
   const auto found = m_jobs.find(record.task.job);
   if (found == m_jobs.end()) {
     return;
@@ -325,6 +354,9 @@
   std::erase_if(m_missing, [now, keep](const auto& entry) {
     return entry.second.since + keep < now;
   });
+  std::erase_if(m_open_starts, [now](const auto& entry) {
+    return entry.second.since + kKeepOpenStarts < now;
+  });
 }
 
 }  // namespace azurespur::jobs
--- a/packages/jobs/src/job_table_snapshot.cc
+++ b/packages/jobs/src/job_table_snapshot.cc
@@ -130,8 +130,10 @@
 
 // The accounts of `saved`, which has no more and no fewer entries than stated.
 // Without accounts, none for each entry.
+// Sets `rest` to the bytes after them.
 base::Outcome<AccountsSnapshot> DecodeAccounts(std::string_view bytes,
-                                               const JobTableSnapshot& saved) {
+                                               const JobTableSnapshot& saved,
+                                               std::string_view& rest) {
   AccountsSnapshot accounts;
   if (bytes.empty()) {
     accounts.job_accounts.assign(saved.jobs.size(), -1);
@@ -139,7 +141,7 @@
     accounts.beyond_rate.assign(saved.jobs.size(), 0);
     return accounts;
   }
-  auto decoded = wire::Decode<AccountsSnapshot>(bytes);
+  auto decoded = wire::DecodePrefix<AccountsSnapshot>(bytes, rest);
   if (!base::Ok(decoded)) {
     return decoded;
   }
@@ -165,6 +167,22 @@
                     : accounts.accounts[static_cast<size_t>(number)];
 }
 
+bool HasStarts(const JobTableSnapshot& saved) {
+  int32_t used = 0;
+  for (const int32_t number : saved.job_terms) {
+    used = std::max(used, number + 1);
+  }
+  return used < static_cast<int32_t>(saved.terms.size());
+}
+
+base::Outcome<StartsSnapshot> DecodeStarts(std::string_view bytes,
+                                           const JobTableSnapshot& saved) {
+  if (!HasStarts(saved)) {
+    return StartsSnapshot{};
+  }
+  return wire::Decode<StartsSnapshot>(bytes);
+}
+
 bool HasValidTerms(const JobTableSnapshot& saved) {
   return saved.job_terms.size() == saved.jobs.size() &&
          std::all_of(saved.job_terms.begin(), saved.job_terms.end(),
@@ -258,12 +276,27 @@
   saved.workers = workers.TakeAll();
   saved.terms = terms.TakeAll();
   accounts.accounts = numbers.TakeAll();
+  StartsSnapshot starts;
+  for (const auto& [task, start] : table.m_open_starts) {
+    starts.open.push_back(
+        {task, start.worker, base::MillisBetween(start.since, now)});
+  }
+  for (const auto& [number, bind] : table.m_unsettled) {
+    starts.unsettled.push_back({number, bind.task, bind.worker});
+  }
+  starts.term_binds = table.m_term_binds;
+  starts.settles = table.m_settles;
+  const bool has_starts =
+      !starts.open.empty() || starts.term_binds > 0 || starts.settles;
+  if (has_starts) {
+    saved.terms.emplace_back();
+  }
   std::string bytes = wire::Encode(saved);
-  if (!accounts.accounts.empty()) {
+  if (!accounts.accounts.empty() || has_starts) {
     accounts.rates = table.m_rates.buckets();
     bytes += wire::Encode(accounts);
   }
-  return bytes;
+  return has_starts ? bytes + wire::Encode(starts) : bytes;
 }
 
 base::Outcome<JobTable> DecodeJobTable(std::string_view bytes,
@@ -277,10 +310,15 @@
   if (!HasValidTerms(saved)) {
     return Malformed("terms of the jobs");
   }
-  const auto decoded_accounts = DecodeAccounts(rest, saved);
+  std::string_view starts_bytes;
+  const auto decoded_accounts = DecodeAccounts(rest, saved, starts_bytes);
   if (!base::Ok(decoded_accounts)) {
     return base::GetError(decoded_accounts);
   }
+  const auto starts = DecodeStarts(starts_bytes, saved);
+  if (!base::Ok(starts)) {
+    return base::GetError(starts);
+  }
   const AccountsSnapshot& accounts = base::Value(decoded_accounts);
   JobTable table;
   table.m_leader = saved.leader;
@@ -330,6 +368,16 @@
                                  now - base::Millis{entry.age_ms}};
   }
   table.m_rates.Restore(accounts.rates);
+  const StartsSnapshot& saved_starts = base::Value(starts);
+  for (const OpenStartSnapshot& entry : saved_starts.open) {
+    table.m_open_starts[entry.task] = {entry.worker,
+                                       now - base::Millis{entry.age_ms}};
+  }
+  for (const UnsettledBindSnapshot& entry : saved_starts.unsettled) {
+    table.m_unsettled[entry.number] = {entry.task, entry.worker};
+  }
+  table.m_term_binds = saved_starts.term_binds;
+  table.m_settles = saved_starts.settles;
   return table;
 }
 
--- a/packages/jobs/src/job_table_snapshot.h
+++ b/packages/jobs/src/job_table_snapshot.h
@@ -148,6 +148,44 @@
   }
 };
 
+struct OpenStartSnapshot {
+  TaskRef task;
+  std::string worker;
+  int64_t age_ms = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(task, worker, age_ms);
+  }
+};
+
+struct UnsettledBindSnapshot {
+  uint64_t number = 0;
+  TaskRef task;
+  std::string worker;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(number, task, worker);
+  }
+};
+
+// Starts that may be under way, stored after the accounts, where earlier
+// releases ignore them. A last entry of JobTableSnapshot::terms that no job has
+// says that they are there, so that a snapshot without its end is an error. Not
+// stored if there is nothing to say.
+struct StartsSnapshot {
+  std::vector<OpenStartSnapshot> open;
+  std::vector<UnsettledBindSnapshot> unsettled;
+  uint64_t term_binds = 0;
+  bool settles = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(open, unsettled, term_binds, settles);
+  }
+};
+
 }  // namespace azurespur::jobs
 
 #endif  // JOBS_SRC_JOB_TABLE_SNAPSHOT_H_
--- a/packages/jobs/src/records.cc
+++ b/packages/jobs/src/records.cc
@@ -62,7 +62,12 @@
 }
 
 std::string EncodeWork(const WorkRecord& record) {
-  return wire::Encode(record);
+  std::string bytes = wire::Encode(record);
+  const auto* heartbeat = std::get_if<HeartbeatRecord>(&record);
+  if (heartbeat != nullptr && heartbeat->settled_binds) {
+    bytes += wire::Encode(*heartbeat->settled_binds);
+  }
+  return bytes;
 }
 
 base::Outcome<IntakeRecord> DecodeIntake(std::string_view bytes) {
@@ -91,7 +96,20 @@
 }
 
 base::Outcome<WorkRecord> DecodeWork(std::string_view bytes) {
-  return wire::Decode<WorkRecord>(bytes);
+  std::string_view rest;
+  auto record = wire::DecodePrefix<WorkRecord>(bytes, rest);
+  if (!base::Ok(record)) {
+    return record;
+  }
+  auto* heartbeat = std::get_if<HeartbeatRecord>(&base::Value(record));
+  if (heartbeat != nullptr && !rest.empty()) {
+    const auto settled = wire::Decode<uint64_t>(rest);
+    if (!base::Ok(settled)) {
+      return base::GetError(settled);
+    }
+    heartbeat->settled_binds = base::Value(settled);
+  }
+  return record;
 }
 
 }  // namespace azurespur::jobs
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -51,6 +51,12 @@
       }
     }
   }
+  for (const auto& [task, start] : m_table.open_starts()) {
+    const Job* job = m_table.Find(task.job);
+    if (job == nullptr || !NeedsTicket(*job)) {
+      m_fleet.AdoptOpenStart(task, start.worker, now);
+    }
+  }
 }
 
 void Scheduler::SetWorkers(std::span<const WorkerEntry> entries,
@@ -108,6 +114,7 @@
                           base::MonoTime now,
                           SchedulerOutput& out) {
   const Job* job = m_table.Find(bind.task.job);
+  const uint64_t number = m_stored_binds++;
   int64_t* reason = ReasonNotToStart(bind, job, append_sent_at, now);
   const Worker* worker =
       reason == nullptr
@@ -118,6 +125,8 @@
     m_fleet.ReleaseUnsent(bind.task, now, out);
     return;
   }
+  m_unsettled_binds[{bind.task, bind.run}] = number;
+  m_unsettled_numbers.insert(number);
   StartOrder order = MakeStart(bind.task, bind.run, *job, *worker, now);
   if (NeedsTicket(*job)) {
     order.ticket = m_advice.TicketOf(bind.task.StepOf(), bind.worker.id);
@@ -148,6 +157,19 @@
   return order;
 }
 
+uint64_t Scheduler::settled_binds() const {
+  return m_unsettled_numbers.empty() ? m_stored_binds
+                                     : *m_unsettled_numbers.begin();
+}
+
+void Scheduler::SettleBind(const StartOrder& order) {
+  const auto found = m_unsettled_binds.find({order.task, order.run});
+  if (found != m_unsettled_binds.end()) {
+    m_unsettled_numbers.erase(found->second);
+    m_unsettled_binds.erase(found);
+  }
+}
+
 // The worker may be another one since its restart.
 bool Scheduler::FitsOn(const TaskRef& task, const Worker& worker) const {
   const Job* job = m_table.Find(task.job);
@@ -187,6 +209,7 @@
                           base::MonoTime now,
                           SchedulerOutput& out) {
   const OrderOutcome outcome = answer.outcome;
+  SettleBind(order);
   if (outcome == OrderOutcome::kBadTicket) {
     m_advice.InvalidateTicket(order.task.StepOf(), order.worker.id);
   }
--- a/packages/jobs/tests/job_table_snapshot_test.cc
+++ b/packages/jobs/tests/job_table_snapshot_test.cc
@@ -57,7 +57,7 @@
   const auto job = static_cast<JobId>(pick(kJobs));
   const TaskRef task{job, pick(2), pick(kTasks)};
   const int32_t run = pick(4) + 1;
-  switch (pick(11)) {
+  switch (pick(12)) {
     case 0:
       return IntakeRecord(MakeJob(job));
     case 1:
@@ -74,9 +74,14 @@
     case 6:
       return WorkRecord(JobStartedRecord{job});
     case 7:
-      return WorkRecord(HeartbeatRecord{1, intake_end});
+      return WorkRecord(HeartbeatRecord{
+          1, intake_end,
+          pick(2) == 0 ? std::nullopt
+                       : std::optional(static_cast<uint64_t>(pick(4)))});
     case 8:
       return IntakeRecord(MissingJobRecord{job});
+    case 10:
+      return WorkRecord(OpenStartRecord{task, "w" + std::to_string(pick(3))});
     case 9:
       return IntakeRecord(ReceivedSubmission{
           MakeSubmission(job), pick(static_cast<int>(intake_end) + 1)});
@@ -144,6 +149,13 @@
   for (JobId id = 0; id < kJobs; ++id) {
     RC_ASSERT(a.StateOf(id) == b.StateOf(id));
   }
+  RC_ASSERT(a.open_starts().size() == b.open_starts().size());
+  for (const auto& [task, start] : a.open_starts()) {
+    const auto other = b.open_starts().find(task);
+    RC_ASSERT(other != b.open_starts().end());
+    RC_ASSERT(start.worker == other->second.worker);
+    RC_ASSERT(start.since == other->second.since);
+  }
   RC_ASSERT(a.CountPending("even") == b.CountPending("even"));
   RC_ASSERT(a.CountPending("odd") == b.CountPending("odd"));
 }
@@ -304,6 +316,36 @@
   CHECK(other.CountPending("odd") == 0);
 }
 
+// Guards against a VM that becomes leader after a restart and runs a task
+// elsewhere while a start of its predecessor may still be carried out.
+TEST_CASE("a snapshot keeps the starts that may be under way") {
+  JobTable table = TableWithBoundTask();
+  table.Apply(WorkRecord(OpenStartRecord{{1, 0, 1}, "w2"}), kNow);
+  table.Apply(WorkRecord(HeartbeatRecord{3, 0, uint64_t{0}}), kNow);
+  const MonoTime other_clock{Millis{50000}};
+  const auto restored =
+      DecodeJobTable(EncodeJobTable(table, kNow + Millis{400}), other_clock);
+  REQUIRE(base::Ok(restored));
+  JobTable other = base::Value(restored);
+  REQUIRE(other.open_starts().size() == 1);
+  CHECK(other.open_starts().at({1, 0, 1}).worker == "w2");
+  CHECK(other.open_starts().at({1, 0, 1}).since == other_clock - Millis{400});
+  other.Apply(WorkRecord(BindRecord{{1, 0, 0}, 1, {"w3", 7}}), other_clock);
+  SUBCASE("the former leader has settled its first binding") {
+    other.Apply(WorkRecord(HeartbeatRecord{3, 0, uint64_t{1}}), other_clock);
+    other.Apply(WorkRecord(LeaderRecord{4, "vm", "address"}), other_clock);
+    CHECK(other.open_starts().size() == 2);
+    CHECK(other.open_starts().at({1, 0, 0}).worker == "w3");
+  }
+  SUBCASE("it has settled none") {
+    other.Apply(WorkRecord(LeaderRecord{4, "vm", "address"}), other_clock);
+    CHECK(other.open_starts().size() == 3);
+    CHECK(other.open_starts().at({1, 0, 2}).worker == "w1");
+  }
+  other.RemoveExpired(other_clock + Millis{60000}, Millis{1});
+  CHECK(other.open_starts().empty());
+}
+
 TEST_CASE("a snapshot of an earlier release is decoded") {
   JobTableSnapshotV1 former;
   former.jobs.emplace_back().spec = MakeJob(1);
--- a/packages/jobs/tests/late_call_cell.h
+++ b/packages/jobs/tests/late_call_cell.h
@@ -83,6 +83,8 @@
     options.fence += kFencesPerTerm;
     ++term;
     out = {};
+    settled_binds = 0;
+    table.Apply(WorkRecord(LeaderRecord{options.fence, "vm", "addr"}), now);
     scheduler = std::make_unique<Scheduler>(options, table);
     scheduler->Adopt(now);
     next_directory = now;
@@ -160,6 +162,7 @@
   CellPolicy policy;
   std::unique_ptr<Scheduler> scheduler;
   int64_t term = 0;
+  uint64_t settled_binds = 0;
   SchedulerOutput out;
   base::MonoTime now{base::Millis{1000000}};
   // Behind a pointer, so that workers keep it when the cell is moved.
@@ -273,7 +276,11 @@
     });
   }
 
+  // A batch tells what the batches before it have settled.
   void Store(const std::vector<PendingRecord>& records) {
+    table.Apply(WorkRecord(HeartbeatRecord{options.fence, 0, settled_binds}),
+                now);
+    settled_binds = scheduler->settled_binds();
     for (const PendingRecord& pending : records) {
       table.Apply(pending.record, now);
     }
--- a/packages/jobs/tests/late_call_test.cc
+++ b/packages/jobs/tests/late_call_test.cc
@@ -256,9 +256,8 @@
   CHECK(f.CountSecondRuns() == 0);
 }
 
-// Guards against the same faults on other ways. Starts that are carried out
-// late are not counted: nothing prevents one at a boot that no leader has
-// reached yet.
+// Guards against the same faults on other ways, and against starts that are
+// carried out late at a boot that no leader has reached yet (review/7).
 TEST_CASE("restarts, cuts, late calls and new leaders run no task twice") {
   size_t second_runs = 0;
   size_t over_capacity = 0;
@@ -268,6 +267,7 @@
     f.Play();
     CAPTURE(seed);
     CHECK(f.CountSecondRuns() == 0);
+    CHECK(f.CountSecondRuns(/*late_ones=*/true) == 0);
     second_runs += f.CountSecondRuns();
     over_capacity += f.CountStartsOverCapacity();
     runs += f.rows->size();
@@ -303,6 +303,7 @@
                    << ", late ones: " << late_ones << ", over capacity: "
                    << over_capacity << ", terms: " << terms);
   CHECK(second_runs == 0);
+  CHECK(late_ones == 0);
   CHECK(over_capacity == 0);
 }
 
--- a/packages/jobs/tests/open_start_test.cc
+++ b/packages/jobs/tests/open_start_test.cc
@@ -62,6 +62,16 @@
   f.SubmitWithLateStart(1, kShortWork, Millis{6000});
   f.Run(Millis{2500});
   REQUIRE(f.table.StateOf(1) == JobState::kCompleted);
+  SUBCASE("under the same leader") {}
+  SUBCASE("under a new leader") {
+    f.ReplaceLeader();
+    f.Run(Millis{1000});
+  }
+  SUBCASE("under the leader after the next one") {
+    f.ReplaceLeader();
+    f.ReplaceLeader();
+    f.Run(Millis{1000});
+  }
   f.RestartBehindCut(f.WorkerOfFirst(1));
   f.Run(Millis{8000});
   CHECK(f.RowsOf(1).size() == 2);  // The late one.
@@ -90,6 +100,10 @@
   f.cut.insert(first);
   f.Run(Millis{2500});  // The repeats fail.
   f.cut.clear();
+  SUBCASE("under the same leader") {}
+  SUBCASE("under a new leader") {
+    f.ReplaceLeader();
+  }
   f.Run(Millis{1500});
   REQUIRE(f.RowsOf(1).size() == 1);
   CHECK(f.WorkerOfFirst(1) == first);  // Sent again to the same worker.
@@ -113,6 +127,33 @@
   CHECK(f.CountAll() == 0);
 }
 
+// Guards against the same faults where the leader is replaced before it has
+// heard that a send got no answer: nobody has stored that.
+TEST_CASE("a successor waits for a start whose outcome nobody has stored") {
+  OpenStartCell f;
+  f.SubmitWithLateStart(1, kLongWork, Millis{9000});
+  const std::string first = f.table.Find(1)->steps.at(0).tasks.at(0).worker.id;
+  f.ReplaceLeader();
+  f.Run(Millis{1500});
+  f.RestartBehindCut(first);
+  f.Run(Millis{45000});
+  CHECK(f.RowsOf(1).size() >= 2);
+  CHECK(f.CountAll() == 0);
+}
+
+// Guards against waits of 12 s for what every worker has long answered.
+TEST_CASE("a successor waits for no start that was answered") {
+  OpenStartCell f;
+  for (JobId job = 1; job <= 3; ++job) {
+    f.Submit(job, kLongWork);
+    f.Run(Millis{300});
+  }
+  f.Run(Millis{1000});
+  f.ReplaceLeader();
+  CHECK(f.table.open_starts().empty());
+  CHECK(f.scheduler->fleet().CountOpenStarts() == 0);
+}
+
 // Guards against attempts beyond the limit: a failed run's late send begins a
 // run after the last one.
 TEST_CASE("a failed end is kept while a send of its task can arrive") {
--- a/packages/jobs/tests/records_test.cc
+++ b/packages/jobs/tests/records_test.cc
@@ -44,6 +44,19 @@
   CHECK_FALSE(submission.terms.advice);
 }
 
+// Earlier releases store no settled bindings, and read those of this one.
+TEST_CASE("a heartbeat is decoded with and without its settled bindings") {
+  const auto with = DecodeWork(EncodeWork(HeartbeatRecord{3, 8, uint64_t{5}}));
+  REQUIRE(base::Ok(with));
+  const auto& heartbeat = std::get<HeartbeatRecord>(base::Value(with));
+  CHECK(heartbeat.epoch == 3);
+  CHECK(heartbeat.intake_end == 8);
+  CHECK(heartbeat.settled_binds == 5);
+  const auto without = DecodeWork(EncodeWork(HeartbeatRecord{3, 8, {}}));
+  REQUIRE(base::Ok(without));
+  CHECK_FALSE(std::get<HeartbeatRecord>(base::Value(without)).settled_binds);
+}
+
 // Guards against a process that ends on each read of a damaged record: a
 // negative count of tasks is no size, and a step that follows one outside the
 // job is read out of bounds.
