Only a leader's own single send proves that no start is open

A successor that sent an adopted run's start again took its own send for the only one: the run's end was then acknowledged while its predecessor's send might still arrive (TWICE). Found by reading; the new subcase of open_start_test "where a new leader sent it again" covers the path. Adopted open starts count as sent twice.

--- a/packages/jobs/src/fleet_starts.cc
+++ b/packages/jobs/src/fleet_starts.cc
@@ -20,6 +20,8 @@
 // Limits the rate of hold orders to workers with held ends, all together.
 constexpr base::Millis kMinTimePerHeldEndHold{4};
 constexpr base::Millis kMinHeldEndInterval{30};
+// More than one, so that no report tells that all sends have been carried out.
+constexpr int32_t kMinAdoptedSends = 2;
 // How often the log is told of the same open start. Shorter than it is kept.
 constexpr base::Millis kRecordInterval{10000};
 
@@ -63,7 +65,10 @@
   m_open_starts[task] = {std::string(worker_id), until, now};
   Worker* worker = WorkerOf(task);
   if (worker != nullptr && worker->entry.boot.id == worker_id) {
-    worker->runs.at(task).start_open_until = until;
+    Run& run = worker->runs.at(task);
+    run.start_open_until = until;
+    // Nobody knows how often the former leader sent it.
+    run.start_sends = kMinAdoptedSends;
   }
 }
 
--- a/packages/jobs/tests/open_start_test.cc
+++ b/packages/jobs/tests/open_start_test.cc
@@ -60,6 +60,9 @@
 TEST_CASE("an end is kept until no send of its task can arrive") {
   OpenStartCell f;
   f.SubmitWithLateStart(1, kShortWork, Millis{6000});
+  SUBCASE("where a new leader sent it again") {
+    f.ReplaceLeader();
+  }
   f.Run(Millis{2500});
   REQUIRE(f.table.StateOf(1) == JobState::kCompleted);
   SUBCASE("under the same leader") {}
