A run that has run on a former boot is not begun on the next one

Cause: a resend after a restart doesn't tell a start that nobody heard of from a run that was confirmed and may be over. Now only the former is sent again to the next boot; the latter is stopped there, so that no late send begins it, and its task waits until none can arrive (12.5 s at most), then starts under the next number.

Test: open_start_test "a run that has run on a former boot begins on no other". late_call_test "a task with an open send outlasts the lease of a silent worker" had the run begin again after the first restart; now it waits, and the test also counts late starts.

--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -103,7 +103,7 @@
 
 // A gang doesn't wait for one member, whose start no longer fits the others'.
 bool MayResend(const Run& run, const SchedulerOptions& options) {
-  return !run.gang && !run.has_ticket && !run.stop_requested &&
+  return !run.gang && !run.has_ticket && !run.has_run && !run.stop_requested &&
          run.start_sends < options.max_start_sends;
 }
 
--- a/packages/jobs/src/fleet_boots.cc
+++ b/packages/jobs/src/fleet_boots.cc
@@ -124,7 +124,7 @@
 // A start that was meant for an earlier boot may reach the new one, whose clock
 // is another, so it never becomes too late there. A higher fencing token, once
 // the new boot has seen it, or a stop prevents it there, but not on the boot
-// after it; so the run goes on at this worker, or its task waits.
+// after it; so the run begins at this worker, or its task waits.
 void Fleet::ObserveRestart(Worker& worker,
                            const TaskRef& task,
                            Run& run,
@@ -134,12 +134,14 @@
     MarkOpenStart(worker, task, run, now, out);
   }
   const bool open = now < run.start_open_until;
+  run.has_run = run.has_run || run.phase == RunPhase::kRunning;
   run.phase = NextPhase(
       run.phase, open ? RunEvent::kRestartedSendOpen : RunEvent::kRestarted);
   if (run.phase == RunPhase::kStartUnknown) {
     run.start_deadline = base::MonoTime::max();
     run.stop_sent_at = {};
-    run.resend = open && !run.gang && !run.has_ticket && !run.stop_requested;
+    run.resend = open && !run.gang && !run.has_ticket && !run.has_run &&
+                 !run.stop_requested;
   }
   run.stop_requested = run.stop_requested || run.phase == RunPhase::kBinding;
 }
--- a/packages/jobs/tests/late_call_test.cc
+++ b/packages/jobs/tests/late_call_test.cc
@@ -238,8 +238,8 @@
   CHECK(f.CountSecondRuns() == 0);
 }
 
-// Guards against two runs of a task: its start of an earlier run got no answer,
-// and begins that run on a second new boot, which the leader has not seen.
+// Guards against two runs of a task: its start got no answer, and begins the run
+// on a second new boot, which the leader has not seen. The task waits meanwhile.
 TEST_CASE("a task with an open send outlasts the lease of a silent worker") {
   RestartCell f;
   f.MakeLate("w0", CallKind::kStart, Millis{9000});
@@ -248,12 +248,13 @@
   REQUIRE(f.RowsOf(1).size() == 1);
   f.Restart("w0");
   f.Run(Millis{1000});
-  REQUIRE(f.RowsOf(1).size() == 2);
+  REQUIRE(f.RowsOf(1).size() == 1);
   f.CutFirstWorker();
   f.Restart("w0");
   f.Run(Millis{25000});
   CHECK(f.RowsOf(1).size() >= 3);
   CHECK(f.CountSecondRuns() == 0);
+  CHECK(f.CountSecondRuns(/*late_ones=*/true) == 0);
 }
 
 // Guards against the same faults on other ways, and against starts that are
--- a/packages/jobs/tests/open_start_test.cc
+++ b/packages/jobs/tests/open_start_test.cc
@@ -115,6 +115,22 @@
   CHECK(f.CountAll() == 0);
 }
 
+// Guards against a run that ended on a former boot, unheard, and begins there
+// anew under its number: one end of the two is taken note of.
+TEST_CASE("a run that has run on a former boot begins on no other") {
+  OpenStartCell f;
+  f.SubmitWithLateStart(1, kLongWork, Millis{9000});
+  f.Run(Millis{1500});
+  REQUIRE(f.RowsOf(1).size() == 1);
+  f.Restart(f.WorkerOfFirst(1));
+  f.Run(Millis{5000});
+  CHECK(f.RowsOf(1).size() == 1);
+  f.Run(Millis{12000});
+  REQUIRE(f.RowsOf(1).size() == 2);
+  CHECK(f.RowsOf(1).at(1).run == 2);
+  CHECK(f.CountAll() == 0);
+}
+
 // The same where the worker refuses the repeat, so that a stop ends the run.
 TEST_CASE("a task whose start is given up waits for its late sends") {
   OpenStartCell f;
