--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -54,8 +54,8 @@
   // that is asked for after `unanswered_at` lacks the run.
   bool resend = false;
   base::MonoTime unanswered_at{};
-  // On a former boot, where it may have ended unheard; so it begins on no
-  // other.
+  // It was running on a former boot, where it may have ended unheard; so it is
+  // not sent to a later one.
   bool has_run = false;
   // Until then, a send of the start that got no answer may still be executed.
   base::MonoTime start_open_until{};
--- a/testing/processes/late_orders.py
+++ b/testing/processes/late_orders.py
@@ -59,6 +59,28 @@
             time.sleep(rng.uniform(*self.PAUSE_S))
 
 
+class Notes(dict):
+    """All times at which an end of a run was taken note of: the stand-in keeps
+    the last one, though a later boot may list an end of the same run again."""
+
+    def __init__(self):
+        super().__init__()
+        self.times = {}
+
+    def __setitem__(self, run, at):
+        self.times.setdefault(run, []).append(at)
+        super().__setitem__(run, at)
+
+
+def took_note(worker, task, run, ended):
+    """True if `lastSeen` has reached the end that the worker listed at `ended`,
+    on the boot that listed it, and no lease lapsed between the two."""
+    over = min((at for at in worker.crashes if at >= ended), default=float("inf"))
+    return any(ended <= at <= over and
+               not any(ended <= lapse <= at for lapse in worker.lapses)
+               for at in worker.noted.times.get((task, run), []))
+
+
 def delay_some_starts(cell, rng):
     lock = threading.Lock()
 
@@ -77,6 +99,7 @@
         time.sleep(rng.uniform(*RESTART_EVERY_S))
         worker = rng.choice(cell.workers)
         worker.crash()
+        worker.crashes.append(now())
         time.sleep(rng.uniform(*DOWN_S))
         worker.boot(announce=False)
         threading.Timer(LIST_LAG_S, worker.announce).start()
@@ -87,7 +110,7 @@
     workers = {worker.name: worker for worker in cell.workers}
     done = {}
     for task, run, name, _, ended, how in rows:
-        if how == "done" and workers[name].took_note(task, run, ended):
+        if how == "done" and took_note(workers[name], task, run, ended):
             done[task] = min(ended, done.get(task, ended))
     return [row for row in rows if row[0] in done and row[3] > done[row[0]]]
 
@@ -111,6 +134,8 @@
         if not cell.wait_ready():
             print(f"seed {seed}: the VMs aren't ready")
             return 2
+        for worker in cell.workers:
+            worker.noted, worker.crashes = Notes(), []
         delay_some_starts(cell, rng)
         clients = [Client(cell, seed, i) for i in range(CLIENTS)]
         for client in clients:
