--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -199,14 +199,13 @@
 int64_t Fleet::CountOutstanding() const {
   int64_t count = 0;
   for (const auto& [id, worker] : m_workers) {
-    count += std::count_if(worker.runs.begin(), worker.runs.end(),
-                           [&worker](const auto& entry) {
-                             const Run& run = entry.second;
-                             return run.phase == RunPhase::kBinding ||
-                                    run.phase == RunPhase::kStarting ||
-                                    (run.phase == RunPhase::kStartUnknown &&
-                                     run.resend && worker.responsive);
-                           });
+    for (const auto& [task, run] : worker.runs) {
+      const bool resent = run.phase == RunPhase::kStartUnknown && run.resend &&
+                          worker.responsive;
+      const bool outstanding = run.phase == RunPhase::kBinding ||
+                               run.phase == RunPhase::kStarting || resent;
+      count += outstanding ? 1 : 0;
+    }
   }
   return count;
 }
