Open starts: one predicate for each question, and the format of a comment

- The condition of a later send stood twice (fleet.cc, fleet_boots.cc), that a run awaits one four times: start_resend.h.
- Service, label and capacity were compared in IsCompatible() and again in FitsOn(): worker_fit.h, in place of has_label.h.
- HandleRunning() set the times of a run that has begun in two places.
- JobTable: the loop over unsettled bindings asked the same question each time.
- open_start_test: the id of the first worker was dug out of the table three times.

--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -8,6 +8,7 @@
 
 #include "base/event_log.h"
 #include "lease_time.h"
+#include "start_resend.h"
 
 namespace azurespur::jobs {
 
@@ -101,10 +102,8 @@
   }
 }
 
-// A gang doesn't wait for one member, whose start no longer fits the others'.
-bool MayResend(const Run& run, const SchedulerOptions& options) {
-  return !run.gang && !run.has_ticket && !run.has_run && !run.stop_requested &&
-         run.start_sends < options.max_start_sends;
+bool HasSendsLeft(const Run& run, const SchedulerOptions& options) {
+  return run.start_sends < options.max_start_sends;
 }
 
 // The worker doesn't have the run, but a send of the start may still begin it.
@@ -112,7 +111,7 @@
   run.phase = NextPhase(run.phase, RunEvent::kMissingSendOpen);
   run.resend = run.resend || (run.phase == RunPhase::kStartUnknown &&
                               run.stop_sent_at == base::MonoTime{} &&
-                              MayResend(run, options));
+                              MayResend(run) && HasSendsLeft(run, options));
 }
 
 void AvoidAfterRefusal(Worker& worker,
@@ -200,8 +199,7 @@
   int64_t count = 0;
   for (const auto& [id, worker] : m_workers) {
     for (const auto& [task, run] : worker.runs) {
-      const bool resent = run.phase == RunPhase::kStartUnknown && run.resend &&
-                          worker.responsive;
+      const bool resent = AwaitsResend(run) && worker.responsive;
       const bool outstanding = run.phase == RunPhase::kBinding ||
                                run.phase == RunPhase::kStarting || resent;
       count += outstanding ? 1 : 0;
@@ -332,7 +330,7 @@
   if (outcome == OrderOutcome::kUnknown) {
     RecordUnanswered(worker->entry.boot.id, now);
     MarkOpenStart(*worker, order.task, *run, now, out);
-    run->resend = MayResend(*run, m_options);
+    run->resend = MayResend(*run) && HasSendsLeft(*run, m_options);
     if (run->resend) {
       run->unanswered_at = now;
       worker->next_hold = now;
@@ -510,24 +508,21 @@
       continue;
     }
     seen.insert(running.task);
-    if (run->phase == RunPhase::kStarting) {
+    const bool only_send = run->start_sends == 1;
+    const bool started =
+        run->phase == RunPhase::kStarting || (AwaitsResend(*run) && only_send);
+    if (started) {
       run->started_at = now;
     }
-    if (run->phase == RunPhase::kStarting || run->phase == RunPhase::kAdopted) {
+    if (started || run->phase == RunPhase::kAdopted) {
       run->confirmed_at = now;
       run->progress_at = now;
     }
-    const bool awaited = run->phase == RunPhase::kStartUnknown && run->resend;
-    if ((run->phase == RunPhase::kStarting || awaited) &&
-        run->start_sends == 1) {
+    if (started && only_send) {
       CloseStart(running.task, *run);
-      run->resend = false;
-      run->started_at = now;
-      run->confirmed_at = now;
-      run->progress_at = now;
-      Advance(worker, running.task, RunEvent::kStartAccepted, now, out);
     }
-    Advance(worker, running.task, RunEvent::kListed, now, out);
+    Advance(worker, running.task,
+            started ? RunEvent::kStartAccepted : RunEvent::kListed, now, out);
     if (running.percent != run->percent) {
       run->percent = running.percent;
       run->progress_at = now;
--- a/packages/jobs/src/fleet_boots.cc
+++ b/packages/jobs/src/fleet_boots.cc
@@ -8,6 +8,7 @@
 #include "base/event_log.h"
 #include "jobs/fleet.h"
 #include "lease_time.h"
+#include "start_resend.h"
 
 namespace azurespur::jobs {
 
@@ -140,8 +141,7 @@
   if (run.phase == RunPhase::kStartUnknown) {
     run.start_deadline = base::MonoTime::max();
     run.stop_sent_at = {};
-    run.resend = open && !run.gang && !run.has_ticket && !run.has_run &&
-                 !run.stop_requested;
+    run.resend = open && MayResend(run);
   }
   run.stop_requested = run.stop_requested || run.phase == RunPhase::kBinding;
 }
--- a/packages/jobs/src/fleet_starts.cc
+++ b/packages/jobs/src/fleet_starts.cc
@@ -12,6 +12,7 @@
 #include "base/event_log.h"
 #include "jobs/fleet.h"
 #include "lease_time.h"
+#include "start_resend.h"
 
 namespace azurespur::jobs {
 
@@ -55,6 +56,7 @@
 
 void Fleet::CloseStart(const TaskRef& task, Run& run) {
   run.start_open_until = {};
+  run.resend = false;
   m_open_starts.erase(task);
 }
 
@@ -118,8 +120,7 @@
 bool Fleet::AwaitsReport(const Worker& worker) {
   return std::any_of(
       worker.runs.begin(), worker.runs.end(), [&worker](const auto& entry) {
-        return entry.second.resend &&
-               entry.second.phase == RunPhase::kStartUnknown &&
+        return AwaitsResend(entry.second) &&
                worker.newest_hold_sent_at <= entry.second.unanswered_at;
       });
 }
@@ -132,8 +133,7 @@
       continue;
     }
     const auto run = found->second.runs.find(task);
-    if (run != found->second.runs.end() && run->second.resend &&
-        run->second.phase == RunPhase::kStartUnknown &&
+    if (run != found->second.runs.end() && AwaitsResend(run->second) &&
         found->second.newest_hold_sent_at > run->second.unanswered_at) {
       due.push_back(task);
     }
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -183,8 +183,8 @@
 void JobTable::ApplyOne(const LeaderRecord& record, base::MonoTime now) {
   m_leader = record;
   m_yielded = false;
-  for (const auto& [number, bind] : m_unsettled) {
-    if (m_settles) {
+  if (m_settles) {
+    for (const auto& [number, bind] : m_unsettled) {
       m_open_starts[bind.task] = {bind.worker, now};
     }
   }
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -4,8 +4,8 @@
 #include <utility>
 
 #include "base/event_log.h"
-#include "has_label.h"
 #include "job_order.h"
+#include "worker_fit.h"
 
 namespace azurespur::jobs {
 
@@ -179,8 +179,7 @@
   }
   const StepSpec& spec = job->spec.steps[static_cast<size_t>(task.step)];
   return worker.listed && !worker.entry.draining &&
-         worker.entry.service == terms->service &&
-         HasLabel(worker.entry, spec.required_label) &&
+         IsFit(worker.entry, *terms, spec) &&
          placement::Fits(worker.used, worker.entry.capacity);
 }
 
--- a/packages/jobs/src/scheduler_place.cc
+++ b/packages/jobs/src/scheduler_place.cc
@@ -5,12 +5,12 @@
 #include <utility>
 
 #include "base/event_log.h"
-#include "has_label.h"
 #include "jobs/scheduler.h"
 #include "ready_step.h"
 #include "single_task_workers.h"
 #include "speed_choice.h"
 #include "step_view.h"
+#include "worker_fit.h"
 
 namespace azurespur::jobs {
 
@@ -28,10 +28,7 @@
 
 bool Scheduler::IsCompatible(const ReadyStep& step,
                              const Worker& worker) const {
-  const StepSpec& spec = SpecOf(step);
-  return worker.entry.service == step.terms->service &&
-         HasLabel(worker.entry, spec.required_label) &&
-         placement::Fits(spec.demand, worker.entry.capacity);
+  return IsFit(worker.entry, *step.terms, SpecOf(step));
 }
 
 // Reservations that are not firm leave their capacity to urgent tasks.
--- a/packages/jobs/tests/late_call_test.cc
+++ b/packages/jobs/tests/late_call_test.cc
@@ -238,8 +238,9 @@
   CHECK(f.CountSecondRuns() == 0);
 }
 
-// Guards against two runs of a task: its start got no answer, and begins the run
-// on a second new boot, which the leader has not seen. The task waits meanwhile.
+// Guards against two runs of a task: its start got no answer, and begins the
+// run on a second new boot, which the leader has not seen. The task waits
+// meanwhile.
 TEST_CASE("a task with an open send outlasts the lease of a silent worker") {
   RestartCell f;
   f.MakeLate("w0", CallKind::kStart, Millis{9000});
--- a/packages/jobs/tests/open_start_test.cc
+++ b/packages/jobs/tests/open_start_test.cc
@@ -29,7 +29,8 @@
   }
 
   // A job whose first send is carried out so much later, at whichever boot.
-  void SubmitWithLateStart(JobId id, Millis work, Millis delay) {
+  // Returns the id of the worker that it is bound to.
+  std::string SubmitWithLateStart(JobId id, Millis work, Millis delay) {
     MakeLate("w0", CallKind::kStart, delay);
     MakeLate("w1", CallKind::kStart, delay);
     Submit(id, work);
@@ -37,6 +38,7 @@
     late.clear();
     REQUIRE(table.Find(id)->steps.at(0).bound == 1);
     REQUIRE(RowsOf(id).empty());
+    return table.Find(id)->steps.at(0).tasks.at(0).worker.id;
   }
 
   // The worker that has the job's first run.
@@ -98,8 +100,7 @@
 // ran the task elsewhere, and the next boot carried the start out as well.
 TEST_CASE("a task runs nowhere else while a send of its start can arrive") {
   OpenStartCell f;
-  f.SubmitWithLateStart(1, kLongWork, Millis{9000});
-  const std::string first = f.table.Find(1)->steps.at(0).tasks.at(0).worker.id;
+  const std::string first = f.SubmitWithLateStart(1, kLongWork, Millis{9000});
   f.cut.insert(first);
   f.Run(Millis{2500});  // The repeats fail.
   f.cut.clear();
@@ -137,8 +138,7 @@
   f.options.max_start_sends = 1;
   f.ReplaceLeader();
   f.Run(Millis{1000});
-  f.SubmitWithLateStart(1, kLongWork, Millis{9000});
-  const std::string first = f.table.Find(1)->steps.at(0).tasks.at(0).worker.id;
+  const std::string first = f.SubmitWithLateStart(1, kLongWork, Millis{9000});
   f.Run(Millis{3000});
   f.RestartBehindCut(first);
   f.Run(Millis{45000});
@@ -150,8 +150,7 @@
 // heard that a send got no answer: nobody has stored that.
 TEST_CASE("a successor waits for a start whose outcome nobody has stored") {
   OpenStartCell f;
-  f.SubmitWithLateStart(1, kLongWork, Millis{9000});
-  const std::string first = f.table.Find(1)->steps.at(0).tasks.at(0).worker.id;
+  const std::string first = f.SubmitWithLateStart(1, kLongWork, Millis{9000});
   f.ReplaceLeader();
   f.Run(Millis{1500});
   f.RestartBehindCut(first);
