A successor stores anew that a send of its own got no answer

Found by reading. A leader that adopted an open start took the log's record of it, which may be up to 35 s old, for its own: for 10 s it stored none for a send of its own without answer. The table forgets the old one at 35 s, so the leader after it could know of nothing while that send may still arrive (TWICE).

Now the first send of a term that gets no answer is always stored. Test, red before: open_start_test "a successor stores that its own send got no answer".

--- a/packages/jobs/src/fleet_starts.cc
+++ b/packages/jobs/src/fleet_starts.cc
@@ -64,7 +64,8 @@
                            std::string_view worker_id,
                            base::MonoTime now) {
   const base::MonoTime until = now + kMaxOrderDelay;
-  m_open_starts[task] = {std::string(worker_id), until, now};
+  // The log's record may be old: the next send without answer is told anew.
+  m_open_starts[task] = {std::string(worker_id), until, {}};
   Worker* worker = WorkerOf(task);
   if (worker != nullptr && worker->entry.boot.id == worker_id) {
     Run& run = worker->runs.at(task);
--- a/packages/jobs/tests/open_start_test.cc
+++ b/packages/jobs/tests/open_start_test.cc
@@ -159,6 +159,20 @@
   CHECK(f.CountAll() == 0);
 }
 
+// Guards against the leader after the next one that knows nothing of what its
+// predecessor's own send left open: the log tells of an older one, soon
+// expired.
+TEST_CASE("a successor stores that its own send got no answer") {
+  OpenStartCell f;
+  const std::string first = f.SubmitWithLateStart(1, kLongWork, Millis{9000});
+  f.ReplaceLeader();
+  const base::MonoTime term_began = f.now;
+  f.MakeLate(first, CallKind::kStart, Millis{9000});
+  f.Run(Millis{1500});
+  REQUIRE(f.table.open_starts().count({1, 0, 0}) == 1);
+  CHECK(f.table.open_starts().at({1, 0, 0}).since > term_began);
+}
+
 // Guards against waits of 12 s for what every worker has long answered.
 TEST_CASE("a successor waits for no start that was answered") {
   OpenStartCell f;
