--- a/review/lib-3/platform3.py
+++ b/review/lib-3/platform3.py
@@ -248,6 +248,7 @@
         self.cond = threading.Condition()
         self.late = lambda path: None
         self.up, self.server, self.lives = False, None, 0
+        self.done = set()  # Tasks that have ended done, in any life.
         self.boot()
         threading.Thread(target=self.work, daemon=True).start()
         threading.Thread(target=self.beat, daemon=True).start()
@@ -303,6 +304,8 @@
         self.number += 1
         self.ends.append([self.number, task, one["run"], how, ""])
         self.refused[task] = max(self.refused.get(task, 0), one["run"])
+        if how == "done":
+            self.done.add(task)
         self.record.add(f"run {task} #{one['run']} ends {how} on {self.id}")
         self.cond.notify_all()
 
