Another boot's answer ends the runs of the one it replaced

Cause: an order names its worker, and the machine's next boot refuses it. The leader took that for silence and waited for the lease of the boot that was gone; for a start without answer 12.5 s and the longest lease, 22.9 s.

Change: such an answer, from the address where the known boot answered, is a report that nothing of the worker runs there. It ends each run but those with an open start, which end once the address has refused an order that was sent after the last moment of the start's arrival: until then the worker may be back under its id. The first binding to a boot stores the address, for the next leader.

It works since an address belongs to one boot at a time, and what a late call may still begin is waited for.

--- a/packages/cell/src/node_load.cc
+++ b/packages/cell/src/node_load.cc
@@ -38,6 +38,7 @@
       m_bindings_no_worker(metrics.GetCounter(
           "azurespur_bindings_unsent_total{reason=\"no worker\"}")),
       m_open_starts(metrics.GetCounter("azurespur_open_starts")),
+      m_replaced_boots(metrics.GetCounter("azurespur_replaced_boots_total")),
       m_held_ends(metrics.GetCounter("azurespur_workers_with_held_ends")),
       m_time_to_declared(metrics.GetDistribution(
           "azurespur_run_time_ratio{estimate=\"declared\"}")),
@@ -110,6 +111,7 @@
         released.CountRunning(jobs::kReleasingEvents.at(i)));
   }
   m_open_starts.Set(scheduler.fleet().CountOpenStarts());
+  m_replaced_boots.Set(scheduler.fleet().replaced_boots());
   m_held_ends.Set(scheduler.fleet().CountWorkersWithHeldEnds());
   const int64_t plans = scheduler.plan_counts().full_plans;
   if (plans >= m_accounts_shown_at + kPlansPerAccountFigures) {
--- a/packages/cell/src/node_load.h
+++ b/packages/cell/src/node_load.h
@@ -51,6 +51,7 @@
   // In the order of jobs::kReleasingEvents.
   std::vector<base::Counter*> m_released_runs_running;
   base::Counter& m_open_starts;
+  base::Counter& m_replaced_boots;
   base::Counter& m_held_ends;
   base::Distribution& m_time_to_declared;
   base::Distribution& m_time_to_expected;
--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -91,6 +91,8 @@
   std::string worker;      // Id.
   base::MonoTime until{};  // The latest time of its arrival.
   base::MonoTime recorded_at{};
+  // All sends of it went to the worker's confirmed address.
+  bool at_one_address = true;
 };
 
 // An end that is stored but not acknowledged, as its task has an open start.
@@ -138,6 +140,13 @@
   bool fence_used = false;
   // The current boot has answered under `fence`.
   bool confirmed = false;
+  // Where the current boot answered last, this leader or an earlier one.
+  std::string confirmed_address;
+  // Earlier leaders bound the adopted runs to more than one boot.
+  bool adopted_from_several_boots = false;
+  // When the newest order was sent to the confirmed address that another boot
+  // answered there; unset once the current one has answered again.
+  base::MonoTime other_boot_at{};
   // When a start or a lease was last sent, or found unanswered.
   base::MonoTime last_grant_at{};
   // The newest report lists a run that the leader doesn't know.
@@ -205,6 +214,10 @@
                       std::string_view worker_id,
                       base::MonoTime now);
 
+  // Earlier leaders had answers of the boot from the address. To be called once
+  // all runs are adopted. Ignored unless all of the worker's are on that boot.
+  void SetAdoptedAddress(const WorkerBoot& boot, std::string_view address);
+
   // Reserves capacity for a run whose binding is being stored.
   void Bind(const TaskRef& task,
             const Run& run,
@@ -323,6 +336,8 @@
   // Of this term.
   const StopCounts& stop_counts() const { return m_stop_counts; }
   const ReleasedRuns& released_runs() const { return m_released_runs; }
+  // How often another boot began to answer at the address of a known one.
+  int64_t replaced_boots() const { return m_replaced_boots; }
 
  private:
   Worker* FindWorker(std::string_view id);
@@ -372,6 +387,19 @@
                      SchedulerOutput& out);
   // A report that is asked for now tells whether a start is sent again.
   static bool AwaitsReport(const Worker& worker);
+  // The worker has answered an order at the address.
+  void ConfirmAddress(Worker& worker, const std::string& address);
+  // Another boot than the one that the order named has answered it. Releases
+  // what can't run there any more.
+  void OnOtherBoot(Worker& worker,
+                   const OrderTarget& target,
+                   base::MonoTime now,
+                   SchedulerOutput& out);
+  // True if the run is over, as another boot answered an order that was sent to
+  // its worker's address at `asked_at`.
+  bool IsOverAtOtherBoot(const TaskRef& task,
+                         const Run& run,
+                         base::MonoTime asked_at) const;
   // The run's only send has been carried out.
   void CloseStart(const TaskRef& task, Run& run);
   // Removes the open starts that are over, and the ends held for them.
@@ -473,6 +501,7 @@
   OwnDelay m_own_delay;
   StopCounts m_stop_counts;
   ReleasedRuns m_released_runs;
+  int64_t m_replaced_boots = 0;
   std::vector<TimedRun> m_timed_runs;
   std::map<std::string, Worker, std::less<>> m_workers;  // By id.
   std::map<TaskRef, std::string> m_index;  // Worker id of each run.
--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -39,6 +39,13 @@
   base::MonoTime since{};  // When this VM read of it.
 };
 
+// A worker to which tasks were bound.
+struct TableWorker {
+  WorkerBoot boot;
+  std::string address;        // Where the boot has answered a leader.
+  base::MonoTime bound_at{};  // When this VM read of the last binding.
+};
+
 // A binding of the current term whose start may be under way.
 struct UnsettledBind {
   TaskRef task;
@@ -125,9 +132,16 @@
     return m_open_starts;
   }
 
+  // By id.
+  const std::map<std::string, TableWorker, std::less<>>& workers() const {
+    return m_workers;
+  }
+  // Empty if not known.
+  std::string_view AddressOf(const WorkerBoot& boot) const;
+
   // Removes the states of jobs that have been final for longer than `keep`,
-  // cancellations and declarations of unknown jobs of that age, and starts that
-  // can't be open any more.
+  // cancellations and declarations of unknown jobs of that age, starts that
+  // can't be open any more, and workers without tasks.
   void RemoveExpired(base::MonoTime now, base::Millis keep);
 
   // Jobs that are not final, or still have bound tasks.
@@ -167,6 +181,8 @@
   void ApplyOne(const JobStartedRecord& record, base::MonoTime now);
   void ApplyOne(const OpenStartRecord& record, base::MonoTime now);
   void SetState(Job& job, JobState state, base::MonoTime now);
+  // Removes the workers that have had no task for some time.
+  void RemoveIdleWorkers(base::MonoTime now);
   // Reduces a final job to its state once no task of it is bound.
   void CompactIfFinished(JobId id);
 
@@ -183,6 +199,7 @@
   std::map<std::string, int64_t, std::less<>> m_pending;  // By queue.
   SubmissionRates m_rates;
   std::map<TaskRef, TableOpenStart> m_open_starts;
+  std::map<std::string, TableWorker, std::less<>> m_workers;
   // Of the current term, by their numbers, which begin at 0.
   std::map<uint64_t, UnsettledBind> m_unsettled;
   uint64_t m_term_binds = 0;
--- a/packages/jobs/include/jobs/orders.h
+++ b/packages/jobs/include/jobs/orders.h
@@ -15,6 +15,13 @@
 
 namespace azurespur::jobs {
 
+// Whom an order was meant for, and where and when it was sent.
+struct OrderTarget {
+  const WorkerBoot& worker;
+  const std::string& address;
+  base::MonoTime sent_at{};
+};
+
 struct StartOrder {
   WorkerBoot worker;
   std::string address;
@@ -38,6 +45,7 @@
   uint64_t fence = 0;
   base::Millis timeout{0};  // For the answer.
   StopReason reason = StopReason::kJobOver;
+  base::MonoTime sent_at{};
 };
 
 // Renews the lease of all runs on the worker and requests its report. It is a
@@ -83,7 +91,7 @@
   kLeaseExpired,  // The order's lease had expired on arrival.
   kNoRoom,        // The worker lacks capacity.
   kBadTicket,     // The advice ticket is not valid.
-  kOtherBoot,     // The worker has restarted.
+  kOtherBoot,     // Another boot answered, and did nothing.
   kRefused,       // Refused for another reason; nothing was done.
   kUnknown,       // No answer; the order may take effect, now or later.
 };
--- a/packages/jobs/include/jobs/records.h
+++ b/packages/jobs/include/jobs/records.h
@@ -135,6 +135,10 @@
   TaskRef task;
   int32_t run = 0;
   WorkerBoot worker;
+  // Where the worker's boot has answered the leader; empty if an earlier record
+  // told it. Stored after the record's own bytes, where earlier releases ignore
+  // it.
+  std::string address{};
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/packages/jobs/include/jobs/released_runs.h
+++ b/packages/jobs/include/jobs/released_runs.h
@@ -22,7 +22,8 @@
 
 // The events that may release a run whose start was sent.
 inline constexpr std::array kReleasingEvents = {
-    RunEvent::kStartRefused, RunEvent::kMissing, RunEvent::kLapsed};
+    RunEvent::kStartRefused, RunEvent::kMissing, RunEvent::kOtherBoot,
+    RunEvent::kLapsed};
 
 class ReleasedRuns {
  public:
--- a/packages/jobs/include/jobs/run_phase.h
+++ b/packages/jobs/include/jobs/run_phase.h
@@ -31,6 +31,7 @@
   kStopAnswered,
   kRestarted,          // The worker reported another boot.
   kRestartedSendOpen,  // The same, and a send of the start got no answer.
+  kOtherBoot,          // The worker's address answers for another boot.
   kLapsed,             // The worker is silent, its lease is surely over.
 };
 
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -220,6 +220,7 @@
     worker.entry.boot = boot;
     worker.listed = false;
   }
+  worker.adopted_from_several_boots |= worker.entry.boot != boot;
   Run run;
   run.run = run_number;
   run.phase = RunPhase::kAdopted;
@@ -323,6 +324,10 @@
   }
   out.fenced = out.fenced || IsFencedByOther(*worker, order.fence, outcome);
   ObserveClock(*worker, order, answer, now);
+  if (outcome == OrderOutcome::kOtherBoot) {
+    OnOtherBoot(*worker, {order.worker, order.address, order.sent_at}, now,
+                out);
+  }
   Run* run = FindRun(*worker, order.task, order.run);
   if (run == nullptr || run->phase != RunPhase::kStarting) {
     return;
@@ -366,6 +371,10 @@
     return;
   }
   out.fenced = out.fenced || IsFencedByOther(*worker, order.fence, outcome);
+  if (outcome == OrderOutcome::kOtherBoot) {
+    OnOtherBoot(*worker, {order.worker, order.address, order.sent_at}, now,
+                out);
+  }
   // A stop that a former boot answered doesn't prevent the start on this one.
   if (outcome != OrderOutcome::kAccepted ||
       worker->entry.boot != order.worker) {
@@ -392,6 +401,7 @@
     worker->holds_in_flight = std::max(0, worker->holds_in_flight - 1);
   }
   ObserveBoot(*worker, report.boot_unix_ms, asked_at, now, out);
+  ConfirmAddress(*worker, order.address);
   if (order.fence == worker->fence) {
     worker->responsive = true;
     worker->late_holds = 0;
@@ -566,7 +576,8 @@
                                 ? StopReason::kRestarted
                                 : StopReason::kUnknownRun;
   out.stops.push_back({worker.entry.boot, worker.entry.address, running.task,
-                       running.run, worker.fence, OrderTimeout(now), reason});
+                       running.run, worker.fence, OrderTimeout(now), reason,
+                       now});
   m_stop_counts.Add(reason);
 }
 
--- a/packages/jobs/src/fleet_boots.cc
+++ b/packages/jobs/src/fleet_boots.cc
@@ -271,7 +271,8 @@
   // What it may have begun on an unseen boot counts until it has lapsed.
   const base::Millis lease = LeaseBound(m_options.max_lease);
   std::erase_if(worker.open_sends, [&worker, lease, now](const OpenSend& send) {
-    const bool seen = worker.newest_hold_sent_at >= send.until;
+    const bool seen = worker.newest_hold_sent_at >= send.until ||
+                      worker.other_boot_at > send.until;
     return send.over && send.until < now && (seen || send.until + lease < now);
   });
 }
--- a/packages/jobs/src/fleet_holds.cc
+++ b/packages/jobs/src/fleet_holds.cc
@@ -44,6 +44,9 @@
   if (order.lease_until_ms && outcome == OrderOutcome::kUnknown) {
     worker->last_grant_at = now;
   }
+  if (outcome == OrderOutcome::kOtherBoot) {
+    OnOtherBoot(*worker, {boot, order.address, order.sent_at}, now, out);
+  }
   // An order under a former token tells nothing of the worker as it is now.
   if (worker->entry.boot != boot || order.fence != worker->fence) {
     return;
@@ -148,7 +151,10 @@
 
 base::Millis Fleet::SilentRetryInterval(const Worker& worker,
                                         base::MonoTime now) const {
+  // A boot that takes another's place has to be gone before a later one of the
+  // worker can begin anything.
   const bool may_arrive =
+      worker.other_boot_at == base::MonoTime{} &&
       std::any_of(worker.open_sends.begin(), worker.open_sends.end(),
                   [now](const OpenSend& send) { return now <= send.until; });
   return may_arrive ? m_options.open_send_retry_interval
@@ -208,7 +214,8 @@
       m_stop_counts.Add(*run.stop_reason);
     }
     out.stops.push_back({worker.entry.boot, worker.entry.address, task, run.run,
-                         worker.fence, OrderTimeout(now), *run.stop_reason});
+                         worker.fence, OrderTimeout(now), *run.stop_reason,
+                         now});
   }
 }
 
--- a/packages/jobs/src/fleet_starts.cc
+++ b/packages/jobs/src/fleet_starts.cc
@@ -47,6 +47,8 @@
   OpenStart& start = m_open_starts[task];
   start.worker = worker.entry.boot.id;
   start.until = run.start_open_until;
+  start.at_one_address =
+      start.at_one_address && worker.entry.address == worker.confirmed_address;
   if (start.recorded_at == base::MonoTime{} ||
       now >= start.recorded_at + kRecordInterval) {
     start.recorded_at = now;
@@ -65,9 +67,11 @@
                            base::MonoTime now) {
   const base::MonoTime until = now + kMaxOrderDelay;
   // The log's record may be old: the next send without answer is told anew.
-  m_open_starts[task] = {std::string(worker_id), until, {}};
+  OpenStart& start = m_open_starts[task];
+  start = {std::string(worker_id), until, {}, /*at_one_address=*/false};
   Worker* worker = WorkerOf(task);
   if (worker != nullptr && worker->entry.boot.id == worker_id) {
+    start.at_one_address = !worker->adopted_from_several_boots;
     Run& run = worker->runs.at(task);
     run.start_open_until = until;
     // Nobody knows how often the former leader sent it.
@@ -80,10 +84,18 @@
     return false;
   }
   const auto found = m_workers.find(start.worker);
-  const bool seen = found != m_workers.end() && found->second.confirmed &&
-                    found->second.newest_hold_sent_at > start.until &&
-                    !found->second.has_unknown_run;
-  return seen || now > start.until + LeaseBound(m_options.max_lease);
+  if (now > start.until + LeaseBound(m_options.max_lease)) {
+    return true;
+  }
+  if (found == m_workers.end()) {
+    return false;
+  }
+  const Worker& worker = found->second;
+  const bool replaced =
+      start.at_one_address && worker.other_boot_at > start.until;
+  return replaced ||
+         (worker.confirmed && worker.newest_hold_sent_at > start.until &&
+          !worker.has_unknown_run);
 }
 
 void Fleet::ForgetOpenStarts(base::MonoTime now) {
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -10,6 +10,8 @@
 // After its record, a start is open for up to 10 s more until the next record,
 // 12.5 s until it has arrived, and the lease of what it began.
 constexpr base::Millis kKeepOpenStarts{35000};
+// Spares the leader telling the same address again and again.
+constexpr base::Millis kKeepIdleWorkers{60000};
 // A term of an earlier release settles none. More than any leader has under
 // way.
 constexpr size_t kMaxUnsettled = 20000;
@@ -219,7 +221,13 @@
   }
 }
 
-void JobTable::ApplyOne(const BindRecord& record, base::MonoTime /*now*/) {
+void JobTable::ApplyOne(const BindRecord& record, base::MonoTime now) {
+  if (!record.address.empty()) {
+    m_workers[record.worker.id] = {record.worker, record.address, now};
+  } else if (const auto worker = m_workers.find(record.worker.id);
+             worker != m_workers.end()) {
+    worker->second.bound_at = now;
+  }
   m_unsettled[m_term_binds++] = {record.task, record.worker.id};
   if (m_unsettled.size() > kMaxUnsettled) {
     m_unsettled.erase(m_unsettled.begin());
@@ -357,6 +365,34 @@
   std::erase_if(m_open_starts, [now](const auto& entry) {
     return entry.second.since + kKeepOpenStarts < now;
   });
+  RemoveIdleWorkers(now);
+}
+
+void JobTable::RemoveIdleWorkers(base::MonoTime now) {
+  const auto is_old = [now](const auto& entry) {
+    return entry.second.bound_at + kKeepIdleWorkers < now;
+  };
+  if (std::none_of(m_workers.begin(), m_workers.end(), is_old)) {
+    return;
+  }
+  for (const auto& [id, job] : m_jobs) {
+    for (const StepProgress& step : job.steps) {
+      for (const TaskProgress& task : step.tasks) {
+        const auto worker = m_workers.find(task.worker.id);
+        if (task.phase == TaskPhase::kBound && worker != m_workers.end()) {
+          worker->second.bound_at = now;
+        }
+      }
+    }
+  }
+  std::erase_if(m_workers, is_old);
+}
+
+std::string_view JobTable::AddressOf(const WorkerBoot& boot) const {
+  const auto found = m_workers.find(boot.id);
+  return found != m_workers.end() && found->second.boot == boot
+             ? std::string_view(found->second.address)
+             : std::string_view();
 }
 
 }  // namespace azurespur::jobs
--- a/packages/jobs/src/job_table_snapshot.cc
+++ b/packages/jobs/src/job_table_snapshot.cc
@@ -167,20 +167,23 @@
                     : accounts.accounts[static_cast<size_t>(number)];
 }
 
-bool HasStarts(const JobTableSnapshot& saved) {
+bool HasPart(const JobTableSnapshot& saved, TrailingPart part) {
   int32_t used = 0;
   for (const int32_t number : saved.job_terms) {
     used = std::max(used, number + 1);
   }
-  return used < static_cast<int32_t>(saved.terms.size());
+  return used + static_cast<int32_t>(part) <=
+         static_cast<int32_t>(saved.terms.size());
 }
 
-base::Outcome<StartsSnapshot> DecodeStarts(std::string_view bytes,
-                                           const JobTableSnapshot& saved) {
-  if (!HasStarts(saved)) {
-    return StartsSnapshot{};
-  }
-  return wire::Decode<StartsSnapshot>(bytes);
+// Sets `rest` to the bytes after the part.
+template <typename Part>
+base::Outcome<Part> DecodePart(std::string_view bytes,
+                               const JobTableSnapshot& saved,
+                               TrailingPart part,
+                               std::string_view& rest) {
+  return HasPart(saved, part) ? wire::DecodePrefix<Part>(bytes, rest)
+                              : base::Outcome<Part>(Part{});
 }
 
 bool HasValidTerms(const JobTableSnapshot& saved) {
@@ -286,17 +289,24 @@
   }
   starts.term_binds = table.m_term_binds;
   starts.settles = table.m_settles;
-  const bool has_starts =
-      !starts.open.empty() || starts.term_binds > 0 || starts.settles;
+  const bool has_starts = !starts.open.empty() || starts.term_binds > 0 ||
+                          starts.settles || !table.m_workers.empty();
+  WorkersSnapshot bound;
+  for (const auto& [id, worker] : table.m_workers) {
+    bound.workers.push_back({worker.boot, worker.address,
+                             base::MillisBetween(worker.bound_at, now)});
+  }
   if (has_starts) {
-    saved.terms.emplace_back();
+    saved.terms.resize(saved.terms.size() +
+                       static_cast<size_t>(TrailingPart::kWorkers));
   }
   std::string bytes = wire::Encode(saved);
   if (!accounts.accounts.empty() || has_starts) {
     accounts.rates = table.m_rates.buckets();
     bytes += wire::Encode(accounts);
   }
-  return has_starts ? bytes + wire::Encode(starts) : bytes;
+  return has_starts ? bytes + wire::Encode(starts) + wire::Encode(bound)
+                    : bytes;
 }
 
 base::Outcome<JobTable> DecodeJobTable(std::string_view bytes,
@@ -315,10 +325,17 @@
   if (!base::Ok(decoded_accounts)) {
     return base::GetError(decoded_accounts);
   }
-  const auto starts = DecodeStarts(starts_bytes, saved);
+  std::string_view workers_bytes;
+  const auto starts = DecodePart<StartsSnapshot>(
+      starts_bytes, saved, TrailingPart::kStarts, workers_bytes);
   if (!base::Ok(starts)) {
     return base::GetError(starts);
   }
+  const auto workers = DecodePart<WorkersSnapshot>(
+      workers_bytes, saved, TrailingPart::kWorkers, rest);
+  if (!base::Ok(workers)) {
+    return base::GetError(workers);
+  }
   const AccountsSnapshot& accounts = base::Value(decoded_accounts);
   JobTable table;
   table.m_leader = saved.leader;
@@ -376,6 +393,10 @@
   for (const UnsettledBindSnapshot& entry : saved_starts.unsettled) {
     table.m_unsettled[entry.number] = {entry.task, entry.worker};
   }
+  for (const WorkerSnapshot& entry : base::Value(workers).workers) {
+    table.m_workers[entry.boot.id] = {entry.boot, entry.address,
+                                      now - base::Millis{entry.age_ms}};
+  }
   table.m_term_binds = saved_starts.term_binds;
   table.m_settles = saved_starts.settles;
   return table;
--- a/packages/jobs/src/job_table_snapshot.h
+++ b/packages/jobs/src/job_table_snapshot.h
@@ -170,10 +170,12 @@
   }
 };
 
-// Starts that may be under way, stored after the accounts, where earlier
-// releases ignore them. A last entry of JobTableSnapshot::terms that no job has
-// says that they are there, so that a snapshot without its end is an error. Not
-// stored if there is nothing to say.
+// Entries of JobTableSnapshot::terms that no job has say how many parts follow
+// the accounts, so that a snapshot without its end is an error. Earlier
+// releases ignore the parts that they don't know.
+enum class TrailingPart : int32_t { kStarts = 1, kWorkers = 2 };
+
+// Starts that may be under way. Not stored if there is nothing to say.
 struct StartsSnapshot {
   std::vector<OpenStartSnapshot> open;
   std::vector<UnsettledBindSnapshot> unsettled;
@@ -186,6 +188,27 @@
   }
 };
 
+struct WorkerSnapshot {
+  WorkerBoot boot;
+  std::string address;
+  int64_t age_ms = 0;  // Since the last binding.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(boot, address, age_ms);
+  }
+};
+
+// The workers to which tasks were bound. Stored with the starts.
+struct WorkersSnapshot {
+  std::vector<WorkerSnapshot> workers;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(workers);
+  }
+};
+
 }  // namespace azurespur::jobs
 
 #endif  // JOBS_SRC_JOB_TABLE_SNAPSHOT_H_
--- a/packages/jobs/src/records.cc
+++ b/packages/jobs/src/records.cc
@@ -67,6 +67,10 @@
   if (heartbeat != nullptr && heartbeat->settled_binds) {
     bytes += wire::Encode(*heartbeat->settled_binds);
   }
+  const auto* bind = std::get_if<BindRecord>(&record);
+  if (bind != nullptr && !bind->address.empty()) {
+    bytes += wire::Encode(bind->address);
+  }
   return bytes;
 }
 
@@ -109,6 +113,14 @@
     }
     heartbeat->settled_binds = base::Value(settled);
   }
+  auto* bind = std::get_if<BindRecord>(&base::Value(record));
+  if (bind != nullptr && !rest.empty()) {
+    auto address = wire::Decode<std::string>(rest);
+    if (!base::Ok(address)) {
+      return base::GetError(address);
+    }
+    bind->address = base::Value(std::move(address));
+  }
   return record;
 }
 
--- a/packages/jobs/src/run_phase.cc
+++ b/packages/jobs/src/run_phase.cc
@@ -44,6 +44,7 @@
     // The report came under a later fencing token than that of the start.
     case RunEvent::kMissing:
     case RunEvent::kEnded:
+    case RunEvent::kOtherBoot:
     case RunEvent::kLapsed:
       return RunPhase::kOver;
     default:
@@ -60,6 +61,7 @@
       return RunPhase::kStartUnknown;
     case RunEvent::kMissing:
     case RunEvent::kEnded:
+    case RunEvent::kOtherBoot:
     case RunEvent::kLapsed:
       return RunPhase::kOver;
     default:
@@ -77,6 +79,7 @@
       return RunPhase::kRunning;
     case RunEvent::kMissing:
     case RunEvent::kEnded:
+    case RunEvent::kOtherBoot:
     case RunEvent::kLapsed:
       return RunPhase::kOver;
     default:
@@ -92,6 +95,7 @@
       return RunPhase::kStartUnknown;
     case RunEvent::kMissing:
     case RunEvent::kEnded:
+    case RunEvent::kOtherBoot:
     case RunEvent::kLapsed:
       return RunPhase::kOver;
     default:
@@ -127,6 +131,8 @@
       return "restarted";
     case RunEvent::kRestartedSendOpen:
       return "restarted_send_open";
+    case RunEvent::kOtherBoot:
+      return "other_boot";
     case RunEvent::kLapsed:
       return "lapsed";
   }
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -57,6 +57,9 @@
       m_fleet.AdoptOpenStart(task, start.worker, now);
     }
   }
+  for (const auto& [id, worker] : m_table.workers()) {
+    m_fleet.SetAdoptedAddress(worker.boot, worker.address);
+  }
 }
 
 void Scheduler::SetWorkers(std::span<const WorkerEntry> entries,
--- a/packages/jobs/src/scheduler_place.cc
+++ b/packages/jobs/src/scheduler_place.cc
@@ -107,7 +107,11 @@
   ++m_counts.tasks_placed;
   m_fleet.Bind(task, run, worker.entry.boot.id, now);
   m_pacer.OnBound();
-  AddRecord(out, BindRecord{task, run_number, worker.entry.boot});
+  BindRecord bind{task, run_number, worker.entry.boot};
+  if (m_table.AddressOf(bind.worker) != worker.confirmed_address) {
+    bind.address = worker.confirmed_address;
+  }
+  AddRecord(out, std::move(bind));
 }
 
 size_t Scheduler::PlaceSingleTasks(const ReadyStep& step,
--- a/packages/jobs/tests/job_table_snapshot_test.cc
+++ b/packages/jobs/tests/job_table_snapshot_test.cc
@@ -66,8 +66,10 @@
       return IntakeRecord(CancelRecord{job});
     case 3:
     case 4:
-      return WorkRecord(
-          BindRecord{task, run, {"w" + std::to_string(pick(3)), 7}});
+      return WorkRecord(BindRecord{task,
+                                   run,
+                                   {"w" + std::to_string(pick(3)), 7},
+                                   pick(2) == 0 ? "addr" : ""});
     case 5:
       return WorkRecord(EndRecord{task, run, static_cast<EndKind>(pick(3)),
                                   pick(2) == 0 ? "" : "checkpoint"});
@@ -156,6 +158,11 @@
     RC_ASSERT(start.worker == other->second.worker);
     RC_ASSERT(start.since == other->second.since);
   }
+  RC_ASSERT(a.workers().size() == b.workers().size());
+  for (const auto& [id, worker] : a.workers()) {
+    RC_ASSERT(b.AddressOf(worker.boot) == worker.address);
+    RC_ASSERT(b.workers().at(id).bound_at == worker.bound_at);
+  }
   RC_ASSERT(a.CountPending("even") == b.CountPending("even"));
   RC_ASSERT(a.CountPending("odd") == b.CountPending("odd"));
 }
@@ -164,7 +171,7 @@
   JobTable table;
   table.Submit(MakeJob(1), kNow);
   table.Apply(WorkRecord(LeaderRecord{3, "vm", "address"}), kNow);
-  table.Apply(WorkRecord(BindRecord{{1, 0, 2}, 1, {"w1", 7}}), kNow);
+  table.Apply(WorkRecord(BindRecord{{1, 0, 2}, 1, {"w1", 7}, "addr"}), kNow);
   return table;
 }
 
--- a/packages/jobs/tests/late_call_cell.h
+++ b/packages/jobs/tests/late_call_cell.h
@@ -45,7 +45,7 @@
     WorkerEntry entry;
     entry.boot = {id, 1};
     entry.service = "s";
-    entry.address = "addr";
+    entry.address = "addr-" + id;
     entry.rack = "r";
     entry.capacity = {kCapacity, 1000000, 0};
     workers.emplace(id, SimulatedWorker(entry, now, uptime, *rows));
@@ -78,6 +78,8 @@
     workers.at(worker).Boot(now);
   }
 
+  void Replace(const std::string& worker) { workers.at(worker).Replace(now); }
+
   // The next leader knows what is stored, and nothing else.
   void ReplaceLeader() {
     options.fence += kFencesPerTerm;
@@ -171,6 +173,7 @@
   std::map<std::string, SimulatedWorker> workers;
   std::set<std::string> cut;  // Workers that nothing but late calls reaches.
   std::map<std::string, WorkerEntry> directory;
+  std::set<std::string> unlisted;  // Workers whose entry has expired.
   base::MonoTime next_directory{};
   std::map<std::pair<std::string, CallKind>, base::Millis> late;
   // If set, decides for each call whether it is carried out late.
@@ -222,7 +225,9 @@
       if (worker.up() && cut.count(id) == 0) {
         directory[id] = worker.entry();
       }
-      entries.push_back(directory[id]);
+      if (unlisted.count(id) == 0) {
+        entries.push_back(directory[id]);
+      }
     }
     scheduler->SetWorkers(entries, now);
   }
@@ -249,7 +254,7 @@
             Failed failed) {
     SimulatedWorker& worker = workers.at(id);
     const std::optional<base::Millis> delay = TakeDelay(id, kind);
-    if (!delay && worker.up() && cut.count(id) == 0) {
+    if (!delay && worker.answers() && cut.count(id) == 0) {
       auto answer = execute(worker, /*late=*/false);
       if (draw_lost && draw_lost()) {
         events.emplace(now + kAnswerTimeout, [this, failed, in_term = term] {
--- a/packages/jobs/tests/late_call_test.cc
+++ b/packages/jobs/tests/late_call_test.cc
@@ -60,8 +60,22 @@
     }
   }
 
+  // Another worker has the address for some seconds, before or after a cut.
+  void ReplaceForSomeTime(const std::string& id) {
+    Replace(id);
+    events.emplace(now + Millis{200 + Draw(15000)}, [this, id] {
+      if (!workers.at(id).up()) {
+        workers.at(id).Boot(now);
+      }
+    });
+  }
+
   void RestartAndCut(const std::string& id) {
-    Restart(id);
+    if (Chance(replace_per_mille)) {
+      ReplaceForSomeTime(id);
+    } else {
+      Restart(id);
+    }
     if (Chance(300)) {
       return;
     }
@@ -77,6 +91,7 @@
   bool Chance(uint32_t per_mille) { return Draw(1000) < per_mille; }
 
   std::mt19937 random;
+  uint32_t replace_per_mille = 0;
 };
 
 }  // namespace
@@ -279,6 +294,26 @@
   CHECK(over_capacity == 0);
 }
 
+// Guards against the same where another boot answers at a worker's address for
+// some seconds, and the worker is back under its id before late calls arrive.
+TEST_CASE("workers that are replaced and return run no task twice") {
+  size_t runs = 0;
+  int64_t replaced = 0;
+  for (uint32_t seed = 1; seed <= kSeeds; ++seed) {
+    RandomCell f(seed);
+    f.replace_per_mille = 500;
+    f.Play();
+    CAPTURE(seed);
+    CHECK(f.CountSecondRuns() == 0);
+    CHECK(f.CountSecondRuns(/*late_ones=*/true) == 0);
+    CHECK(f.CountStartsOverCapacity() == 0);
+    runs += f.rows->size();
+    replaced += f.scheduler->fleet().replaced_boots();
+  }
+  MESSAGE("runs: " << runs << ", replaced in the last terms: " << replaced);
+  CHECK(replaced > 0);
+}
+
 // Guards against the same where hold orders wait for ends, so that a boot is
 // unseen for longer, and where answers of calls that were carried out are lost.
 TEST_CASE("restarts behind long polls and lost answers run no task twice") {
--- a/packages/jobs/tests/scheduler_fixture.h
+++ b/packages/jobs/tests/scheduler_fixture.h
@@ -176,6 +176,8 @@
   std::map<std::string, OrderOutcome> start_outcomes;  // Default: accepted.
   std::map<std::string, bool> silent;      // Workers that answer no orders.
   std::map<std::string, bool> only_holds;  // Workers that answer only holds.
+  // Addresses at which another boot answers than those that orders name.
+  std::set<std::string> other_boots;
   std::map<std::string, bool> stalled;  // Workers whose tasks make no progress.
   // The run of an unanswered start is executed and ends as done at once.
   bool run_unanswered = false;
@@ -228,6 +230,11 @@
     if (other != start_outcomes.end()) {
       outcome = other->second;
     }
+    if (other_boots.count(order.address) > 0) {
+      scheduler.OnStarted(order, {OrderOutcome::kOtherBoot, std::nullopt}, now,
+                          out);
+      return;
+    }
     if (silent[order.worker.id] || only_holds[order.worker.id] ||
         unanswered_starts > 0) {
       outcome = OrderOutcome::kUnknown;
@@ -250,6 +257,10 @@
 
   void Stop(const StopOrder& order) {
     stopped.push_back(order);
+    if (other_boots.count(order.address) > 0) {
+      scheduler.OnStopped(order, OrderOutcome::kOtherBoot, now, out);
+      return;
+    }
     if (silent[order.worker.id] || only_holds[order.worker.id]) {
       scheduler.OnStopped(order, OrderOutcome::kUnknown, now, out);
       return;
@@ -263,6 +274,10 @@
   void Hold(const HoldOrder& order) {
     const std::string& id = order.worker.id;
     sent_holds.push_back(order);
+    if (other_boots.count(order.address) > 0) {
+      scheduler.OnHoldFailed(order, OrderOutcome::kOtherBoot, now, out);
+      return;
+    }
     if (silent[id]) {
       scheduler.OnHoldFailed(order, OrderOutcome::kUnknown, now, out);
       return;
--- a/packages/jobs/tests/worker_simulation.h
+++ b/packages/jobs/tests/worker_simulation.h
@@ -46,6 +46,8 @@
 
   const WorkerEntry& entry() const { return m_entry; }
   bool up() const { return m_up; }
+  // Something listens at its address.
+  bool answers() const { return m_up || m_replaced; }
   size_t starts_over_capacity() const { return m_starts_over_capacity; }
   int64_t ClockMs(base::MonoTime now) const {
     return base::MillisBetween(m_booted, now);
@@ -59,9 +61,16 @@
     m_up = false;
   }
 
+  // It crashes, and another worker takes its address.
+  void Replace(base::MonoTime now) {
+    Crash(now);
+    m_replaced = true;
+  }
+
   // Begins a new boot, which knows nothing of the former one.
   void Boot(base::MonoTime now) {
     m_up = true;
+    m_replaced = false;
     ++m_entry.boot.boot_unix_ms;
     m_booted = now;
     m_fence = 0;
@@ -97,6 +106,9 @@
   }
 
   OrderOutcome Start(const StartOrder& order, bool late, base::MonoTime now) {
+    if (m_replaced) {
+      return OrderOutcome::kOtherBoot;
+    }
     if (!Admit(order.fence)) {
       return OrderOutcome::kFenced;
     }
@@ -122,6 +134,9 @@
   }
 
   OrderOutcome Stop(const StopOrder& order, base::MonoTime now) {
+    if (m_replaced) {
+      return OrderOutcome::kOtherBoot;
+    }
     if (!Admit(order.fence)) {
       return OrderOutcome::kFenced;
     }
@@ -139,6 +154,9 @@
   std::pair<OrderOutcome, WorkerReport> Hold(const HoldOrder& order,
                                              base::MonoTime now) {
     WorkerReport report;
+    if (m_replaced) {
+      return {OrderOutcome::kOtherBoot, report};
+    }
     report.boot_unix_ms = m_entry.boot.boot_unix_ms;
     report.clock_ms = ClockMs(now);
     if (!Admit(order.fence)) {
@@ -205,6 +223,7 @@
   base::MonoTime m_booted;
   std::vector<RunRow>* m_rows;
   bool m_up = true;
+  bool m_replaced = false;
   uint64_t m_fence = 0;
   int64_t m_lease_until_ms = 0;
   base::MonoTime m_lapsed_at{};
