A run with a ticket on a lost worker lapses with its boot's lease

Cause: a run whose start got no answer counted as one that an unreached boot may run, 12.5 s and the longest lease after its last send, though any other boot refuses the start's ticket.

Change: with a ticket, the lease of the known boot decides: 8.8 s after the last renewal, for a new leader after the 7 s in which its predecessor may renew. It works since no boot but the one that the ticket was given for begins such a run; the last renewal there is known.

--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -65,6 +65,8 @@
   // run that a former leader started.
   base::MonoTime started_at{};
   bool resumed = false;  // Began from a checkpoint.
+  // A lease that an earlier leader granted is over by then, at whichever boot.
+  base::MonoTime former_lease_until{};
   // After this time an unanswered start can no longer take effect.
   base::MonoTime start_deadline = base::MonoTime::max();
   int32_t percent = -1;
@@ -206,7 +208,8 @@
              const placement::Resources& demand,
              bool gang,
              base::MonoTime now,
-             AccountIndex account = kNoAccount);
+             AccountIndex account = kNoAccount,
+             bool has_ticket = false);
 
   // A send of the task's start to the worker got no answer from its sender, an
   // earlier leader. To be called after Adopt().
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -214,7 +214,8 @@
                   const placement::Resources& demand,
                   bool gang,
                   base::MonoTime now,
-                  AccountIndex account) {
+                  AccountIndex account,
+                  bool has_ticket) {
   Worker& worker = GetWorker(boot.id);
   if (worker.entry.boot.id.empty()) {
     worker.entry.boot = boot;
@@ -228,11 +229,16 @@
   run.account = account;
   run.gang = gang;
   run.progress_at = now;
-  // Until then the former leader may have renewed the lease, on a boot that
-  // had just begun for the longest time.
+  run.has_ticket = has_ticket;
+  // Until then the former leader may have renewed the lease. A boot that had
+  // just begun counts it as the longest one, and runs nothing that was started
+  // with a ticket of the boot before it.
   worker.last_grant_at = now + m_options.max_renew_after_append;
-  worker.lease_expires_at =
-      worker.last_grant_at + LeaseBound(m_options.max_lease);
+  worker.lease_expires_at = worker.last_grant_at + LeaseBound(m_options.lease);
+  if (!has_ticket) {
+    run.former_lease_until =
+        worker.last_grant_at + LeaseBound(m_options.max_lease);
+  }
   worker.used = placement::Add(worker.used, demand);
   m_usage.Add(account, demand);
   worker.runs.emplace(task, std::move(run));
--- a/packages/jobs/src/fleet_boots.cc
+++ b/packages/jobs/src/fleet_boots.cc
@@ -246,17 +246,20 @@
     const bool open = run.start_open_until > base::MonoTime{};
     const base::MonoTime late =
         run.start_open_until + LeaseBound(m_options.max_lease);
-    return open ? std::max(worker.lease_expires_at, late)
-                : worker.lease_expires_at;
+    const base::MonoTime lapsed =
+        std::max(worker.lease_expires_at, run.former_lease_until);
+    return open ? std::max(lapsed, late) : lapsed;
   }
   const bool has_open_send = std::any_of(
       worker.open_sends.begin(), worker.open_sends.end(),
       [&worker, &task](const OpenSend& send) {
         return send.task == task && worker.newest_hold_sent_at < send.until;
       });
-  const bool may_be_unseen = !worker.confirmed || has_open_send ||
-                             run.phase == RunPhase::kStarting ||
-                             worker.newest_hold_sent_at < run.start_open_until;
+  // Only the boot that the leader knows begins a run with its ticket.
+  const bool may_begin =
+      !run.has_ticket && (has_open_send || run.phase == RunPhase::kStarting ||
+                          worker.newest_hold_sent_at < run.start_open_until);
+  const bool may_be_unseen = !worker.confirmed || may_begin;
   return may_be_unseen
              ? std::max(worker.lease_expires_at, UnseenBootLapsedAfter(worker))
              : worker.lease_expires_at;
--- a/packages/jobs/src/scheduler.cc
+++ b/packages/jobs/src/scheduler.cc
@@ -43,10 +43,10 @@
       for (size_t i = 0; i < step.tasks.size(); ++i) {
         const TaskProgress& task = step.tasks[i];
         if (task.phase == TaskPhase::kBound) {
-          m_fleet.Adopt({id, static_cast<int32_t>(s), static_cast<int32_t>(i)},
-                        task.run, task.worker, job.spec.steps[s].demand,
-                        job.spec.steps[s].gang, now,
-                        m_fleet.IndexOfAccount(job.spec.account));
+          m_fleet.Adopt(
+              {id, static_cast<int32_t>(s), static_cast<int32_t>(i)}, task.run,
+              task.worker, job.spec.steps[s].demand, job.spec.steps[s].gang,
+              now, m_fleet.IndexOfAccount(job.spec.account), NeedsTicket(job));
         }
       }
     }
