--- a/packages/cell/src/node_dump.cc
+++ b/packages/cell/src/node_dump.cc
@@ -83,7 +83,8 @@
     }
     dump["accounts"] = std::move(accounts);
   }
-  return dump.dump();
+  // Names come from other writers, and need not be UTF-8.
+  return dump.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 }  // namespace azurespur::cell
