--- a/packages/jobs/include/jobs/job_table.h
+++ b/packages/jobs/include/jobs/job_table.h
@@ -42,8 +42,9 @@
 // A worker to which tasks were bound.
 struct TableWorker {
   WorkerBoot boot;
-  std::string address;        // Where the boot has answered a leader.
-  base::MonoTime bound_at{};  // When this VM read of the last binding.
+  std::string address;  // Where the boot has answered a leader.
+  // When this VM read of the address, or last found a task there.
+  base::MonoTime known_since{};
 };
 
 // A binding of the current term whose start may be under way.
--- a/packages/jobs/src/fleet_boots.cc
+++ b/packages/jobs/src/fleet_boots.cc
@@ -87,11 +87,11 @@
                         const WorkerEntry& entry,
                         base::MonoTime now) {
   if (IsSameBoot(entry.boot.boot_unix_ms, worker.entry.boot.boot_unix_ms)) {
-    const WorkerBoot known = worker.entry.boot;
+    const int64_t known = worker.entry.boot.boot_unix_ms;
     worker.entry = entry;
     // Orders that are under way name the known boot.
     if (entry.boot.boot_unix_ms == 0) {
-      worker.entry.boot = known;
+      worker.entry.boot.boot_unix_ms = known;
     }
     worker.undescribed = false;
     worker.announced.reset();
--- a/packages/jobs/src/job_table.cc
+++ b/packages/jobs/src/job_table.cc
@@ -10,7 +10,8 @@
 // After its record, a start is open for up to 10 s more until the next record,
 // 12.5 s until it has arrived, and the lease of what it began.
 constexpr base::Millis kKeepOpenStarts{35000};
-// Spares the leader telling the same address again and again.
+// Each binding is applied by all VMs, so none but the first one to a worker is
+// noted; idle workers are found by their tasks once in this time.
 constexpr base::Millis kKeepIdleWorkers{60000};
 // A term of an earlier release settles none. More than any leader has under
 // way.
@@ -224,9 +225,6 @@
 void JobTable::ApplyOne(const BindRecord& record, base::MonoTime now) {
   if (!record.address.empty()) {
     m_workers[record.worker.id] = {record.worker, record.address, now};
-  } else if (const auto worker = m_workers.find(record.worker.id);
-             worker != m_workers.end()) {
-    worker->second.bound_at = now;
   }
   m_unsettled[m_term_binds++] = {record.task, record.worker.id};
   if (m_unsettled.size() > kMaxUnsettled) {
@@ -370,7 +368,7 @@
 
 void JobTable::RemoveIdleWorkers(base::MonoTime now) {
   const auto is_old = [now](const auto& entry) {
-    return entry.second.bound_at + kKeepIdleWorkers < now;
+    return entry.second.known_since + kKeepIdleWorkers < now;
   };
   if (std::none_of(m_workers.begin(), m_workers.end(), is_old)) {
     return;
@@ -378,9 +376,12 @@
   for (const auto& [id, job] : m_jobs) {
     for (const StepProgress& step : job.steps) {
       for (const TaskProgress& task : step.tasks) {
+        if (task.phase != TaskPhase::kBound) {
+          continue;
+        }
         const auto worker = m_workers.find(task.worker.id);
-        if (task.phase == TaskPhase::kBound && worker != m_workers.end()) {
-          worker->second.bound_at = now;
+        if (worker != m_workers.end()) {
+          worker->second.known_since = now;
         }
       }
     }
--- a/packages/jobs/src/job_table_snapshot.cc
+++ b/packages/jobs/src/job_table_snapshot.cc
@@ -294,7 +294,7 @@
   WorkersSnapshot bound;
   for (const auto& [id, worker] : table.m_workers) {
     bound.workers.push_back({worker.boot, worker.address,
-                             base::MillisBetween(worker.bound_at, now)});
+                             base::MillisBetween(worker.known_since, now)});
   }
   if (has_starts) {
     saved.terms.resize(saved.terms.size() +
--- a/packages/jobs/src/job_table_snapshot.h
+++ b/packages/jobs/src/job_table_snapshot.h
@@ -191,7 +191,7 @@
 struct WorkerSnapshot {
   WorkerBoot boot;
   std::string address;
-  int64_t age_ms = 0;  // Since the last binding.
+  int64_t age_ms = 0;  // Since TableWorker::known_since.
 
   template <class Archive>
   void serialize(Archive& archive) {
--- a/packages/jobs/tests/job_table_snapshot_test.cc
+++ b/packages/jobs/tests/job_table_snapshot_test.cc
@@ -161,7 +161,7 @@
   RC_ASSERT(a.workers().size() == b.workers().size());
   for (const auto& [id, worker] : a.workers()) {
     RC_ASSERT(b.AddressOf(worker.boot) == worker.address);
-    RC_ASSERT(b.workers().at(id).bound_at == worker.bound_at);
+    RC_ASSERT(b.workers().at(id).known_since == worker.known_since);
   }
   RC_ASSERT(a.CountPending("even") == b.CountPending("even"));
   RC_ASSERT(a.CountPending("odd") == b.CountPending("odd"));
