Outcomes of orders and open starts are judged in one place each

Starts, stops and hold orders each asked whether a later leader had fenced them and whether another boot had answered; ObserveOutcome() does now. The conditions under which an open start is waited for, and is over at another boot, stood twice each and have a name now.

No behaviour changes.

--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -359,11 +359,13 @@
                     base::MonoTime now);
   // The worker's boot has answered under its fencing token.
   void ConfirmBoot(Worker& worker, base::MonoTime now);
-  // True if a later leader has fenced the order. Calls that this leader has
-  // itself fenced, by a later one, don't count.
-  static bool IsFencedByOther(const Worker& worker,
-                              uint64_t fence,
-                              OrderOutcome outcome);
+  // What the answer to any order tells of its target: that a later leader has
+  // fenced it, or that another boot has answered.
+  void ObserveOutcome(Worker& worker,
+                      const OrderTarget& target,
+                      OrderOutcome outcome,
+                      base::MonoTime now,
+                      SchedulerOutput& out);
   // After this time the run is certainly over if its worker stays silent.
   base::MonoTime LapsedAfter(const Worker& worker,
                              const TaskRef& task,
--- a/packages/jobs/include/jobs/orders.h
+++ b/packages/jobs/include/jobs/orders.h
@@ -15,10 +15,11 @@
 
 namespace azurespur::jobs {
 
-// Whom an order was meant for, and where and when it was sent.
+// Whom an order was meant for, and how, where and when it was sent.
 struct OrderTarget {
   const WorkerBoot& worker;
   const std::string& address;
+  uint64_t fence = 0;
   base::MonoTime sent_at{};
 };
 
--- a/packages/jobs/src/fleet.cc
+++ b/packages/jobs/src/fleet.cc
@@ -328,12 +328,10 @@
   if (worker == nullptr) {
     return;
   }
-  out.fenced = out.fenced || IsFencedByOther(*worker, order.fence, outcome);
+  ObserveOutcome(*worker,
+                 {order.worker, order.address, order.fence, order.sent_at},
+                 outcome, now, out);
   ObserveClock(*worker, order, answer, now);
-  if (outcome == OrderOutcome::kOtherBoot) {
-    OnOtherBoot(*worker, {order.worker, order.address, order.sent_at}, now,
-                out);
-  }
   Run* run = FindRun(*worker, order.task, order.run);
   if (run == nullptr || run->phase != RunPhase::kStarting) {
     return;
@@ -362,10 +360,18 @@
   Advance(*worker, order.task, event, now, out);
 }
 
-bool Fleet::IsFencedByOther(const Worker& worker,
-                            uint64_t fence,
-                            OrderOutcome outcome) {
-  return outcome == OrderOutcome::kFenced && fence >= worker.fence;
+void Fleet::ObserveOutcome(Worker& worker,
+                           const OrderTarget& target,
+                           OrderOutcome outcome,
+                           base::MonoTime now,
+                           SchedulerOutput& out) {
+  // Calls that this leader has itself fenced, by a later one, don't count.
+  const bool fenced_by_other =
+      outcome == OrderOutcome::kFenced && target.fence >= worker.fence;
+  out.fenced = out.fenced || fenced_by_other;
+  if (outcome == OrderOutcome::kOtherBoot) {
+    OnOtherBoot(worker, target, now, out);
+  }
 }
 
 void Fleet::OnStopped(const StopOrder& order,
@@ -376,11 +382,9 @@
   if (worker == nullptr) {
     return;
   }
-  out.fenced = out.fenced || IsFencedByOther(*worker, order.fence, outcome);
-  if (outcome == OrderOutcome::kOtherBoot) {
-    OnOtherBoot(*worker, {order.worker, order.address, order.sent_at}, now,
-                out);
-  }
+  ObserveOutcome(*worker,
+                 {order.worker, order.address, order.fence, order.sent_at},
+                 outcome, now, out);
   // A stop that a former boot answered doesn't prevent the start on this one.
   if (outcome != OrderOutcome::kAccepted ||
       worker->entry.boot != order.worker) {
@@ -557,10 +561,9 @@
       continue;
     }
     const auto open = m_open_starts.find(task);
-    // A task whose job is over runs nowhere else.
-    const bool may_conclude =
-        run.gang || run.stop_reason == StopReason::kJobOver ||
-        open == m_open_starts.end() || order.sent_at > open->second.until;
+    const bool may_conclude = !WaitsForOpenStart(run) ||
+                              open == m_open_starts.end() ||
+                              order.sent_at > open->second.until;
     if (may_conclude) {
       missing.push_back(task);
     } else {
--- a/packages/jobs/src/fleet_holds.cc
+++ b/packages/jobs/src/fleet_holds.cc
@@ -40,13 +40,11 @@
   if (worker == nullptr) {
     return;
   }
-  out.fenced = out.fenced || IsFencedByOther(*worker, order.fence, outcome);
+  ObserveOutcome(*worker, {boot, order.address, order.fence, order.sent_at},
+                 outcome, now, out);
   if (order.lease_until_ms && outcome == OrderOutcome::kUnknown) {
     worker->last_grant_at = now;
   }
-  if (outcome == OrderOutcome::kOtherBoot) {
-    OnOtherBoot(*worker, {boot, order.address, order.sent_at}, now, out);
-  }
   // An order under a former token tells nothing of the worker as it is now.
   if (worker->entry.boot != boot || order.fence != worker->fence) {
     return;
--- a/packages/jobs/src/fleet_replaced.cc
+++ b/packages/jobs/src/fleet_replaced.cc
@@ -10,6 +10,7 @@
 
 #include "base/event_log.h"
 #include "jobs/fleet.h"
+#include "start_resend.h"
 
 namespace azurespur::jobs {
 
@@ -75,11 +76,8 @@
     return false;
   }
   const auto open = m_open_starts.find(task);
-  // A gang's member is not waited for, and the task of a job that is over runs
-  // nowhere else.
-  return open == m_open_starts.end() || run.gang ||
-         run.stop_reason == StopReason::kJobOver ||
-         (open->second.at_one_address && asked_at > open->second.until);
+  return !WaitsForOpenStart(run) || open == m_open_starts.end() ||
+         IsRefusedByOtherBoot(open->second, asked_at);
 }
 
 }  // namespace azurespur::jobs
--- a/packages/jobs/src/fleet_starts.cc
+++ b/packages/jobs/src/fleet_starts.cc
@@ -91,9 +91,7 @@
     return false;
   }
   const Worker& worker = found->second;
-  const bool replaced =
-      start.at_one_address && worker.other_boot_at > start.until;
-  return replaced ||
+  return IsRefusedByOtherBoot(start, worker.other_boot_at) ||
          (worker.confirmed && worker.newest_hold_sent_at > start.until &&
           !worker.has_unknown_run);
 }
--- a/packages/jobs/src/job_table_snapshot.cc
+++ b/packages/jobs/src/job_table_snapshot.cc
@@ -289,24 +289,23 @@
   }
   starts.term_binds = table.m_term_binds;
   starts.settles = table.m_settles;
-  const bool has_starts = !starts.open.empty() || starts.term_binds > 0 ||
-                          starts.settles || !table.m_workers.empty();
-  WorkersSnapshot bound;
+  const bool has_parts = !starts.open.empty() || starts.term_binds > 0 ||
+                         starts.settles || !table.m_workers.empty();
+  std::vector<WorkerSnapshot> bound;
   for (const auto& [id, worker] : table.m_workers) {
-    bound.workers.push_back({worker.boot, worker.address,
-                             base::MillisBetween(worker.known_since, now)});
+    bound.push_back({worker.boot, worker.address,
+                     base::MillisBetween(worker.known_since, now)});
   }
-  if (has_starts) {
+  if (has_parts) {
     saved.terms.resize(saved.terms.size() +
                        static_cast<size_t>(TrailingPart::kWorkers));
   }
   std::string bytes = wire::Encode(saved);
-  if (!accounts.accounts.empty() || has_starts) {
+  if (!accounts.accounts.empty() || has_parts) {
     accounts.rates = table.m_rates.buckets();
     bytes += wire::Encode(accounts);
   }
-  return has_starts ? bytes + wire::Encode(starts) + wire::Encode(bound)
-                    : bytes;
+  return has_parts ? bytes + wire::Encode(starts) + wire::Encode(bound) : bytes;
 }
 
 base::Outcome<JobTable> DecodeJobTable(std::string_view bytes,
@@ -331,7 +330,7 @@
   if (!base::Ok(starts)) {
     return base::GetError(starts);
   }
-  const auto workers = DecodePart<WorkersSnapshot>(
+  const auto workers = DecodePart<std::vector<WorkerSnapshot>>(
       workers_bytes, saved, TrailingPart::kWorkers, rest);
   if (!base::Ok(workers)) {
     return base::GetError(workers);
@@ -393,7 +392,7 @@
   for (const UnsettledBindSnapshot& entry : saved_starts.unsettled) {
     table.m_unsettled[entry.number] = {entry.task, entry.worker};
   }
-  for (const WorkerSnapshot& entry : base::Value(workers).workers) {
+  for (const WorkerSnapshot& entry : base::Value(workers)) {
     table.m_workers[entry.boot.id] = {entry.boot, entry.address,
                                       now - base::Millis{entry.age_ms}};
   }
--- a/packages/jobs/src/job_table_snapshot.h
+++ b/packages/jobs/src/job_table_snapshot.h
@@ -188,6 +188,7 @@
   }
 };
 
+// A worker to which tasks were bound. All of them are stored with the starts.
 struct WorkerSnapshot {
   WorkerBoot boot;
   std::string address;
@@ -199,16 +200,6 @@
   }
 };
 
-// The workers to which tasks were bound. Stored with the starts.
-struct WorkersSnapshot {
-  std::vector<WorkerSnapshot> workers;
-
-  template <class Archive>
-  void serialize(Archive& archive) {
-    archive(workers);
-  }
-};
-
 }  // namespace azurespur::jobs
 
 #endif  // JOBS_SRC_JOB_TABLE_SNAPSHOT_H_
--- a/packages/jobs/src/start_resend.h
+++ b/packages/jobs/src/start_resend.h
@@ -18,6 +18,20 @@
   return run.phase == RunPhase::kStartUnknown && run.resend;
 }
 
+// True if the run is over only once no send of its start can arrive. A gang's
+// member is not waited for, and the task of a job that is over runs nowhere
+// else.
+inline bool WaitsForOpenStart(const Run& run) {
+  return !run.gang && run.stop_reason != StopReason::kJobOver;
+}
+
+// True if the start can't begin a run any more, as another boot answered an
+// order that was sent at `asked_at` to its worker's confirmed address.
+inline bool IsRefusedByOtherBoot(const OpenStart& start,
+                                 base::MonoTime asked_at) {
+  return start.at_one_address && asked_at > start.until;
+}
+
 }  // namespace azurespur::jobs
 
 #endif  // JOBS_SRC_START_RESEND_H_
--- a/packages/jobs/tests/records_test.cc
+++ b/packages/jobs/tests/records_test.cc
@@ -57,6 +57,24 @@
   CHECK_FALSE(std::get<HeartbeatRecord>(base::Value(without)).settled_binds);
 }
 
+// Earlier releases store no address, and read what comes before it.
+TEST_CASE("a binding is decoded with and without the worker's address") {
+  const BindRecord bind{{1, 0, 2}, 3, {"w", 7}, "10.0.0.1:80"};
+  const std::string bytes = EncodeWork(bind);
+  const auto with = DecodeWork(bytes);
+  REQUIRE(base::Ok(with));
+  CHECK(std::get<BindRecord>(base::Value(with)).address == bind.address);
+  const std::string former = EncodeWork(BindRecord{bind.task, 3, bind.worker});
+  CHECK(bytes.starts_with(former));
+  const auto without = DecodeWork(former);
+  REQUIRE(base::Ok(without));
+  const auto& read = std::get<BindRecord>(base::Value(without));
+  CHECK(read.task == bind.task);
+  CHECK(read.run == 3);
+  CHECK(read.worker == bind.worker);
+  CHECK(read.address.empty());
+}
+
 // Guards against a process that ends on each read of a damaged record: a
 // negative count of tasks is no size, and a step that follows one outside the
 // job is read out of bounds.
