recut.py gives a verdict again

It ended with AttributeError: late_orders.py's took_note(), which it calls, asks since for the crashes of a worker, and recut.py's workers kept none. Both scripts now use keep_times() and crash(), and recut.py judges notes as late_orders.py does, by their boot.

--- a/testing/processes/late_orders.py
+++ b/testing/processes/late_orders.py
@@ -72,6 +72,17 @@
         super().__setitem__(run, at)
 
 
+def keep_times(cell):
+    """Makes the workers keep what took_note() asks for."""
+    for worker in cell.workers:
+        worker.noted, worker.crashes = Notes(), []
+
+
+def crash(worker):
+    worker.crash()
+    worker.crashes.append(now())
+
+
 def took_note(worker, task, run, ended):
     """True if `lastSeen` has reached the end that the worker listed at `ended`,
     on the boot that listed it, and no lease lapsed between the two."""
@@ -98,8 +109,7 @@
     while now() < end:
         time.sleep(rng.uniform(*RESTART_EVERY_S))
         worker = rng.choice(cell.workers)
-        worker.crash()
-        worker.crashes.append(now())
+        crash(worker)
         time.sleep(rng.uniform(*DOWN_S))
         worker.boot(announce=False)
         threading.Timer(LIST_LAG_S, worker.announce).start()
@@ -134,8 +144,7 @@
         if not cell.wait_ready():
             print(f"seed {seed}: the VMs aren't ready")
             return 2
-        for worker in cell.workers:
-            worker.noted, worker.crashes = Notes(), []
+        keep_times(cell)
         delay_some_starts(cell, rng)
         clients = [Client(cell, seed, i) for i in range(CLIENTS)]
         for client in clients:
--- a/testing/processes/recut.py
+++ b/testing/processes/recut.py
@@ -28,7 +28,8 @@
 import threading
 import time
 
-from late_orders import Client, find_repeats, find_unfinished
+from late_orders import (Client, crash, find_repeats, find_unfinished, keep_times,
+                         took_note)
 from refused import DEFAULT_PROGRAM, FaultCell
 from cell import BACKEND, ROOT, find_overlaps
 from standins import Worker, now, unix_ms
@@ -132,7 +133,7 @@
 def restart_and_cut(cell, rng, options):
     group = rng.choice(cell.groups)
     for worker in group:
-        worker.crash()
+        crash(worker)
     time.sleep(DOWN_S)
     for worker in group:
         worker.boot()
@@ -160,7 +161,7 @@
         return all((task, run) in workers[name].late_notes
                    for task, run, name, _, ended, how in rows
                    if task == again[0] and how == "done" and ended < again[3]
-                   and workers[name].took_note(task, run, ended))
+                   and took_note(workers[name], task, run, ended))
 
     repeats = [(row, is_late(row)) for row in find_repeats(cell, rows)]
     return {
@@ -209,6 +210,7 @@
         if not cell.wait_ready():
             print(f"seed {seed}: the VMs aren't ready; logs in {folder}")
             return 2
+        keep_times(cell)
         jobs, unfinished, rows = play_day(cell, seed, options)
     finally:
         cell.end()
