The fleet's reports, runs and workers have files of their own

Two test files had the same job with a late first start, and the same count of second runs: both are in late_call_cell.h.

--- a/packages/jobs/include/jobs/fleet.h
+++ b/packages/jobs/include/jobs/fleet.h
@@ -1,9 +1,9 @@
 // The leader's view of the workers: leases, runs and the state of each run.
 // Does no I/O and reads no clock.
 //
-// A run is over only when its worker reports it, when the worker has restarted,
-// or when the worker's lease has certainly expired. Only then is the end
-// recorded, and only then may the task be bound again.
+// A run is over only when its worker reports it, when another boot answers at
+// the worker's address, or when the worker's lease has certainly expired. Only
+// then is the end recorded, and only then may the task be bound again.
 
 #ifndef JOBS_FLEET_H_
 #define JOBS_FLEET_H_
@@ -22,70 +22,18 @@
 #include "jobs/orders.h"
 #include "jobs/own_delay.h"
 #include "jobs/released_runs.h"
+#include "jobs/run.h"
 #include "jobs/run_phase.h"
 #include "jobs/scheduler_options.h"
 #include "jobs/scheduler_output.h"
 #include "jobs/stop_reason.h"
+#include "jobs/worker.h"
 #include "jobs/worker_entry.h"
 #include "jobs/worker_report.h"
 #include "jobs/worker_speeds.h"
 
 namespace azurespur::jobs {
 
-struct Run {
-  int32_t run = 0;
-  RunPhase phase = RunPhase::kBinding;
-  placement::Resources demand;
-  AccountIndex account = kNoAccount;
-  bool urgent = false;
-  int32_t priority = 0;      // Priority of the queue; 0 is the most urgent.
-  bool preemptible = false;  // Can be stopped without losing work.
-  bool gang = false;         // Ends only together with the others of its step.
-  bool stop_requested = false;
-  // Of the request; of the first stop if none was requested.
-  std::optional<StopReason> stop_reason;
-  bool stop_counted = false;
-  base::MonoTime start_sent_at{};
-  uint64_t start_fence = 0;  // Of the newest send of the start.
-  int32_t start_sends = 0;
-  // The start carries a ticket, so no later boot of the worker accepts it.
-  bool has_ticket = false;
-  // The start is to be sent again, as its outcome is unknown, once a report
-  // that is asked for after `unanswered_at` lacks the run.
-  bool resend = false;
-  base::MonoTime unanswered_at{};
-  // It was running on a former boot, where it may have ended unheard; so it is
-  // not sent to a later one.
-  bool has_run = false;
-  // Until then, a send of the start that got no answer may still be executed.
-  base::MonoTime start_open_until{};
-  base::MonoTime stop_sent_at{};
-  base::MonoTime confirmed_at{};  // When the worker answered start or stop.
-  // When the start was accepted, or a report first listed the run. Unset for a
-  // run that a former leader started.
-  base::MonoTime started_at{};
-  bool resumed = false;  // Began from a checkpoint.
-  // A lease that an earlier leader granted is over by then, at whichever boot.
-  base::MonoTime former_lease_until{};
-  // After this time an unanswered start can no longer take effect.
-  base::MonoTime start_deadline = base::MonoTime::max();
-  int32_t percent = -1;
-  base::MonoTime progress_at{};
-  std::string checkpoint;  // Latest one reported.
-};
-
-// A send of a start that got no answer, of a run that is over. It may still
-// reach the worker, and a later boot of it would begin the run again if it has
-// not yet seen a higher fencing token.
-struct OpenSend {
-  TaskRef task;
-  int32_t run = 0;
-  placement::Resources demand;
-  AccountIndex account = kNoAccount;
-  base::MonoTime until{};  // The latest time of its arrival.
-  bool over = true;        // The current boot neither has nor begins the run.
-};
-
 // A send of a task's start that got no answer and that a boot which no call has
 // reached may still carry out. Until it is over, the task runs nowhere else,
 // and no end of it is acknowledged.
@@ -97,12 +45,6 @@
   bool at_one_address = true;
 };
 
-// An end that is stored but not acknowledged, as its task has an open start.
-struct HeldEnd {
-  int64_t number = 0;
-  TaskRef task;
-};
-
 // A run that ended as done, and its time from start to end.
 struct TimedRun {
   TaskRef task;
@@ -110,89 +52,6 @@
   int64_t run_ms = 0;
 };
 
-// The worker's speed as placement uses it; that of a median worker while the
-// speeds don't differ.
-struct PlacementSpeed {
-  // A task takes at most so many times as long as on a median worker, by one
-  // standard deviation of the estimate.
-  double slowness_bound = 1;
-  // Tenths of the logarithm of the slowness: about 10% each.
-  int32_t speed_class = 0;
-};
-
-struct Worker {
-  // `entry.boot` is the boot that the worker itself reported last.
-  WorkerEntry entry;
-  // The directory's entry is that of another boot, so it doesn't tell the
-  // capacity, labels and state of this one.
-  bool undescribed = false;
-  // The directory's entry of a boot that the worker has not reported yet.
-  std::optional<WorkerEntry> announced;
-  base::MonoTime announced_at{};
-  // Earlier boots; an entry that names one of them is out of date.
-  std::vector<int64_t> former_boots;
-  // When the worker reported its newest boot, if it has restarted in this term.
-  base::MonoTime restart_seen_at{};
-  bool listed = true;
-  // Fencing token of all calls. Rises with each boot, so that calls meant for
-  // an earlier boot have no effect on one that has answered under it.
-  uint64_t fence = 0;
-  // Under `fence`, a call was sent that another boot would misread: a start, a
-  // lease or an acknowledgement of ends.
-  bool fence_used = false;
-  // The current boot has answered under `fence`.
-  bool confirmed = false;
-  // Where the current boot answered last, this leader or an earlier one.
-  std::string confirmed_address;
-  // Earlier leaders bound the adopted runs to more than one boot.
-  bool adopted_from_several_boots = false;
-  // When the newest order was sent to the confirmed address that another boot
-  // answered there; unset once the current one has answered again.
-  base::MonoTime other_boot_at{};
-  // When a start or a lease was last sent, or found unanswered.
-  base::MonoTime last_grant_at{};
-  // The newest report lists a run that the leader doesn't know.
-  bool has_unknown_run = false;
-  // The last hold order was answered, under `fence`.
-  bool responsive = false;
-  placement::Resources used;
-  std::map<TaskRef, Run> runs;
-  std::vector<OpenSend> open_sends;
-  int32_t failures_in_row = 0;
-  base::MonoTime avoid_until{};  // Gets no new tasks before this time.
-  WorkerSpeed estimate;  // Kept up to date also while the speeds don't differ.
-  PlacementSpeed speed;
-
-  // Clock and lease.
-  bool clock_known = false;
-  int64_t clock_ms = 0;  // The worker's clock at `clock_at`.
-  base::MonoTime clock_at{};
-  int64_t max_lease_until_ms = 0;  // Latest lease end ever sent.
-  // After this time nothing runs on the worker unless the lease is renewed.
-  base::MonoTime lease_expires_at{};
-
-  // Hold orders.
-  int32_t holds_in_flight = 0;
-  // Hold orders in a row that stayed unanswered while this VM was behind.
-  int32_t late_holds = 0;
-  // Ends before the next report are known late.
-  base::MonoTime last_hold_failed_at{};
-  base::MonoTime next_hold{};
-  // When the most recent answered hold order was sent.
-  base::MonoTime newest_hold_sent_at{};
-  bool more_ends = false;   // The newest report didn't list all ends.
-  int64_t ends_read = 0;    // Highest end number passed to the output.
-  int64_t ends_stored = 0;  // Highest end number whose record is stored.
-  // Highest end number whose acknowledgement the boot has answered.
-  int64_t ends_forgotten = 0;
-  std::vector<HeldEnd> held_ends;  // By number.
-};
-
-// Returns true if the worker can take new tasks now.
-bool AcceptsTasks(const Worker& worker, base::MonoTime now);
-
-placement::Resources FreeCapacity(const Worker& worker);
-
 class Fleet {
  public:
   explicit Fleet(const SchedulerOptions& options)
--- a/packages/jobs/src/start_resend.h
+++ b/packages/jobs/src/start_resend.h
@@ -13,6 +13,11 @@
   return !run.gang && !run.has_ticket && !run.has_run && !run.stop_requested;
 }
 
+// True unless the start was sent as often as it may be.
+inline bool HasSendsLeft(const Run& run, const SchedulerOptions& options) {
+  return run.start_sends < options.max_start_sends;
+}
+
 // True until the start is sent again, or known to have been carried out.
 inline bool AwaitsResend(const Run& run) {
   return run.phase == RunPhase::kStartUnknown && run.resend;
--- a/packages/jobs/tests/late_call_cell.h
+++ b/packages/jobs/tests/late_call_cell.h
@@ -4,6 +4,8 @@
 #ifndef JOBS_TESTS_LATE_CALL_CELL_H_
 #define JOBS_TESTS_LATE_CALL_CELL_H_
 
+#include <doctest/doctest.h>
+
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -73,6 +75,22 @@
     late[{worker, kind}] = delay;
   }
 
+  // A job whose first send is carried out so much later, at whichever boot.
+  // Returns the id of the worker that it is bound to.
+  std::string SubmitWithLateStart(JobId id,
+                                  base::Millis work,
+                                  base::Millis delay) {
+    for (const auto& [worker, simulated] : workers) {
+      MakeLate(worker, CallKind::kStart, delay);
+    }
+    Submit(id, work);
+    Run(base::Millis{100});
+    late.clear();
+    REQUIRE(table.Find(id)->steps.at(0).bound == 1);
+    REQUIRE(RowsOf(id).empty());
+    return table.Find(id)->steps.at(0).tasks.at(0).worker.id;
+  }
+
   void Restart(const std::string& worker) {
     workers.at(worker).Crash(now);
     workers.at(worker).Boot(now);
@@ -151,6 +169,11 @@
     return count;
   }
 
+  // Also those that a worker carried out late.
+  size_t CountAll() const {
+    return CountSecondRuns() + CountSecondRuns(/*late_ones=*/true);
+  }
+
   size_t CountStartsOverCapacity() const {
     size_t count = 0;
     for (const auto& [id, worker] : workers) {
